--- /dev/null
+++ b/instance.go
@@ -0,0 +1,222 @@
+package anvilcrank
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/oklog/run"
+
+	"github.com/anvilcrank/anvilcrank/pkg/api"
+	"github.com/anvilcrank/anvilcrank/pkg/control"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/peer"
+	"github.com/anvilcrank/anvilcrank/pkg/proxy"
+	"github.com/anvilcrank/anvilcrank/pkg/settings"
+	"github.com/anvilcrank/anvilcrank/pkg/state"
+	"github.com/anvilcrank/anvilcrank/pkg/telemetry"
+)
+
+// Options are the optional parts of an instance.
+type Options struct {
+	// Logger takes log events; nil writes logfmt lines to standard error.
+	Logger log.Interface
+	// Network may delay or drop messages between instances.
+	Network peer.Network
+	// Dial opens connections to upstreams; nil stands for plain TCP.
+	Dial proxy.Dialer
+	// Seed starts the random numbers of the reducer; 0 takes the start time.
+	Seed uint64
+	// OnInvariant is called on the control goroutine when an invariant fails,
+	// after it was logged and counted. It must not block.
+	OnInvariant func(event.InvariantFailed)
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	settings  settings.Settings
+	options   Options
+	telemetry *telemetry.Telemetry
+	recorder  *control.Recorder
+	loop      *control.Loop
+	proxy     *proxy.Proxy
+	peers     *peer.Manager
+	api       *api.API
+
+	listener     net.Listener
+	peerListener net.Listener
+	dumpOnce     sync.Once
+}
+
+// New makes an instance and opens its listeners. Run or Close must follow.
+func New(s *settings.Settings, o Options) (*Instance, error) {
+	if o.Logger == nil {
+		o.Logger = newLogger(s.LogLevel)
+	}
+	i := &Instance{settings: *s, options: o}
+	if err := i.listen(); err != nil {
+		return nil, err
+	}
+	clock := control.NewClock()
+	identity := state.Identity{
+		ID:          s.Instance,
+		Incarnation: model.Incarnation(clock.Now()),
+		Zone:        s.Zone,
+		Address:     i.Address(),
+		Seed:        o.Seed,
+	}
+	if identity.Seed == 0 {
+		identity.Seed = uint64(identity.Incarnation)
+	}
+	i.telemetry = telemetry.New(s.Instance, o.Logger)
+	i.recorder = control.NewRecorder(identity, s.RecordEvents)
+	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial)
+	links := &lateSink{}
+	i.peers = peer.NewManager(message.Hello{
+		From:        s.Instance,
+		Incarnation: identity.Incarnation,
+		Zone:        s.Zone,
+		Address:     i.Address(),
+		PeerAddress: i.PeerAddress(),
+	}, links, i.telemetry, peer.Options{Network: o.Network})
+	i.loop = control.NewLoop(state.New(identity), clock, i.recorder, control.Handlers{
+		Traffic:         i.proxy,
+		Peers:           i.peers,
+		Telemetry:       i.telemetry,
+		InvariantFailed: i.invariantFailed,
+	})
+	links.loop = i.loop
+	i.proxy.SetControl(i.loop)
+	i.api = api.New(i.loop, i.proxy, i.telemetry)
+	return i, nil
+}
+
+// lateSink breaks the cycle between the links and the loop.
+type lateSink struct{ loop *control.Loop }
+
+// Report implements peer.Sink.
+func (l *lateSink) Report(b event.Body) { l.loop.Report(b) }
+
+func newLogger(level string) log.Interface {
+	return &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.MustParseLevel(level)}
+}
+
+func (i *Instance) listen() error {
+	var err error
+	if i.listener, err = net.Listen("tcp", i.settings.Listen); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if i.peerListener, err = net.Listen("tcp", i.settings.PeerListen); err != nil {
+		_ = i.listener.Close()
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	return nil
+}
+
+// Address returns the address for callers, upstreams and operators.
+func (i *Instance) Address() string { return i.listener.Addr().String() }
+
+// PeerAddress returns the address for links from other instances.
+func (i *Instance) PeerAddress() string { return i.peerListener.Addr().String() }
+
+// ID returns the identifier of the instance.
+func (i *Instance) ID() model.InstanceID { return i.settings.Instance }
+
+// Run serves until Stop has let all work end, or until the context is canceled,
+// which cuts off what is in flight. It returns nil after a graceful stop.
+func (i *Instance) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return i.loop.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return i.peers.Run(ctx, i.settings.Peers) }, func(error) { cancel() })
+	i.addServer(&g, i.api.Server(), i.listener)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, i.peers)
+	i.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}, i.peerListener)
+	if i.settings.Bootstrap != nil {
+		i.loop.Report(event.ConfigLoaded{Config: i.settings.Bootstrap.Config()})
+	}
+	err := g.Run()
+	i.proxy.Close()
+	if errors.Is(err, context.Canceled) {
+		return ctx.Err()
+	}
+	return err
+}
+
+// addServer adds an HTTP server to the group. When the group ends, answers that
+// are on their way get a moment to leave.
+func (i *Instance) addServer(g *run.Group, srv *http.Server, l net.Listener) {
+	g.Add(func() error {
+		err := srv.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		i.telemetry.Log(event.Log{Code: logevent.ListenerFailed, Fields: []logevent.Field{logevent.F("error", err.Error())}})
+		return fmt.Errorf("serve %s: %w", l.Addr(), err)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if srv.Shutdown(ctx) != nil {
+			_ = srv.Close()
+		}
+	})
+}
+
+// Stop begins a graceful stop: Run returns once everything in flight has ended.
+func (i *Instance) Stop() { i.loop.Report(event.StopRequested{}) }
+
+// Close closes the listeners of an instance that was never run.
+func (i *Instance) Close() {
+	_ = i.listener.Close()
+	_ = i.peerListener.Close()
+}
+
+// Dump writes the recorded events to a file.
+func (i *Instance) Dump(path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("dump events: %w", err)
+	}
+	defer f.Close()
+	if _, err := i.recorder.WriteTo(f); err != nil {
+		return fmt.Errorf("dump events: %w", err)
+	}
+	return f.Close()
+}
+
+// invariantFailed logs and counts a failed invariant and, once, writes the
+// recorded events.
+func (i *Instance) invariantFailed(f event.InvariantFailed) {
+	i.telemetry.Log(event.Log{Code: logevent.InvariantFailed, Fields: []logevent.Field{
+		logevent.F("invariant", f.Name), logevent.F("detail", f.Detail)}})
+	i.telemetry.Count(event.Count{Counter: event.InvariantFailures, Add: 1})
+	i.dumpOnce.Do(func() { go i.dumpAfterFailure() })
+	if i.options.OnInvariant != nil {
+		i.options.OnInvariant(f)
+	}
+}
+
+func (i *Instance) dumpAfterFailure() {
+	dir := i.settings.Data
+	if dir == "" {
+		dir = os.TempDir()
+	}
+	path := filepath.Join(dir, fmt.Sprintf("anvilcrank-%s-%d.events", i.settings.Instance, os.Getpid()))
+	if err := i.Dump(path); err != nil {
+		i.options.Logger.WithError(err).Error("event dump failed")
+		return
+	}
+	i.telemetry.Log(event.Log{Code: logevent.EventsDumped, Fields: []logevent.Field{logevent.F("file", path)}})
+}
--- /dev/null
+++ b/pkg/codec/codec_test.go
@@ -0,0 +1,64 @@
+package codec_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// Guards against a message field that is lost on the way to another instance.
+func TestMessageRoundTrip(t *testing.T) {
+	g := NewWithT(t)
+	in := &message.Hello{From: "gulf-a-1", Incarnation: 7, Zone: "gulf-a", Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2"}
+	data, err := codec.EncodeMessage(in)
+	g.Expect(err).NotTo(HaveOccurred())
+	out, err := codec.DecodeMessage(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal(in))
+}
+
+// Guards against an event type that cannot be recorded and replayed.
+func TestEveryEventRoundTrips(t *testing.T) {
+	g := NewWithT(t)
+	for _, body := range event.Bodies {
+		if _, ok := body.(event.PeerReceived); ok {
+			body = event.PeerReceived{From: "a", Message: &message.Hello{From: "a"}}
+		}
+		in := event.Event{At: 5, Body: body}
+		data, err := codec.EncodeEvent(in)
+		g.Expect(err).NotTo(HaveOccurred())
+		out, err := codec.DecodeEvent(data)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(out).To(Equal(in))
+	}
+}
+
+// Guards against a crash on bytes that a broken or hostile peer sends.
+func FuzzDecodeMessage(f *testing.F) {
+	data, _ := codec.EncodeMessage(&message.Hello{From: "a", Zone: model.Zone("z")})
+	f.Add(data)
+	f.Add([]byte{0x82, 0x01, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := codec.DecodeMessage(data)
+		if err == nil && m == nil {
+			t.Fatal("no message and no error")
+		}
+	})
+}
+
+// Guards against a crash on a damaged recording.
+func FuzzDecodeEvent(f *testing.F) {
+	data, _ := codec.EncodeEvent(event.Event{At: 1, Body: event.TimerFired{}})
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ev, err := codec.DecodeEvent(data)
+		if err == nil && ev.Body == nil {
+			t.Fatal("no event and no error")
+		}
+	})
+}
--- /dev/null
+++ b/pkg/codec/message.go
@@ -0,0 +1,67 @@
+package codec
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+)
+
+// MaxMessage is the largest encoded message in bytes. Larger ones are rejected
+// before they are decoded.
+const MaxMessage = 4 << 20
+
+// ErrTooLarge reports a message above MaxMessage.
+var ErrTooLarge = errors.New("message is too large")
+
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Kind message.Kind
+	Body cbor.RawMessage
+}
+
+var decMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 20,
+		MaxMapPairs:      1 << 16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// EncodeMessage encodes a message with its kind.
+func EncodeMessage(m message.Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message kind %d: %w", m.Kind(), err)
+	}
+	data, err := cbor.Marshal(envelope{Kind: m.Kind(), Body: body})
+	if err != nil {
+		return nil, fmt.Errorf("encode message kind %d: %w", m.Kind(), err)
+	}
+	return data, nil
+}
+
+// DecodeMessage decodes what EncodeMessage made.
+func DecodeMessage(data []byte) (message.Message, error) {
+	if len(data) > MaxMessage {
+		return nil, ErrTooLarge
+	}
+	var e envelope
+	if err := decMode.Unmarshal(data, &e); err != nil {
+		return nil, fmt.Errorf("decode message: %w", err)
+	}
+	m := message.New(e.Kind)
+	if m == nil {
+		return nil, fmt.Errorf("decode message: unknown kind %d", e.Kind)
+	}
+	if err := decMode.Unmarshal(e.Body, m); err != nil {
+		return nil, fmt.Errorf("decode message kind %d: %w", e.Kind, err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/pkg/codec/record.go
@@ -0,0 +1,86 @@
+package codec
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// record is an encoded event.
+type record struct {
+	_    struct{} `cbor:",toarray"`
+	At   model.Time
+	Type string
+	Body cbor.RawMessage
+}
+
+// peerReceived is the encoded form of event.PeerReceived, whose message needs
+// its kind beside it.
+type peerReceived struct {
+	From        model.InstanceID
+	Incarnation model.Incarnation
+	Message     []byte
+}
+
+var eventTypes = func() map[string]reflect.Type {
+	m := make(map[string]reflect.Type, len(event.Bodies))
+	for _, b := range event.Bodies {
+		t := reflect.TypeOf(b)
+		m[t.Name()] = t
+	}
+	return m
+}()
+
+// EncodeEvent encodes an event for a recording.
+func EncodeEvent(ev event.Event) ([]byte, error) {
+	var body any = ev.Body
+	if p, ok := ev.Body.(event.PeerReceived); ok {
+		m, err := EncodeMessage(p.Message)
+		if err != nil {
+			return nil, err
+		}
+		body = peerReceived{From: p.From, Incarnation: p.Incarnation, Message: m}
+	}
+	name := reflect.TypeOf(ev.Body).Name()
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode event %s: %w", name, err)
+	}
+	return cbor.Marshal(record{At: ev.At, Type: name, Body: raw})
+}
+
+// DecodeEvent decodes what EncodeEvent made.
+func DecodeEvent(data []byte) (event.Event, error) {
+	var r record
+	if err := decMode.Unmarshal(data, &r); err != nil {
+		return event.Event{}, fmt.Errorf("decode event: %w", err)
+	}
+	t, ok := eventTypes[r.Type]
+	if !ok {
+		return event.Event{}, fmt.Errorf("decode event: unknown type %q", r.Type)
+	}
+	if t == reflect.TypeFor[event.PeerReceived]() {
+		return decodePeerReceived(r)
+	}
+	v := reflect.New(t)
+	if err := decMode.Unmarshal(r.Body, v.Interface()); err != nil {
+		return event.Event{}, fmt.Errorf("decode event %s: %w", r.Type, err)
+	}
+	return event.Event{At: r.At, Body: v.Elem().Interface().(event.Body)}, nil
+}
+
+func decodePeerReceived(r record) (event.Event, error) {
+	var p peerReceived
+	if err := decMode.Unmarshal(r.Body, &p); err != nil {
+		return event.Event{}, fmt.Errorf("decode event %s: %w", r.Type, err)
+	}
+	m, err := DecodeMessage(p.Message)
+	if err != nil {
+		return event.Event{}, fmt.Errorf("decode event %s: %w", r.Type, err)
+	}
+	return event.Event{At: r.At, Body: event.PeerReceived{From: p.From, Incarnation: p.Incarnation, Message: m}}, nil
+}
--- /dev/null
+++ b/pkg/control/loop.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/state"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
+)
+
+const (
+	// arrivalQueue bounds new requests and calls that wait for the control
+	// goroutine. A full queue refuses them.
+	arrivalQueue = 4096
+	// resultQueue bounds the results of work that was admitted before. Senders
+	// wait for room, since a lost result would leak a slot.
+	resultQueue = 4096
+)
+
+// ErrQueueFull reports that the control goroutine cannot take another event.
+var ErrQueueFull = errors.New("control queue is full")
+
+// ErrStopped reports that the control goroutine has ended.
+var ErrStopped = errors.New("control loop stopped")
+
+// Traffic carries out the effects of requests. Its methods must not block.
+type Traffic interface {
+	Dispatch(event.Dispatch)
+	Relay(event.Relay)
+	CancelAttempt(event.CancelAttempt)
+	Finish(event.Finish)
+	ReplayAnswer(event.ReplayAnswer)
+}
+
+// Peers sends messages to other instances. Send must not block.
+type Peers interface {
+	Send(to model.InstanceID, m message.Message)
+}
+
+// Telemetry takes logs and counts. Its methods must not block.
+type Telemetry interface {
+	Log(event.Log)
+	Count(event.Count)
+}
+
+// Handlers carry out effects.
+type Handlers struct {
+	Traffic   Traffic
+	Peers     Peers
+	Telemetry Telemetry
+	// InvariantFailed is called when an invariant of the reducer fails.
+	InvariantFailed func(event.InvariantFailed)
+}
+
+// Loop owns the control state.
+type Loop struct {
+	state    *state.State
+	clock    *Clock
+	handlers Handlers
+	recorder *Recorder
+
+	arrivals chan event.Body
+	results  chan event.Body
+	stopped  chan struct{}
+	view     atomic.Pointer[view.View]
+
+	nextCall atomic.Uint64
+	callsMu  sync.Mutex
+	calls    map[event.CallID]chan event.Effect
+
+	timer *time.Timer
+	last  model.Time
+}
+
+// NewLoop returns a loop over the state. Run must be called once.
+func NewLoop(s *state.State, clock *Clock, recorder *Recorder, h Handlers) *Loop {
+	l := &Loop{
+		state:    s,
+		clock:    clock,
+		handlers: h,
+		recorder: recorder,
+		arrivals: make(chan event.Body, arrivalQueue),
+		results:  make(chan event.Body, resultQueue),
+		stopped:  make(chan struct{}),
+		calls:    map[event.CallID]chan event.Effect{},
+		timer:    time.NewTimer(time.Hour),
+	}
+	l.view.Store(&view.View{})
+	return l
+}
+
+// View returns the view published last.
+func (l *Loop) View() *view.View { return l.view.Load() }
+
+// Clock returns the clock of the loop.
+func (l *Loop) Clock() *Clock { return l.clock }
+
+// Submit hands in a new request or call. It returns ErrQueueFull at once when
+// the queue is full.
+func (l *Loop) Submit(b event.Body) error {
+	select {
+	case <-l.stopped:
+		return ErrStopped
+	default:
+	}
+	select {
+	case l.arrivals <- b:
+		return nil
+	default:
+		return ErrQueueFull
+	}
+}
+
+// Report hands in the result of work that an effect asked for, or a message of
+// a peer. It waits for room in the queue.
+func (l *Loop) Report(b event.Body) {
+	select {
+	case l.results <- b:
+	case <-l.stopped:
+	}
+}
+
+// Call submits an event and waits for the effect that answers it.
+func (l *Loop) Call(ctx context.Context, body func(event.CallID) event.Body) (event.Effect, error) {
+	id := event.CallID(l.nextCall.Add(1))
+	reply := make(chan event.Effect, 1)
+	l.callsMu.Lock()
+	l.calls[id] = reply
+	l.callsMu.Unlock()
+	defer func() {
+		l.callsMu.Lock()
+		delete(l.calls, id)
+		l.callsMu.Unlock()
+	}()
+	if err := l.Submit(body(id)); err != nil {
+		return nil, err
+	}
+	select {
+	case e := <-reply:
+		return e, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-l.stopped:
+		return nil, ErrStopped
+	}
+}
+
+// Run handles events until the state reports that it has stopped, or the
+// context ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.stopped)
+	defer l.timer.Stop()
+	if l.step(event.Started{}) {
+		return nil
+	}
+	for {
+		var body event.Body
+		select {
+		case body = <-l.results:
+		case body = <-l.arrivals:
+		case <-l.timer.C:
+			body = event.TimerFired{}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if l.step(body) {
+			return nil
+		}
+	}
+}
+
+// step handles one event and reports whether the process is to end.
+func (l *Loop) step(body event.Body) bool {
+	l.last = max(l.last, l.clock.Now())
+	ev := event.Event{At: l.last, Body: body}
+	effects := l.state.Step(ev)
+	l.recorder.Record(ev, effects)
+	stop := false
+	for _, e := range effects {
+		if l.carryOut(e) {
+			stop = true
+		}
+	}
+	return stop
+}
+
+// answer is an effect that answers a call.
+type answer interface {
+	Answers() event.CallID
+}
+
+// carryOut turns an effect into I/O. It reports whether the process is to end.
+func (l *Loop) carryOut(e event.Effect) bool {
+	switch e := e.(type) {
+	case event.Dispatch:
+		l.handlers.Traffic.Dispatch(e)
+	case event.Relay:
+		l.handlers.Traffic.Relay(e)
+	case event.CancelAttempt:
+		l.handlers.Traffic.CancelAttempt(e)
+	case event.Finish:
+		l.handlers.Traffic.Finish(e)
+	case event.ReplayAnswer:
+		l.handlers.Traffic.ReplayAnswer(e)
+	case event.Send:
+		l.handlers.Peers.Send(e.To, e.Message)
+	case event.SetTimer:
+		l.timer.Reset(l.clock.Until(e.At))
+	case event.Publish:
+		l.view.Store(e.View)
+	case event.Log:
+		l.handlers.Telemetry.Log(e)
+	case event.Count:
+		l.handlers.Telemetry.Count(e)
+	case event.InvariantFailed:
+		l.handlers.InvariantFailed(e)
+	case event.Stopped:
+		return true
+	case answer:
+		l.deliver(e.(event.Effect), e.Answers())
+	}
+	return false
+}
+
+func (l *Loop) deliver(e event.Effect, id event.CallID) {
+	l.callsMu.Lock()
+	defer l.callsMu.Unlock()
+	if reply, ok := l.calls[id]; ok {
+		delete(l.calls, id)
+		reply <- e
+	}
+}
--- /dev/null
+++ b/pkg/control/recorder.go
@@ -0,0 +1,186 @@
+package control
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/state"
+)
+
+// recorded is one event with a digest of its effects.
+type recorded struct {
+	event  event.Event
+	digest uint64
+}
+
+// Recorder keeps the latest events of a reducer.
+type Recorder struct {
+	identity state.Identity
+	mu       sync.Mutex
+	ring     []recorded
+	next     int
+	// dropped counts events that the ring no longer holds.
+	dropped uint64
+}
+
+// NewRecorder returns a recorder of at most size events; size 0 records none.
+func NewRecorder(identity state.Identity, size int) *Recorder {
+	return &Recorder{identity: identity, ring: make([]recorded, 0, size)}
+}
+
+// Record keeps an event and a digest of its effects.
+func (r *Recorder) Record(ev event.Event, effects []event.Effect) {
+	if cap(r.ring) == 0 {
+		return
+	}
+	rec := recorded{event: ev, digest: Digest(effects)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < cap(r.ring) {
+		r.ring = append(r.ring, rec)
+		return
+	}
+	r.ring[r.next] = rec
+	r.next = (r.next + 1) % len(r.ring)
+	r.dropped++
+}
+
+// Digest identifies a list of effects by their kinds and order. Published views
+// are left out, since they hold pointers.
+func Digest(effects []event.Effect) uint64 {
+	h := xxhash.New()
+	for _, e := range effects {
+		switch e := e.(type) {
+		case event.Publish:
+			fmt.Fprintf(h, "publish %d;", len(e.View.Instances))
+		case event.Send:
+			fmt.Fprintf(h, "send %s %d;", e.To, e.Message.Kind())
+		default:
+			fmt.Fprintf(h, "%T%v;", e, e)
+		}
+	}
+	return h.Sum64()
+}
+
+// header begins a recording.
+type header struct {
+	Identity state.Identity
+	Dropped  uint64
+	Events   int
+}
+
+// WriteTo writes the recording: a header, then each event with its digest.
+func (r *Recorder) WriteTo(w io.Writer) (int64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var total int64
+	write := func(data []byte) error {
+		frame := binary.BigEndian.AppendUint32(nil, uint32(len(data)))
+		n, err := w.Write(append(frame, data...))
+		total += int64(n)
+		return err
+	}
+	head, err := cbor.Marshal(header{Identity: r.identity, Dropped: r.dropped, Events: len(r.ring)})
+	if err != nil {
+		return 0, fmt.Errorf("encode recording: %w", err)
+	}
+	if err := write(head); err != nil {
+		return total, fmt.Errorf("write recording: %w", err)
+	}
+	for i := range r.ring {
+		rec := &r.ring[(r.next+i)%len(r.ring)]
+		data, err := codec.EncodeEvent(rec.event)
+		if err != nil {
+			return total, err
+		}
+		data = binary.BigEndian.AppendUint64(data, rec.digest)
+		if err := write(data); err != nil {
+			return total, fmt.Errorf("write recording: %w", err)
+		}
+	}
+	return total, nil
+}
+
+// ReplayReport is the result of a replay.
+type ReplayReport struct {
+	Events int `json:"events"`
+	// Mismatch is the number of the first event whose effects differ, -1 if
+	// none does.
+	Mismatch int `json:"mismatch"`
+	// Dropped is the number of events before the recording. If it is not 0, the
+	// effects cannot be expected to be the same.
+	Dropped  uint64                  `json:"dropped"`
+	Failures []event.InvariantFailed `json:"failures"`
+}
+
+const maxFrame = 64 << 20
+
+// Replay runs a recording again and compares the effects.
+func Replay(r io.Reader) (ReplayReport, error) {
+	report := ReplayReport{Mismatch: -1}
+	head, err := readFrame(r)
+	if err != nil {
+		return report, fmt.Errorf("read recording: %w", err)
+	}
+	var h header
+	if err := cbor.Unmarshal(head, &h); err != nil {
+		return report, fmt.Errorf("read recording: %w", err)
+	}
+	report.Dropped = h.Dropped
+	s := state.New(h.Identity)
+	for {
+		data, err := readFrame(r)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return report, fmt.Errorf("read recording: event %d: %w", report.Events, err)
+		}
+		if len(data) < 8 {
+			return report, fmt.Errorf("read recording: event %d is cut short", report.Events)
+		}
+		ev, err := codec.DecodeEvent(data[:len(data)-8])
+		if err != nil {
+			return report, fmt.Errorf("read recording: event %d: %w", report.Events, err)
+		}
+		effects := s.Step(ev)
+		want := binary.BigEndian.Uint64(data[len(data)-8:])
+		if report.Mismatch < 0 && Digest(effects) != want {
+			report.Mismatch = report.Events
+		}
+		for _, e := range effects {
+			if f, ok := e.(event.InvariantFailed); ok {
+				report.Failures = append(report.Failures, f)
+			}
+		}
+		report.Events++
+	}
+	if report.Events != h.Events {
+		return report, fmt.Errorf("read recording: %d of %d events", report.Events, h.Events)
+	}
+	return report, nil
+}
+
+func readFrame(r io.Reader) ([]byte, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxFrame {
+		return nil, fmt.Errorf("frame of %d bytes is too large", n)
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return data, nil
+}
--- /dev/null
+++ b/pkg/event/event.go
@@ -0,0 +1,45 @@
+package event
+
+import "github.com/anvilcrank/anvilcrank/pkg/model"
+
+// Event is one input of the reducer.
+type Event struct {
+	// At is the time of the event. It never goes back from one event to the
+	// next.
+	At   model.Time
+	Body Body
+}
+
+// Body is the content of an event. Only types of this package implement it.
+type Body interface{ isBody() }
+
+// Effect is one output of the reducer. Only types of this package implement it.
+type Effect interface{ isEffect() }
+
+// Effects collects the effects of one step in the order in which they must be
+// carried out.
+type Effects struct {
+	list []Effect
+}
+
+// Add appends an effect.
+func (e *Effects) Add(x Effect) { e.list = append(e.list, x) }
+
+// List returns the collected effects. It is valid until the next Reset.
+func (e *Effects) List() []Effect { return e.list }
+
+// Reset drops the collected effects and keeps the memory.
+func (e *Effects) Reset() {
+	clear(e.list)
+	e.list = e.list[:0]
+}
+
+// Bodies lists one zero value of each event type, for decoders of recorded
+// events.
+var Bodies = []Body{
+	Started{}, TimerFired{}, StopRequested{},
+	RequestArrived{}, RequestCanceled{}, AttemptAnswered{}, AttemptEnded{}, CancelConfirmed{},
+	UpstreamAnnounced{},
+	PeerReceived{}, PeerConnected{}, PeerLost{},
+	ConfigLoaded{},
+}
--- /dev/null
+++ b/pkg/logevent/events.go
@@ -0,0 +1,94 @@
+package logevent
+
+import "fmt"
+
+// Code numbers a log event. The hundreds give the subject: 1 process, 2
+// upstreams, 3 requests, 4 peers, 5 configuration, 6 agreement, 7 ledger, 8
+// permits.
+type Code int
+
+// Level is the severity of an event.
+type Level uint8
+
+// Levels.
+const (
+	LevelInfo Level = iota
+	LevelWarn
+	LevelError
+)
+
+// Field is one value attached to a log event.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// F makes a field.
+func F(name string, value any) Field { return Field{Name: name, Value: value} }
+
+// Log events.
+const (
+	ProcessStarted  Code = 101
+	ProcessStopping Code = 102
+	ProcessStopped  Code = 103
+	InvariantFailed Code = 104
+	EventsDumped    Code = 105
+	ListenerFailed  Code = 106
+
+	UpstreamRegistered Code = 201
+	UpstreamDraining   Code = 202
+	UpstreamLeft       Code = 203
+	UpstreamExpired    Code = 204
+	UpstreamTakenOver  Code = 205
+
+	PeerConnected  Code = 401
+	PeerLost       Code = 402
+	PeerBadMessage Code = 403
+	PeerQueueFull  Code = 404
+
+	ConfigInForce Code = 501
+)
+
+// Info describes an event for the catalogue.
+type Info struct {
+	Code    Code
+	Name    string
+	Level   Level
+	Message string
+}
+
+// Table lists all events in order.
+var Table = []Info{
+	{ProcessStarted, "process_started", LevelInfo, "instance started"},
+	{ProcessStopping, "process_stopping", LevelInfo, "graceful stop began"},
+	{ProcessStopped, "process_stopped", LevelInfo, "instance stopped"},
+	{InvariantFailed, "invariant_failed", LevelError, "an invariant of the reducer failed"},
+	{EventsDumped, "events_dumped", LevelWarn, "the recorded events were written to a file"},
+	{ListenerFailed, "listener_failed", LevelError, "a listener failed"},
+	{UpstreamRegistered, "upstream_registered", LevelInfo, "an upstream registered with this instance"},
+	{UpstreamDraining, "upstream_draining", LevelInfo, "an upstream is draining"},
+	{UpstreamLeft, "upstream_left", LevelInfo, "an upstream left"},
+	{UpstreamExpired, "upstream_expired", LevelWarn, "the lease of an upstream ran out"},
+	{UpstreamTakenOver, "upstream_taken_over", LevelWarn, "an upstream moved here from another instance; its slots count as used for now"},
+	{PeerConnected, "peer_connected", LevelInfo, "a link to another instance stands"},
+	{PeerLost, "peer_lost", LevelWarn, "a link to another instance broke"},
+	{PeerBadMessage, "peer_bad_message", LevelWarn, "a message of another instance could not be decoded"},
+	{PeerQueueFull, "peer_queue_full", LevelWarn, "a message to another instance was dropped because its queue is full"},
+	{ConfigInForce, "config_in_force", LevelInfo, "a configuration came into force"},
+}
+
+var byCode = func() map[Code]*Info {
+	m := make(map[Code]*Info, len(Table))
+	for i := range Table {
+		m[Table[i].Code] = &Table[i]
+	}
+	return m
+}()
+
+// Lookup returns the description of the event.
+func Lookup(c Code) Info {
+	if info, ok := byCode[c]; ok {
+		return *info
+	}
+	return Info{Code: c, Name: "unlisted", Level: LevelError, Message: fmt.Sprintf("unlisted event %d", int(c))}
+}
--- /dev/null
+++ b/pkg/model/config.go
@@ -0,0 +1,367 @@
+package model
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Version numbers configurations. It is the log position of the change that
+// produced the configuration and never goes back at any instance.
+type Version uint64
+
+// Repeat says when a request may be sent to an upstream again.
+type Repeat string
+
+const (
+	// RepeatNever dispatches every request at most once.
+	RepeatNever Repeat = "never"
+	// RepeatIfNotRun dispatches again only when the earlier attempt provably did
+	// not run.
+	RepeatIfNotRun Repeat = "if-not-run"
+	// RepeatFreely also repeats idempotent requests whose outcome is unknown.
+	RepeatFreely Repeat = "freely"
+)
+
+// Profile is a named steering profile.
+type Profile struct {
+	Name string `json:"name"`
+	// Class is "short" or "long".
+	Class string `json:"class"`
+	// Repeat limits repeated dispatch.
+	Repeat Repeat `json:"repeat"`
+	// MaxAttempts bounds the dispatches of one request, hedges included.
+	MaxAttempts int `json:"max_attempts"`
+	// Hedge allows a second attempt of a slow idempotent request.
+	Hedge bool `json:"hedge"`
+	// DeadlineMs is the longest time in milliseconds a request may take. It also
+	// bounds how long a slot can stay in use after its owner is lost.
+	DeadlineMs int64 `json:"deadline_ms"`
+	// QueueLimit bounds the requests that wait at one instance.
+	QueueLimit int `json:"queue_limit"`
+	// IdempotentMethods lists methods treated as idempotent besides GET, HEAD
+	// and OPTIONS.
+	IdempotentMethods []string `json:"idempotent_methods,omitempty"`
+	// Spill is how far requests may leave the zone: "zone", "region" or "any".
+	Spill string `json:"spill"`
+}
+
+// Deadline returns the longest time a request of the profile may take.
+func (p *Profile) Deadline() Duration { return Duration(p.DeadlineMs) * time.Millisecond }
+
+// WorkClass returns the typed class of the profile.
+func (p *Profile) WorkClass() Class {
+	if p.Class == "long" {
+		return Long
+	}
+	return Short
+}
+
+// Spill values of a profile.
+const (
+	SpillZone   = "zone"
+	SpillRegion = "region"
+	SpillAny    = "any"
+)
+
+// MaxDeadline bounds the deadline of any profile. Takeover of an upstream may
+// have to wait this long, so it also bounds recovery.
+const MaxDeadline = 10 * time.Minute
+
+// Validate reports the first impossible value of the profile.
+func (p *Profile) Validate() error {
+	switch {
+	case p.Name == "":
+		return fmt.Errorf("profile: name is empty")
+	case p.Class != "short" && p.Class != "long":
+		return fmt.Errorf("profile %s: class %q is not short or long", p.Name, p.Class)
+	case p.Repeat != RepeatNever && p.Repeat != RepeatIfNotRun && p.Repeat != RepeatFreely:
+		return fmt.Errorf("profile %s: repeat %q is not never, if-not-run or freely", p.Name, p.Repeat)
+	case p.MaxAttempts < 1 || p.MaxAttempts > 10:
+		return fmt.Errorf("profile %s: max_attempts %d is not in 1 to 10", p.Name, p.MaxAttempts)
+	case p.DeadlineMs < 1 || p.Deadline() > MaxDeadline:
+		return fmt.Errorf("profile %s: deadline_ms %d is not in 1 to %d", p.Name, p.DeadlineMs, MaxDeadline.Milliseconds())
+	case p.QueueLimit < 0 || p.QueueLimit > 100_000:
+		return fmt.Errorf("profile %s: queue_limit %d is not in 0 to 100000", p.Name, p.QueueLimit)
+	case p.Spill != SpillZone && p.Spill != SpillRegion && p.Spill != SpillAny:
+		return fmt.Errorf("profile %s: spill %q is not zone, region or any", p.Name, p.Spill)
+	case p.Repeat == RepeatNever && (p.MaxAttempts > 1 || p.Hedge):
+		return fmt.Errorf("profile %s: repeat never allows one attempt and no hedge", p.Name)
+	}
+	return nil
+}
+
+// Service binds a service to its profile.
+type Service struct {
+	Name    ServiceName `json:"name"`
+	Profile string      `json:"profile"`
+}
+
+// Shift moves a part of a service's traffic from one region to another.
+type Shift struct {
+	ID      string      `json:"id"`
+	Service ServiceName `json:"service"`
+	From    Region      `json:"from"`
+	To      Region      `json:"to"`
+	// Percent of the requests that arrive in From, 0 to 100.
+	Percent int `json:"percent"`
+	// Cap is the most shifted requests in flight in To, over all instances.
+	Cap int `json:"cap"`
+}
+
+// Drain takes a target out of service.
+type Drain struct {
+	// Kind is "upstream", "instance", "zone" or "region".
+	Kind   string `json:"kind"`
+	Target string `json:"target"`
+}
+
+// Kinds of drain targets.
+const (
+	DrainUpstream = "upstream"
+	DrainInstance = "instance"
+	DrainZone     = "zone"
+	DrainRegion   = "region"
+)
+
+// RosterEntry is an instance that the deployment is made of. Shares of caps and
+// links are split over the roster, whether an instance is up or not, so that
+// they never add up to more than the whole during a partition.
+type RosterEntry struct {
+	ID   InstanceID `json:"id"`
+	Zone Zone       `json:"zone"`
+}
+
+// ZoneInfo places an availability zone in its region.
+type ZoneInfo struct {
+	Zone   Zone   `json:"zone"`
+	Region Region `json:"region"`
+}
+
+// Link is the byte budget between two regions, for each direction.
+type Link struct {
+	A Region `json:"a"`
+	B Region `json:"b"`
+	// BytesPerSecond is the budget of one direction.
+	BytesPerSecond int64 `json:"bytes_per_second"`
+}
+
+// Config is the dynamic configuration that operators change. A published
+// Config is immutable; a change makes a new one.
+type Config struct {
+	Version  Version       `json:"version"`
+	Zones    []ZoneInfo    `json:"zones"`
+	Roster   []RosterEntry `json:"roster"`
+	Profiles []Profile     `json:"profiles"`
+	Services []Service     `json:"services"`
+	Shifts   []Shift       `json:"shifts,omitempty"`
+	Drains   []Drain       `json:"drains,omitempty"`
+	Links    []Link        `json:"links,omitempty"`
+}
+
+// Profile returns the profile of the service, or nil if the service is unknown.
+func (c *Config) Profile(service ServiceName) *Profile {
+	if c == nil {
+		return nil
+	}
+	for i := range c.Services {
+		if c.Services[i].Name == service {
+			return c.ProfileNamed(c.Services[i].Profile)
+		}
+	}
+	return nil
+}
+
+// ProfileNamed returns the profile with that name, or nil.
+func (c *Config) ProfileNamed(name string) *Profile {
+	for i := range c.Profiles {
+		if c.Profiles[i].Name == name {
+			return &c.Profiles[i]
+		}
+	}
+	return nil
+}
+
+// RegionOf returns the region of the zone, or "" if the zone is unknown.
+func (c *Config) RegionOf(zone Zone) Region {
+	if c == nil {
+		return ""
+	}
+	for i := range c.Zones {
+		if c.Zones[i].Zone == zone {
+			return c.Zones[i].Region
+		}
+	}
+	return ""
+}
+
+// IsDrained reports whether the configuration takes the target out of service.
+func (c *Config) IsDrained(kind, target string) bool {
+	if c == nil {
+		return false
+	}
+	for i := range c.Drains {
+		if c.Drains[i].Kind == kind && c.Drains[i].Target == target {
+			return true
+		}
+	}
+	return false
+}
+
+// RosterIn returns the instances of the roster in a zone, in identifier order.
+func (c *Config) RosterIn(zone Zone) []InstanceID {
+	var ids []InstanceID
+	for _, r := range c.Roster {
+		if r.Zone == zone {
+			ids = append(ids, r.ID)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// RosterInRegion returns the instances of the roster in a region, in
+// identifier order.
+func (c *Config) RosterInRegion(region Region) []InstanceID {
+	var ids []InstanceID
+	for _, r := range c.Roster {
+		if c.RegionOf(r.Zone) == region {
+			ids = append(ids, r.ID)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// LedgerGroupSize is the number of replicas of each idempotency ledger.
+const LedgerGroupSize = 3
+
+// LedgerGroup returns the replicas of the ledger of a home zone: the zone's own
+// instances first, then those of the region's other zones, then the rest, each
+// in identifier order. Fewer than LedgerGroupSize are returned only when the
+// roster is smaller.
+func (c *Config) LedgerGroup(home Zone) []InstanceID {
+	region := c.RegionOf(home)
+	rank := func(r RosterEntry) int {
+		switch {
+		case r.Zone == home:
+			return 0
+		case c.RegionOf(r.Zone) == region:
+			return 1
+		}
+		return 2
+	}
+	entries := append([]RosterEntry(nil), c.Roster...)
+	sort.Slice(entries, func(i, j int) bool {
+		if a, b := rank(entries[i]), rank(entries[j]); a != b {
+			return a < b
+		}
+		return entries[i].ID < entries[j].ID
+	})
+	n := min(LedgerGroupSize, len(entries))
+	ids := make([]InstanceID, n)
+	for i := range ids {
+		ids[i] = entries[i].ID
+	}
+	return ids
+}
+
+// Validate reports the first impossible value or dangling reference.
+func (c *Config) Validate() error {
+	zones := map[Zone]bool{}
+	regions := map[Region]bool{}
+	for _, z := range c.Zones {
+		if z.Zone == "" || z.Region == "" {
+			return fmt.Errorf("zones: zone and region must be set")
+		}
+		if zones[z.Zone] {
+			return fmt.Errorf("zones: %s is listed twice", z.Zone)
+		}
+		zones[z.Zone] = true
+		regions[z.Region] = true
+	}
+	ids := map[InstanceID]bool{}
+	for _, r := range c.Roster {
+		if r.ID == "" || ids[r.ID] {
+			return fmt.Errorf("roster: instance %q is empty or listed twice", r.ID)
+		}
+		if !zones[r.Zone] {
+			return fmt.Errorf("roster: instance %s is in unknown zone %q", r.ID, r.Zone)
+		}
+		ids[r.ID] = true
+	}
+	profiles := map[string]bool{}
+	for i := range c.Profiles {
+		if err := c.Profiles[i].Validate(); err != nil {
+			return err
+		}
+		if profiles[c.Profiles[i].Name] {
+			return fmt.Errorf("profiles: %s is listed twice", c.Profiles[i].Name)
+		}
+		profiles[c.Profiles[i].Name] = true
+	}
+	services := map[ServiceName]bool{}
+	for _, s := range c.Services {
+		if s.Name == "" || services[s.Name] {
+			return fmt.Errorf("services: %q is empty or listed twice", s.Name)
+		}
+		if !profiles[s.Profile] {
+			return fmt.Errorf("service %s: unknown profile %q", s.Name, s.Profile)
+		}
+		services[s.Name] = true
+	}
+	if err := validateShifts(c.Shifts, services, regions); err != nil {
+		return err
+	}
+	for _, l := range c.Links {
+		if !regions[l.A] || !regions[l.B] || l.A == l.B || l.BytesPerSecond <= 0 {
+			return fmt.Errorf("links: %s to %s needs two known regions and a positive rate", l.A, l.B)
+		}
+	}
+	return validateDrains(c.Drains)
+}
+
+func validateShifts(shifts []Shift, services map[ServiceName]bool, regions map[Region]bool) error {
+	type origin struct {
+		service ServiceName
+		from    Region
+	}
+	seen := map[string]bool{}
+	origins := map[origin]bool{}
+	for _, s := range shifts {
+		if s.ID == "" || seen[s.ID] {
+			return fmt.Errorf("shifts: id %q is empty or listed twice", s.ID)
+		}
+		seen[s.ID] = true
+		if !services[s.Service] {
+			return fmt.Errorf("shift %s: unknown service %q", s.ID, s.Service)
+		}
+		if !regions[s.From] || !regions[s.To] || s.From == s.To {
+			return fmt.Errorf("shift %s: from %q and to %q must be two known regions", s.ID, s.From, s.To)
+		}
+		if s.Percent < 0 || s.Percent > 100 || s.Cap < 0 {
+			return fmt.Errorf("shift %s: percent %d is not in 0 to 100 or cap %d is negative", s.ID, s.Percent, s.Cap)
+		}
+		// Two shifts of one origin would have to share the same requests.
+		o := origin{s.Service, s.From}
+		if origins[o] {
+			return fmt.Errorf("shift %s: service %s already has a shift from %s", s.ID, s.Service, s.From)
+		}
+		origins[o] = true
+	}
+	return nil
+}
+
+func validateDrains(drains []Drain) error {
+	for _, d := range drains {
+		switch d.Kind {
+		case DrainUpstream, DrainInstance, DrainZone, DrainRegion:
+		default:
+			return fmt.Errorf("drains: kind %q is not upstream, instance, zone or region", d.Kind)
+		}
+		if d.Target == "" {
+			return fmt.Errorf("drains: target is empty")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/model/upstream.go
@@ -0,0 +1,65 @@
+package model
+
+import "fmt"
+
+// UpstreamState is what an upstream says of itself.
+type UpstreamState string
+
+const (
+	// Serving upstreams take new work.
+	Serving UpstreamState = "serving"
+	// Draining upstreams finish their work and take no new work.
+	Draining UpstreamState = "draining"
+	// Leaving upstreams are gone after this announcement.
+	Leaving UpstreamState = "leaving"
+)
+
+// Announcement is the register and heartbeat message of an upstream.
+type Announcement struct {
+	Upstream    UpstreamID    `json:"upstream"`
+	Incarnation Incarnation   `json:"incarnation"`
+	Service     ServiceName   `json:"service"`
+	Zone        Zone          `json:"zone"`
+	Address     string        `json:"address"`
+	Slots       int           `json:"slots"`
+	Connections int           `json:"connections"`
+	State       UpstreamState `json:"state"`
+	// First is true in announcements of a process that has never received an
+	// answer, so that no instance can have work in flight there.
+	First bool `json:"first,omitempty"`
+	// InFlight and Load are hints; they may lag or mislead.
+	InFlight int     `json:"in_flight"`
+	Load     float64 `json:"load"`
+}
+
+// Bounds of an announcement. Larger values are rejected as malformed.
+const (
+	MaxSlots       = 10_000
+	MaxConnections = 100_000
+	MaxNameLength  = 128
+)
+
+// Validate reports the first impossible value of the announcement.
+func (a *Announcement) Validate() error {
+	switch {
+	case a.Upstream == "" || len(a.Upstream) > MaxNameLength:
+		return fmt.Errorf("upstream is empty or longer than %d bytes", MaxNameLength)
+	case a.Service == "" || len(a.Service) > MaxNameLength:
+		return fmt.Errorf("service is empty or longer than %d bytes", MaxNameLength)
+	case a.Zone == "" || len(a.Zone) > MaxNameLength:
+		return fmt.Errorf("zone is empty or longer than %d bytes", MaxNameLength)
+	case a.Address == "" || len(a.Address) > MaxNameLength:
+		return fmt.Errorf("address is empty or longer than %d bytes", MaxNameLength)
+	case a.Incarnation <= 0:
+		return fmt.Errorf("incarnation %d is not positive", a.Incarnation)
+	case a.Slots < 1 || a.Slots > MaxSlots:
+		return fmt.Errorf("slots %d is not in 1 to %d", a.Slots, MaxSlots)
+	case a.Connections < 1 || a.Connections > MaxConnections:
+		return fmt.Errorf("connections %d is not in 1 to %d", a.Connections, MaxConnections)
+	case a.State != Serving && a.State != Draining && a.State != Leaving:
+		return fmt.Errorf("state %q is not serving, draining or leaving", a.State)
+	case a.Load != a.Load || a.Load < 0:
+		return fmt.Errorf("load is negative or not a number")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/peer/manager.go
@@ -0,0 +1,316 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+const (
+	// sendQueue bounds the messages that wait on one link.
+	sendQueue = 1024
+	// writeTimeout ends a link whose peer does not take data.
+	writeTimeout = 5 * time.Second
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = 2 * time.Second
+	// pingInterval is how often an idle link is checked. A peer that was cut off
+	// without a reset is noticed after pingInterval plus writeTimeout.
+	pingInterval = time.Second
+	// minRedial and maxRedial bound the pause between attempts to connect.
+	minRedial = 50 * time.Millisecond
+	maxRedial = time.Second
+)
+
+// Path is the HTTP path of links.
+const Path = "/v1/peer"
+
+// Sink takes events of links.
+type Sink interface {
+	Report(event.Body)
+}
+
+// Logger takes log events.
+type Logger interface {
+	Log(event.Log)
+}
+
+// Network decides what happens to a message before it is sent. Tests and
+// benches use it for latency, loss and partitions.
+type Network interface {
+	// Deliver calls send, now, later or never.
+	Deliver(from, to model.InstanceID, send func())
+}
+
+// Manager holds the links of an instance.
+type Manager struct {
+	hello   message.Hello
+	sink    Sink
+	logger  Logger
+	network Network
+	client  *http.Client
+	scheme  string
+
+	mu      sync.Mutex
+	links   map[model.InstanceID]*link
+	dialing map[string]bool
+	ctx     context.Context
+	wg      sync.WaitGroup
+}
+
+type link struct {
+	queue chan message.Message
+}
+
+// Options are the optional parts of a manager.
+type Options struct {
+	// Network may delay or drop messages; nil sends at once.
+	Network Network
+	// Client dials; nil stands for a plain HTTP client.
+	Client *http.Client
+	// TLS selects wss instead of ws.
+	TLS bool
+}
+
+// NewManager returns a manager that presents itself with hello. Run must be
+// called before Connect.
+func NewManager(hello message.Hello, sink Sink, logger Logger, o Options) *Manager {
+	m := &Manager{
+		hello:   hello,
+		sink:    sink,
+		logger:  logger,
+		network: o.Network,
+		client:  o.Client,
+		scheme:  "ws",
+		links:   map[model.InstanceID]*link{},
+		dialing: map[string]bool{},
+	}
+	if o.TLS {
+		m.scheme = "wss"
+	}
+	if m.client == nil {
+		m.client = &http.Client{Transport: &http.Transport{}}
+	}
+	return m
+}
+
+// Run keeps links to the addresses until the context ends.
+func (m *Manager) Run(ctx context.Context, addresses []string) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	for _, a := range addresses {
+		m.Connect(a)
+	}
+	<-ctx.Done()
+	m.wg.Wait()
+	return ctx.Err()
+}
+
+// Connect keeps a link to the address from now on.
+func (m *Manager) Connect(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address == m.hello.PeerAddress || m.dialing[address] || m.ctx == nil || m.ctx.Err() != nil {
+		return
+	}
+	m.dialing[address] = true
+	m.wg.Add(1)
+	go m.keep(m.ctx, address)
+}
+
+// keep dials the address again and again.
+func (m *Manager) keep(ctx context.Context, address string) {
+	defer m.wg.Done()
+	pause := minRedial
+	for ctx.Err() == nil {
+		if m.serveOutbound(ctx, address) {
+			pause = minRedial
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, maxRedial)
+	}
+}
+
+// serveOutbound dials once and sends until the link breaks. It reports whether
+// a link stood.
+func (m *Manager) serveOutbound(ctx context.Context, address string) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	url := fmt.Sprintf("%s://%s%s", m.scheme, address, Path)
+	conn, _, err := websocket.Dial(dialCtx, url, &websocket.DialOptions{HTTPClient: m.client})
+	if err != nil {
+		return false
+	}
+	defer conn.CloseNow()
+	conn.SetReadLimit(codec.MaxMessage)
+	remote, err := m.greet(dialCtx, conn)
+	if err != nil || remote.From == m.hello.From {
+		return false
+	}
+	l := &link{queue: make(chan message.Message, sendQueue)}
+	m.mu.Lock()
+	m.links[remote.From] = l
+	m.mu.Unlock()
+	m.sink.Report(event.PeerConnected{
+		Peer: remote.From, Incarnation: remote.Incarnation, Zone: remote.Zone, Address: remote.Address})
+	m.logger.Log(event.Log{Code: logevent.PeerConnected, Fields: []logevent.Field{logevent.F("peer", remote.From)}})
+	m.send(conn.CloseRead(ctx), conn, l)
+	m.mu.Lock()
+	if m.links[remote.From] == l {
+		delete(m.links, remote.From)
+	}
+	m.mu.Unlock()
+	m.sink.Report(event.PeerLost{Peer: remote.From})
+	m.logger.Log(event.Log{Code: logevent.PeerLost, Fields: []logevent.Field{logevent.F("peer", remote.From)}})
+	return true
+}
+
+// greet exchanges Hello messages on a connection this side dialed.
+func (m *Manager) greet(ctx context.Context, conn *websocket.Conn) (*message.Hello, error) {
+	if err := writeMessage(ctx, conn, &m.hello); err != nil {
+		return nil, err
+	}
+	return readHello(ctx, conn)
+}
+
+func readHello(ctx context.Context, conn *websocket.Conn) (*message.Hello, error) {
+	msg, err := readMessage(ctx, conn)
+	if err != nil {
+		return nil, err
+	}
+	hello, ok := msg.(*message.Hello)
+	if !ok {
+		return nil, fmt.Errorf("first message has kind %d, not hello", msg.Kind())
+	}
+	return hello, nil
+}
+
+// send writes queued messages until the context ends or a write fails.
+func (m *Manager) send(ctx context.Context, conn *websocket.Conn, l *link) {
+	ping := time.NewTicker(pingInterval)
+	defer ping.Stop()
+	for {
+		select {
+		case msg := <-l.queue:
+			if err := writeMessage(ctx, conn, msg); err != nil {
+				return
+			}
+		case <-ping.C:
+			pingCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := conn.Ping(pingCtx)
+			cancel()
+			if err != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Send queues a message for the instance. It is dropped if no link stands or
+// the queue is full.
+func (m *Manager) Send(to model.InstanceID, msg message.Message) {
+	if m.network != nil {
+		m.network.Deliver(m.hello.From, to, func() { m.enqueue(to, msg) })
+		return
+	}
+	m.enqueue(to, msg)
+}
+
+func (m *Manager) enqueue(to model.InstanceID, msg message.Message) {
+	m.mu.Lock()
+	l := m.links[to]
+	m.mu.Unlock()
+	if l == nil {
+		return
+	}
+	select {
+	case l.queue <- msg:
+	default:
+		m.logger.Log(event.Log{Code: logevent.PeerQueueFull, Fields: []logevent.Field{logevent.F("peer", to)}})
+	}
+}
+
+// ServeHTTP takes links from other instances.
+func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer conn.CloseNow()
+	conn.SetReadLimit(codec.MaxMessage)
+	m.mu.Lock()
+	ctx := m.ctx
+	m.mu.Unlock()
+	if ctx == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	helloCtx, done := context.WithTimeout(ctx, dialTimeout)
+	defer done()
+	remote, err := readHello(helloCtx, conn)
+	if err != nil {
+		m.badMessage("", err)
+		return
+	}
+	if err := writeMessage(helloCtx, conn, &m.hello); err != nil {
+		return
+	}
+	if remote.PeerAddress != "" {
+		m.Connect(remote.PeerAddress)
+	}
+	m.receive(ctx, conn, remote)
+}
+
+func (m *Manager) receive(ctx context.Context, conn *websocket.Conn, remote *message.Hello) {
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		msg, err := codec.DecodeMessage(data)
+		if err != nil {
+			m.badMessage(remote.From, err)
+			return
+		}
+		m.sink.Report(event.PeerReceived{From: remote.From, Incarnation: remote.Incarnation, Message: msg})
+	}
+}
+
+func (m *Manager) badMessage(from model.InstanceID, err error) {
+	m.logger.Log(event.Log{Code: logevent.PeerBadMessage, Fields: []logevent.Field{
+		logevent.F("peer", from), logevent.F("error", err.Error())}})
+}
+
+func writeMessage(ctx context.Context, conn *websocket.Conn, msg message.Message) error {
+	data, err := codec.EncodeMessage(msg)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readMessage(ctx context.Context, conn *websocket.Conn) (message.Message, error) {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return codec.DecodeMessage(data)
+}
--- /dev/null
+++ b/pkg/proxy/attempt.go
@@ -0,0 +1,274 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// attempt is one dispatch of a request to an upstream.
+type attempt struct {
+	proxy    *Proxy
+	exchange *exchange
+	dispatch event.Dispatch
+	ctx      context.Context
+	cancel   context.CancelFunc
+	// response is set before the reducer is told of the response headers.
+	response atomic.Pointer[http.Response]
+	canceled atomic.Bool
+	ended    sync.Once
+
+	connMu sync.Mutex
+	conn   *countingConn
+	mark   int64
+}
+
+func newAttempt(p *Proxy, e *exchange, d event.Dispatch) *attempt {
+	ctx, cancel := context.WithTimeout(context.Background(), d.Deadline.Sub(p.now()))
+	return &attempt{proxy: p, exchange: e, dispatch: d, ctx: ctx, cancel: cancel}
+}
+
+// run sends the request and reports the response headers or the failure.
+func (a *attempt) run() {
+	start := time.Now()
+	req, err := a.request()
+	if err != nil {
+		a.end(event.AttemptEnded{Result: event.ConnectFailed})
+		return
+	}
+	resp, err := a.proxy.transport(a.dispatch.Class, a.dispatch.Connections).RoundTrip(req)
+	if err != nil {
+		a.end(event.AttemptEnded{Result: a.failure(err)})
+		return
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) != "" {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, copyBuffer))
+		_ = resp.Body.Close()
+		a.end(event.AttemptEnded{Result: event.RefusedBeforeRun})
+		return
+	}
+	a.response.Store(resp)
+	a.proxy.control.Report(event.AttemptAnswered{
+		Request: a.dispatch.Request, Attempt: a.dispatch.Attempt,
+		Status: resp.StatusCode, Latency: time.Since(start)})
+}
+
+// request makes the request to the upstream.
+func (a *attempt) request() (*http.Request, error) {
+	in := a.exchange.r
+	url := "http://" + a.dispatch.Address + a.exchange.path
+	if in.URL.RawQuery != "" {
+		url += "?" + in.URL.RawQuery
+	}
+	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	req, err := http.NewRequestWithContext(ctx, in.Method, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = in.Header.Clone()
+	dropHopHeaders(req.Header)
+	req.Header.Set(HeaderAttempt, a.dispatch.Attempt.String())
+	left := a.dispatch.Deadline.Sub(a.proxy.now())
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	// A body that the transport cannot rewind keeps it from sending the request
+	// again by itself, which it would do for GET and for an Idempotency-Key.
+	req.GetBody = nil
+	if a.exchange.stream != nil {
+		req.Body = io.NopCloser(a.exchange.stream)
+		req.ContentLength = in.ContentLength
+		return req, nil
+	}
+	req.Body = io.NopCloser(bytes.NewReader(a.exchange.body))
+	req.ContentLength = int64(len(a.exchange.body))
+	return req, nil
+}
+
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	a.connMu.Lock()
+	a.conn = conn
+	a.mark = conn.count()
+	a.connMu.Unlock()
+}
+
+// failure classifies an error before the response headers. An attempt of which
+// no byte was written provably did not run.
+func (a *attempt) failure(err error) event.AttemptResult {
+	a.connMu.Lock()
+	conn, mark := a.conn, a.mark
+	a.connMu.Unlock()
+	switch {
+	case conn == nil || conn.sealIfUnwritten(mark):
+		return event.ConnectFailed
+	case a.canceled.Load():
+		return event.Canceled
+	case isTimeout(err):
+		return event.TimedOut
+	}
+	return event.LostAfterDispatch
+}
+
+// end reports the end of the attempt once.
+func (a *attempt) end(ev event.AttemptEnded) {
+	a.ended.Do(func() {
+		a.cancel()
+		ev.Request = a.dispatch.Request
+		ev.Attempt = a.dispatch.Attempt
+		a.proxy.control.Report(ev)
+		switch ev.Result {
+		case event.Completed, event.ConnectFailed, event.RefusedBeforeRun:
+			a.proxy.attempts.Delete(a.dispatch.Attempt)
+		default:
+			// The reducer may ask the upstream to confirm that the slot is free.
+			time.AfterFunc(time.Until(a.deadline()), func() { a.proxy.attempts.Delete(a.dispatch.Attempt) })
+		}
+	})
+}
+
+func (a *attempt) deadline() time.Time {
+	d, _ := a.ctx.Deadline()
+	return d.Add(cancelTimeout)
+}
+
+// relay streams the response to the caller and reports whether it was whole.
+func (a *attempt) relay(w http.ResponseWriter) bool {
+	resp := a.response.Load()
+	defer resp.Body.Close()
+	header := w.Header()
+	for name, values := range resp.Header {
+		header[name] = values
+	}
+	dropHopHeaders(header)
+	for name := range resp.Trailer {
+		header.Add("Trailer", name)
+	}
+	w.WriteHeader(resp.StatusCode)
+	var kept *bytes.Buffer
+	if a.exchange.keyed {
+		kept = &bytes.Buffer{}
+	}
+	n, readErr, writeErr := a.copyBody(w, resp.Body, &kept)
+	switch {
+	case readErr != nil && a.canceled.Load():
+		a.end(event.AttemptEnded{Result: event.Canceled, Relayed: n})
+	case readErr != nil:
+		a.end(event.AttemptEnded{Result: event.Truncated, Relayed: n})
+	default:
+		for name, values := range resp.Trailer {
+			header[name] = values
+		}
+		a.end(event.AttemptEnded{Result: event.Completed, Relayed: n, Answer: recorded(resp, kept)})
+	}
+	return readErr == nil && writeErr == nil
+}
+
+// copyBody copies the body. After the caller went away, it reads on where the
+// outcome is to be recorded. kept collects the body and becomes nil when that
+// is too large to keep.
+func (a *attempt) copyBody(w http.ResponseWriter, body io.Reader, kept **bytes.Buffer) (n int64, readErr, writeErr error) {
+	buf := a.proxy.buffers.Get().(*[]byte)
+	defer a.proxy.buffers.Put(buf)
+	flusher, _ := w.(http.Flusher)
+	for {
+		k, err := body.Read(*buf)
+		if k > 0 && writeErr == nil {
+			_, writeErr = w.Write((*buf)[:k])
+			if flusher != nil && writeErr == nil && k < len(*buf) && err == nil {
+				flusher.Flush()
+			}
+			n += int64(k)
+		}
+		if k > 0 && *kept != nil {
+			if (*kept).Len()+k > model.MaxRecordedBody {
+				*kept = nil
+			} else {
+				(*kept).Write((*buf)[:k])
+			}
+		}
+		if err == io.EOF {
+			return n, nil, writeErr
+		}
+		if err != nil {
+			return n, err, writeErr
+		}
+		if writeErr != nil && !a.exchange.keyed {
+			a.canceled.Store(true)
+			a.cancel()
+		}
+	}
+}
+
+// recorded makes the answer that the ledger keeps.
+func recorded(resp *http.Response, kept *bytes.Buffer) *model.Answer {
+	if kept == nil {
+		return nil
+	}
+	answer := &model.Answer{Status: resp.StatusCode, Body: kept.Bytes()}
+	for _, name := range []string{"Content-Type", "Content-Language", "Location", "Etag", "Cache-Control"} {
+		for _, value := range resp.Header.Values(name) {
+			answer.Header = append(answer.Header, model.HeaderField{Name: name, Value: value})
+		}
+	}
+	return answer
+}
+
+// cancelAtUpstream closes the attempt's connection, asks the upstream to
+// confirm, and reports its answer.
+func (a *attempt) cancelAtUpstream() {
+	a.canceled.Store(true)
+	a.cancel()
+	if resp := a.response.Load(); resp != nil {
+		// A response that was never relayed has no reader that would notice.
+		_ = resp.Body.Close()
+		a.end(event.AttemptEnded{Result: event.Canceled})
+	}
+	state := a.confirmCancel()
+	a.proxy.control.Report(event.CancelConfirmed{
+		Request: a.dispatch.Request, Attempt: a.dispatch.Attempt, State: state})
+	if state != event.CancelUnknown {
+		a.proxy.attempts.Delete(a.dispatch.Attempt)
+	}
+}
+
+func (a *attempt) confirmCancel() event.CancelState {
+	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.dispatch.Address+CancelPath, nil)
+	if err != nil {
+		return event.CancelUnknown
+	}
+	req.Header.Set(HeaderAttempt, a.dispatch.Attempt.String())
+	resp, err := a.proxy.transport(a.dispatch.Class, a.dispatch.Connections).RoundTrip(req)
+	if err != nil {
+		return event.CancelUnknown
+	}
+	defer resp.Body.Close()
+	var body struct {
+		State string `json:"state"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, copyBuffer)).Decode(&body); err != nil {
+		return event.CancelUnknown
+	}
+	switch body.State {
+	case "not_run":
+		return event.CancelNotRun
+	case "stopped":
+		return event.CancelStopped
+	case "finished":
+		return event.CancelFinished
+	}
+	return event.CancelUnknown
+}
--- /dev/null
+++ b/pkg/proxy/exchange.go
@@ -0,0 +1,224 @@
+package proxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// commandQueue holds the commands of one exchange. The reducer gives at most
+// one Relay, Finish or ReplayAnswer for a request, so it never fills.
+const commandQueue = 4
+
+// command is an effect for one exchange.
+type command struct {
+	relay  *attempt
+	answer *model.Answer
+	finish bool
+	code   result.Code
+}
+
+// exchange is one caller's request and its answer.
+type exchange struct {
+	proxy    *Proxy
+	id       model.RequestID
+	w        http.ResponseWriter
+	r        *http.Request
+	path     string
+	body     []byte
+	stream   io.Reader // set instead of body for a large request body
+	keyed    bool
+	commands chan command
+}
+
+// Serve handles a caller's request for a service. The path is what follows the
+// service's name, with a leading slash.
+func (p *Proxy) Serve(w http.ResponseWriter, r *http.Request, service model.ServiceName, path string) {
+	start := time.Now()
+	e := &exchange{
+		proxy:    p,
+		id:       model.RequestID(p.nextID.Add(1)),
+		w:        w,
+		r:        r,
+		path:     path,
+		commands: make(chan command, commandQueue),
+	}
+	w.Header().Set(HeaderInstance, string(p.self))
+	arrived, err := e.describe(service)
+	if err != nil {
+		WriteError(w, err)
+		p.records.Request(arrived.Tenant, service, model.Short, err.Code, time.Since(start))
+		return
+	}
+	p.exchanges.Store(e.id, e)
+	defer p.exchanges.Delete(e.id)
+	if err := p.control.Submit(arrived); err != nil {
+		WriteError(w, &result.Error{Code: result.ControlQueueFull})
+		p.records.Request(arrived.Tenant, service, model.Short, result.ControlQueueFull, time.Since(start))
+		return
+	}
+	e.await(arrived, start)
+}
+
+// describe reads the request and makes the event for it.
+func (e *exchange) describe(service model.ServiceName) (event.RequestArrived, *result.Error) {
+	ev := event.RequestArrived{
+		ID:      e.id,
+		Service: service,
+		Tenant:  model.Tenant(e.r.Header.Get(HeaderTenant)),
+		Method:  e.r.Method,
+	}
+	if len(ev.Tenant) > model.MaxNameLength {
+		ev.Tenant = ""
+		return ev, result.Errorf(result.MalformedRequest, "%s is longer than %d bytes", HeaderTenant, model.MaxNameLength)
+	}
+	if e.r.Method == http.MethodConnect || e.r.Header.Get("Upgrade") != "" {
+		return ev, result.Errorf(result.MalformedRequest, "CONNECT and protocol upgrades are not supported")
+	}
+	if text := e.r.Header.Get(HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > model.MaxDeadline.Milliseconds() {
+			return ev, result.Errorf(result.MalformedRequest, "%s is not in 1 to %d", HeaderDeadline, model.MaxDeadline.Milliseconds())
+		}
+		ev.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	if text := e.r.Header.Get(HeaderKey); text != "" {
+		key, err := model.ParseKey(text)
+		if err != nil {
+			return ev, result.Errorf(result.MalformedKey, "%v", err)
+		}
+		ev.Key = key
+		e.keyed = true
+	}
+	if err := e.readBody(&ev); err != nil {
+		return ev, err
+	}
+	ev.Digest = e.digest()
+	return ev, nil
+}
+
+// readBody holds a small request body, so that it can be sent more than once.
+func (e *exchange) readBody(ev *event.RequestArrived) *result.Error {
+	if e.r.ContentLength > maxBody {
+		return &result.Error{Code: result.BodyTooLarge}
+	}
+	limited := http.MaxBytesReader(e.w, e.r.Body, maxBody)
+	head, err := io.ReadAll(io.LimitReader(limited, maxBufferedBody+1))
+	if err != nil {
+		return result.Errorf(result.MalformedRequest, "read body: %v", err)
+	}
+	if len(head) <= maxBufferedBody {
+		e.body = head
+		ev.Replayable = true
+		return nil
+	}
+	e.stream = io.MultiReader(bytes.NewReader(head), limited)
+	e.body = head
+	return nil
+}
+
+// digest covers what makes two requests with one key the same request. Of a
+// streamed body it covers the declared length and the part that was read.
+func (e *exchange) digest() uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(e.r.Method + "\n" + e.path + "?" + e.r.URL.RawQuery + "\n")
+	_, _ = h.WriteString(strconv.FormatInt(e.r.ContentLength, 10) + "\n")
+	_, _ = h.Write(e.body)
+	return h.Sum64()
+}
+
+// await carries out the commands until the request has ended.
+func (e *exchange) await(arrived event.RequestArrived, start time.Time) {
+	gone := e.r.Context().Done()
+	for {
+		select {
+		case c := <-e.commands:
+			code, class := e.carryOut(c)
+			e.proxy.records.Request(arrived.Tenant, arrived.Service, class, code, time.Since(start))
+			if c.relay != nil && code != result.Answered {
+				// The caller must see that the body is not whole.
+				panic(http.ErrAbortHandler)
+			}
+			return
+		case <-gone:
+			gone = nil
+			e.proxy.control.Report(event.RequestCanceled{ID: e.id})
+		}
+	}
+}
+
+func (e *exchange) carryOut(c command) (result.Code, model.Class) {
+	switch {
+	case c.relay != nil:
+		if c.relay.relay(e.w) {
+			return result.Answered, c.relay.dispatch.Class
+		}
+		return result.UpstreamLost, c.relay.dispatch.Class
+	case c.answer != nil:
+		writeAnswer(e.w, c.answer)
+		return result.Answered, model.Short
+	}
+	WriteError(e.w, &result.Error{Code: c.code})
+	return c.code, model.Short
+}
+
+// writeAnswer sends a recorded answer.
+func writeAnswer(w http.ResponseWriter, a *model.Answer) {
+	for _, f := range a.Header {
+		w.Header().Add(f.Name, f.Value)
+	}
+	w.Header().Set("Anvilcrank-Replayed", "1")
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// errorBody is the JSON body of an answer of ours.
+type errorBody struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Class   string `json:"class"`
+	Message string `json:"message"`
+}
+
+// WriteError sends an answer of ours for an error with a code.
+func WriteError(w http.ResponseWriter, err error) {
+	var coded *result.Error
+	if !errors.As(err, &coded) {
+		coded = &result.Error{Code: result.Internal, Detail: err.Error()}
+	}
+	info := result.Lookup(coded.Code)
+	body := errorBody{Code: int(info.Code), Name: info.Name, Class: string(info.Class), Message: info.Message}
+	if coded.Detail != "" {
+		body.Message += ": " + coded.Detail
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderCode, strconv.Itoa(int(info.Code)))
+	w.WriteHeader(info.Status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// hopHeaders are meant for one connection only and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+func dropHopHeaders(h http.Header) {
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/pkg/request/attempt.go
@@ -0,0 +1,163 @@
+package request
+
+import (
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// Answered handles response headers. The first attempt to answer is relayed;
+// the others are canceled.
+func (s *State) Answered(at model.Time, ev *event.AttemptAnswered, out *event.Effects) {
+	r := s.open[ev.Request]
+	if r == nil || !r.hasAttempt(ev.Attempt) || r.relayed.Seq != 0 {
+		out.Add(event.Count{Counter: event.LateAnswers, Add: 1})
+		return
+	}
+	r.relayed = ev.Attempt
+	r.mayHaveRun = true
+	out.Add(event.Relay{Request: ev.Request, Attempt: ev.Attempt})
+	for _, id := range r.attempts {
+		if id != ev.Attempt {
+			out.Add(event.CancelAttempt{Request: ev.Request, Attempt: id})
+		}
+	}
+}
+
+// Ended handles the end of an attempt. The slot is released only if it is known
+// to be free; otherwise the upstream is asked to confirm, and the permit runs
+// until that or until the deadline.
+func (s *State) Ended(at model.Time, ev *event.AttemptEnded, out *event.Effects) {
+	if isSlotFree(ev.Result) {
+		s.slots.Release(at, ev.Attempt, out)
+	} else if ev.Result != event.Canceled {
+		out.Add(event.CancelAttempt{Request: ev.Request, Attempt: ev.Attempt})
+	}
+	r := s.open[ev.Request]
+	if r == nil || !r.dropAttempt(ev.Attempt) {
+		out.Add(event.Count{Counter: event.LateAnswers, Add: 1})
+		return
+	}
+	if r.relayed == ev.Attempt {
+		s.endRelayed(at, r, ev, out)
+		return
+	}
+	if r.relayed.Seq != 0 {
+		return
+	}
+	s.afterFailure(at, r, ev.Result, out)
+}
+
+// isSlotFree reports whether the result proves that the upstream's slot is free.
+func isSlotFree(res event.AttemptResult) bool {
+	switch res {
+	case event.Completed, event.ConnectFailed, event.RefusedBeforeRun:
+		return true
+	}
+	return false
+}
+
+// endRelayed ends a request whose answer went to the caller. The traffic side
+// has ended the caller's response accordingly.
+func (s *State) endRelayed(at model.Time, r *request, ev *event.AttemptEnded, out *event.Effects) {
+	delete(s.open, r.arrived.ID)
+	if r.claimed() {
+		s.ledger.Record(at, r.arrived.ID, ev.Answer, out)
+	}
+}
+
+// afterFailure repeats the request where its profile allows it, or ends it.
+func (s *State) afterFailure(at model.Time, r *request, res event.AttemptResult, out *event.Effects) {
+	code := failureCode(res)
+	if code.Class() != result.NotRun {
+		r.mayHaveRun = true
+	} else {
+		r.lastRefusal = code
+	}
+	if len(r.attempts) > 0 {
+		return
+	}
+	if at < r.deadline && s.mayRepeat(r, code) {
+		s.admit(at, r, out)
+		return
+	}
+	s.finish(at, r, code, out)
+}
+
+// mayRepeat reports whether the profile allows another attempt after one that
+// ended with the code.
+func (s *State) mayRepeat(r *request, code result.Code) bool {
+	if !r.arrived.Replayable || r.dispatched >= r.profile.MaxAttempts {
+		return false
+	}
+	switch r.profile.Repeat {
+	case model.RepeatNever:
+		return false
+	case model.RepeatIfNotRun:
+		return code.Class() == result.NotRun && !r.mayHaveRun
+	}
+	return r.idempotent || !r.mayHaveRun
+}
+
+// failureCode returns the code of a request whose only attempt ended so.
+func failureCode(res event.AttemptResult) result.Code {
+	switch res {
+	case event.ConnectFailed:
+		return result.ConnectionFailed
+	case event.RefusedBeforeRun:
+		return result.RefusedByUpstream
+	case event.TimedOut:
+		return result.DeadlineAfterRun
+	}
+	return result.UpstreamLost
+}
+
+// CancelConfirmed handles an upstream's answer to a cancellation.
+func (s *State) CancelConfirmed(at model.Time, ev *event.CancelConfirmed, out *event.Effects) {
+	if ev.State == event.CancelUnknown {
+		return
+	}
+	if !s.slots.Release(at, ev.Attempt, out) {
+		out.Add(event.Count{Counter: event.LateAnswers, Add: 1})
+	}
+}
+
+// Canceled handles a caller that went away. Work that may not run twice is left
+// to finish, so that its outcome can be recorded.
+func (s *State) Canceled(at model.Time, id model.RequestID, out *event.Effects) {
+	r := s.open[id]
+	if r == nil {
+		return
+	}
+	switch r.phase {
+	case queued:
+		s.queue(r.arrived.Service).remove(r)
+		s.finish(at, r, result.CanceledByCaller, out)
+	case running:
+		if !r.idempotent {
+			return
+		}
+		for _, a := range r.attempts {
+			out.Add(event.CancelAttempt{Request: id, Attempt: a})
+		}
+	}
+}
+
+func (r *request) hasAttempt(id model.AttemptID) bool {
+	for _, a := range r.attempts {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *request) dropAttempt(id model.AttemptID) bool {
+	for i, a := range r.attempts {
+		if a == id {
+			r.attempts = append(r.attempts[:i], r.attempts[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/request/state.go
@@ -0,0 +1,304 @@
+package request
+
+import (
+	"sort"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// SlotRequest says what an attempt needs.
+type SlotRequest struct {
+	Attempt  model.AttemptID
+	Service  model.ServiceName
+	Deadline model.Time
+}
+
+// SlotGrant is a slot of an upstream, held for one attempt.
+type SlotGrant struct {
+	Upstream    model.UpstreamID
+	Address     string
+	Region      model.Region
+	Connections int
+}
+
+// Slots grants slots of upstreams.
+type Slots interface {
+	// Acquire binds a free slot to the attempt, if there is one now.
+	Acquire(at model.Time, r SlotRequest, out *event.Effects) (SlotGrant, bool)
+	// Release ends the hold of an attempt. It reports whether there was one.
+	Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool
+	// Serves reports whether any upstream of the service is known.
+	Serves(service model.ServiceName) bool
+}
+
+// Ledger decides whether a request with an idempotency key may run. Claim is
+// answered by a later call of State.ClaimDecided.
+type Ledger interface {
+	Claim(at model.Time, r *event.RequestArrived, out *event.Effects)
+	// Abandon gives back a claim whose request provably did not run.
+	Abandon(at model.Time, id model.RequestID, out *event.Effects)
+	// Record stores the outcome of a claimed request. A nil answer says that
+	// the request ran and that its answer is not kept.
+	Record(at model.Time, id model.RequestID, answer *model.Answer, out *event.Effects)
+}
+
+// ClaimDecision answers Ledger.Claim.
+type ClaimDecision struct {
+	Request model.RequestID
+	// Code is Answered if the claim is granted or Answer is set; otherwise the
+	// request ends with it.
+	Code result.Code
+	// Answer is the recorded answer of an earlier request with the key.
+	Answer *model.Answer
+}
+
+// phase is the stage of an open request.
+type phase uint8
+
+const (
+	claiming phase = iota
+	queued
+	running
+)
+
+// request is one open request.
+type request struct {
+	arrived    event.RequestArrived
+	profile    *model.Profile
+	deadline   model.Time
+	phase      phase
+	idempotent bool
+	// dispatched counts the attempts.
+	dispatched int
+	// mayHaveRun is set once an attempt ended without proof that it did not run.
+	mayHaveRun bool
+	// relayed is the attempt whose answer goes to the caller.
+	relayed model.AttemptID
+	// attempts are the open ones.
+	attempts []model.AttemptID
+	// lastRefusal is the code of the last attempt that provably did not run.
+	lastRefusal result.Code
+	queueIndex  int
+}
+
+// claimed reports whether the request holds a ledger claim.
+func (r *request) claimed() bool { return r.arrived.Key.Text != "" && !r.idempotent }
+
+// State holds the open requests of this instance.
+type State struct {
+	self        model.InstanceID
+	incarnation model.Incarnation
+	slots       Slots
+	ledger      Ledger
+	config      *model.Config
+	open        map[model.RequestID]*request
+	queues      map[model.ServiceName]*queue
+	nextSeq     uint64
+}
+
+// New returns an empty state.
+func New(self model.InstanceID, incarnation model.Incarnation, slots Slots, ledger Ledger) *State {
+	return &State{
+		self:        self,
+		incarnation: incarnation,
+		slots:       slots,
+		ledger:      ledger,
+		open:        map[model.RequestID]*request{},
+		queues:      map[model.ServiceName]*queue{},
+	}
+}
+
+// Configure brings the configuration in force. Open requests keep the profile
+// they arrived under.
+func (s *State) Configure(c *model.Config) { s.config = c }
+
+// Open returns the number of open requests.
+func (s *State) Open() int { return len(s.open) }
+
+// Arrive handles a new request.
+func (s *State) Arrive(at model.Time, ev *event.RequestArrived, out *event.Effects) {
+	if s.config == nil {
+		out.Add(event.Finish{Request: ev.ID, Code: result.NoConfiguration})
+		return
+	}
+	profile := s.config.Profile(ev.Service)
+	if profile == nil {
+		out.Add(event.Finish{Request: ev.ID, Code: result.UnknownService})
+		return
+	}
+	allowed := profile.Deadline()
+	if ev.Deadline > 0 && ev.Deadline < allowed {
+		allowed = ev.Deadline
+	}
+	r := &request{
+		arrived:     *ev,
+		profile:     profile,
+		deadline:    at.Add(allowed),
+		idempotent:  isIdempotent(profile, ev.Method),
+		lastRefusal: result.NoUpstream,
+		queueIndex:  -1,
+	}
+	s.open[ev.ID] = r
+	if r.claimed() {
+		r.phase = claiming
+		s.ledger.Claim(at, &r.arrived, out)
+		return
+	}
+	s.admit(at, r, out)
+}
+
+// isIdempotent reports whether a request of the method may run twice.
+func isIdempotent(p *model.Profile, method string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS":
+		return true
+	}
+	for _, m := range p.IdempotentMethods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+// ClaimDecided handles the ledger's decision on a claim.
+func (s *State) ClaimDecided(at model.Time, d ClaimDecision, out *event.Effects) {
+	r := s.open[d.Request]
+	if r == nil || r.phase != claiming {
+		return
+	}
+	switch {
+	case d.Answer != nil:
+		delete(s.open, d.Request)
+		out.Add(event.ReplayAnswer{Request: d.Request, Answer: *d.Answer})
+	case d.Code != result.Answered:
+		delete(s.open, d.Request)
+		out.Add(event.Finish{Request: d.Request, Code: d.Code})
+	default:
+		s.admit(at, r, out)
+	}
+}
+
+// admit dispatches the request or lets it wait.
+func (s *State) admit(at model.Time, r *request, out *event.Effects) {
+	if at >= r.deadline {
+		s.finish(at, r, result.DeadlineInQueue, out)
+		return
+	}
+	q := s.queue(r.arrived.Service)
+	if q.Len() == 0 && s.dispatch(at, r, out) {
+		return
+	}
+	if !s.slots.Serves(r.arrived.Service) && r.dispatched == 0 {
+		s.finish(at, r, result.NoUpstream, out)
+		return
+	}
+	if q.Len() >= r.profile.QueueLimit {
+		s.finish(at, r, result.QueueFull, out)
+		return
+	}
+	r.phase = queued
+	q.push(r)
+}
+
+func (s *State) queue(service model.ServiceName) *queue {
+	q := s.queues[service]
+	if q == nil {
+		q = &queue{}
+		s.queues[service] = q
+	}
+	return q
+}
+
+// dispatch sends the request to an upstream if a slot is free.
+func (s *State) dispatch(at model.Time, r *request, out *event.Effects) bool {
+	s.nextSeq++
+	id := model.AttemptID{Instance: s.self, Incarnation: s.incarnation, Seq: s.nextSeq}
+	grant, ok := s.slots.Acquire(at, SlotRequest{Attempt: id, Service: r.arrived.Service, Deadline: r.deadline}, out)
+	if !ok {
+		return false
+	}
+	r.phase = running
+	r.dispatched++
+	r.attempts = append(r.attempts, id)
+	if r.dispatched > 1 {
+		out.Add(event.Count{Counter: event.Retries, Add: 1})
+	}
+	if r.dispatched > 1 && r.mayHaveRun && !r.idempotent {
+		out.Add(event.InvariantFailed{Name: "at_most_once", Detail: "a non-idempotent request that may have run was dispatched again"})
+	}
+	out.Add(event.Dispatch{
+		Request:     r.arrived.ID,
+		Attempt:     id,
+		Upstream:    grant.Upstream,
+		Address:     grant.Address,
+		Region:      grant.Region,
+		Class:       r.profile.WorkClass(),
+		Deadline:    r.deadline,
+		Connections: grant.Connections,
+	})
+	return true
+}
+
+// Pump dispatches waiting requests of the service while slots are free.
+func (s *State) Pump(at model.Time, service model.ServiceName, out *event.Effects) {
+	q := s.queues[service]
+	if q == nil {
+		return
+	}
+	for q.Len() > 0 {
+		r := q.first()
+		if r.deadline > at && !s.dispatch(at, r, out) {
+			return
+		}
+		q.remove(r)
+		if r.deadline <= at {
+			s.finish(at, r, result.DeadlineInQueue, out)
+		}
+	}
+}
+
+// PumpAll dispatches waiting requests of all services, in name order.
+func (s *State) PumpAll(at model.Time, out *event.Effects) {
+	names := make([]model.ServiceName, 0, len(s.queues))
+	for name, q := range s.queues {
+		if q.Len() > 0 {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	for _, name := range names {
+		s.Pump(at, name, out)
+	}
+}
+
+// finish ends a request with a code of ours. A code of class NotRun is given
+// only if no attempt may have run.
+func (s *State) finish(at model.Time, r *request, code result.Code, out *event.Effects) {
+	delete(s.open, r.arrived.ID)
+	notRun := code.Class() == result.NotRun
+	if notRun && r.mayHaveRun {
+		code = result.UpstreamLost
+		notRun = false
+	}
+	if notRun && r.claimed() {
+		s.ledger.Abandon(at, r.arrived.ID, out)
+	}
+	out.Add(event.Finish{Request: r.arrived.ID, Code: code})
+}
+
+// NextWake returns the earliest deadline of a waiting request, 0 if none waits.
+func (s *State) NextWake() model.Time {
+	var next model.Time
+	for _, q := range s.queues {
+		if q.Len() == 0 {
+			continue
+		}
+		if d := q.first().deadline; next == 0 || d < next {
+			next = d
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/pkg/result/codes.go
@@ -0,0 +1,166 @@
+package result
+
+import "fmt"
+
+// Code numbers a result. The thousands give the kind: 1 invalid input, 2
+// refused, 3 outcome of a non-idempotent request, 4 configuration change, 5
+// internal.
+type Code int
+
+// Class says what a code implies for the work that was asked for.
+type Class string
+
+const (
+	// OK means that the work was done.
+	OK Class = "ok"
+	// NotRun means that the work provably did not run.
+	NotRun Class = "not_run"
+	// OutcomeUnknown means that the work may have run.
+	OutcomeUnknown Class = "outcome_unknown"
+	// Conflict means that another change took effect instead.
+	Conflict Class = "conflict"
+)
+
+// Result codes.
+const (
+	Answered Code = 0
+
+	MalformedAnnouncement Code = 1001
+	MalformedRequest      Code = 1002
+	UnknownService        Code = 1003
+	MalformedKey          Code = 1004
+	KeyFromFuture         Code = 1005
+	KeyReused             Code = 1006
+	BodyTooLarge          Code = 1007
+	Unauthorized          Code = 1008
+	MalformedChange       Code = 1009
+	NotFound              Code = 1010
+
+	QueueFull          Code = 2001
+	DeadlineTooShort   Code = 2002
+	ControlQueueFull   Code = 2003
+	NoUpstream         Code = 2004
+	DeadlineInQueue    Code = 2005
+	NoConfiguration    Code = 2006
+	Stopping           Code = 2007
+	RefusedByUpstream  Code = 2008
+	CanceledByCaller   Code = 2009
+	ConnectionFailed   Code = 2010
+	CanceledBeforeRun  Code = 2011
+	PermitUnavailable  Code = 2012
+	RegionLimitReached Code = 2013
+
+	UpstreamLost     Code = 3001
+	KeyInProgress    Code = 3002
+	AnswerNotKept    Code = 3003
+	KeyExpired       Code = 3004
+	LedgerNoMajority Code = 3005
+	DeadlineAfterRun Code = 3006
+	KeyForgotten     Code = 3007
+
+	VersionConflict    Code = 4001
+	NotLeader          Code = 4002
+	ChangeUnknown      Code = 4003
+	ChangeIDReused     Code = 4004
+	InvalidChange      Code = 4005
+	MembershipBusy     Code = 4006
+	NotCurrent         Code = 4007
+	ControlUnavailable Code = 4008
+
+	Internal Code = 5001
+)
+
+// Info describes a code for the table in the docs and for answers.
+type Info struct {
+	Code    Code
+	Name    string
+	Class   Class
+	Status  int // HTTP status
+	Message string
+}
+
+// Table lists all codes in order.
+var Table = []Info{
+	{Answered, "answered", OK, 200, "the request was answered"},
+	{MalformedAnnouncement, "malformed_announcement", NotRun, 400, "the announcement is malformed"},
+	{MalformedRequest, "malformed_request", NotRun, 400, "the request is malformed"},
+	{UnknownService, "unknown_service", NotRun, 404, "no such service is configured"},
+	{MalformedKey, "malformed_key", NotRun, 400, "the idempotency key is malformed"},
+	{KeyFromFuture, "key_from_future", NotRun, 400, "the idempotency key was issued too far in the future"},
+	{KeyReused, "key_reused", NotRun, 422, "the idempotency key was used for another request; this request did not run"},
+	{BodyTooLarge, "body_too_large", NotRun, 413, "the request body is too large"},
+	{Unauthorized, "unauthorized", NotRun, 401, "the token is missing or lacks the role"},
+	{MalformedChange, "malformed_change", NotRun, 400, "the change is malformed"},
+	{NotFound, "not_found", NotRun, 404, "no such resource"},
+	{QueueFull, "queue_full", NotRun, 503, "the queue of the service is full"},
+	{DeadlineTooShort, "deadline_too_short", NotRun, 503, "the work cannot finish before the deadline"},
+	{ControlQueueFull, "control_queue_full", NotRun, 503, "the instance is overloaded"},
+	{NoUpstream, "no_upstream", NotRun, 503, "no upstream of the service is available"},
+	{DeadlineInQueue, "deadline_in_queue", NotRun, 503, "the deadline passed before the request was dispatched"},
+	{NoConfiguration, "no_configuration", NotRun, 503, "the instance has no configuration yet"},
+	{Stopping, "stopping", NotRun, 503, "the instance is stopping"},
+	{RefusedByUpstream, "refused_by_upstream", NotRun, 503, "every permitted upstream refused the request before running it"},
+	{CanceledByCaller, "canceled_by_caller", NotRun, 503, "the caller went away before the request was dispatched"},
+	{ConnectionFailed, "connection_failed", NotRun, 503, "no connection to an upstream could be made"},
+	{CanceledBeforeRun, "canceled_before_run", NotRun, 503, "the upstream confirmed cancellation before running the request"},
+	{PermitUnavailable, "permit_unavailable", NotRun, 503, "no permit for a slot was granted in time"},
+	{RegionLimitReached, "region_limit_reached", NotRun, 503, "the shift cap or region limit is reached"},
+	{UpstreamLost, "upstream_lost", OutcomeUnknown, 502, "the upstream was lost after dispatch; the request may have run"},
+	{KeyInProgress, "key_in_progress", OutcomeUnknown, 502, "an earlier request with this key may have run and has no recorded outcome yet"},
+	{AnswerNotKept, "answer_not_kept", OutcomeUnknown, 502, "the request with this key ran; its answer was not kept"},
+	{KeyExpired, "key_expired", OutcomeUnknown, 502, "the idempotency key is older than the retention; the request was not run again"},
+	{LedgerNoMajority, "ledger_no_majority", OutcomeUnknown, 502, "the ledger of the key has no reachable majority; this attempt was not dispatched, earlier ones are unknown"},
+	{DeadlineAfterRun, "deadline_after_dispatch", OutcomeUnknown, 504, "the deadline passed after dispatch; the request may have run"},
+	{KeyForgotten, "key_forgotten", OutcomeUnknown, 502, "the ledger lost its memory of the time the key was issued; the request was not run again"},
+	{VersionConflict, "version_conflict", Conflict, 409, "another change replaced the expected version"},
+	{NotLeader, "not_leader", NotRun, 503, "this instance does not lead the control group; the change was not accepted"},
+	{ChangeUnknown, "change_unknown", OutcomeUnknown, 504, "the change may still be committed; send it again with the same change id"},
+	{ChangeIDReused, "change_id_reused", Conflict, 422, "the change id was used for another change"},
+	{InvalidChange, "invalid_change", NotRun, 422, "the resulting configuration would be invalid"},
+	{MembershipBusy, "membership_busy", NotRun, 409, "another membership change is in progress"},
+	{NotCurrent, "not_current", NotRun, 503, "this instance cannot confirm that its answer is current"},
+	{ControlUnavailable, "control_unavailable", NotRun, 503, "no member of the control group is reachable"},
+	{Internal, "internal", OutcomeUnknown, 500, "internal error"},
+}
+
+var byCode = func() map[Code]*Info {
+	m := make(map[Code]*Info, len(Table))
+	for i := range Table {
+		m[Table[i].Code] = &Table[i]
+	}
+	return m
+}()
+
+// Lookup returns the description of the code. Unlisted codes count as internal
+// errors.
+func Lookup(c Code) *Info {
+	if info, ok := byCode[c]; ok {
+		return info
+	}
+	return byCode[Internal]
+}
+
+// Class returns what the code implies for the work.
+func (c Code) Class() Class { return Lookup(c).Class }
+
+// String returns the number and the name.
+func (c Code) String() string { return fmt.Sprintf("%d %s", int(c), Lookup(c).Name) }
+
+// Error is an error with a result code.
+type Error struct {
+	Code   Code
+	Detail string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return fmt.Sprintf("%d: %s", int(e.Code), Lookup(e.Code).Message)
+	}
+	return fmt.Sprintf("%d: %s: %s", int(e.Code), Lookup(e.Code).Message, e.Detail)
+}
+
+// Errorf returns an *Error with a formatted detail.
+func Errorf(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Detail: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,228 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// Settings are the settings of an instance.
+type Settings struct {
+	// Instance names this instance; it is the same after a restart.
+	Instance model.InstanceID `yaml:"instance"`
+	// Zone is the availability zone of this instance.
+	Zone model.Zone `yaml:"zone"`
+	// Listen is the IP address and port for callers, upstreams and operators.
+	Listen string `yaml:"listen"`
+	// PeerListen is the IP address and port for links from other instances.
+	PeerListen string `yaml:"peer_listen"`
+	// Peers are addresses of other instances, to join by.
+	Peers []string `yaml:"peers"`
+	// Data is the data folder; empty on instances without a disk.
+	Data string `yaml:"data"`
+	// Bootstrap is the configuration a new deployment starts with.
+	Bootstrap *Bootstrap `yaml:"bootstrap"`
+	// RecordEvents is how many events are kept for replay.
+	RecordEvents int `yaml:"record_events"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `yaml:"log_level"`
+}
+
+// Bootstrap is the first dynamic configuration.
+type Bootstrap struct {
+	Zones    []Zone    `yaml:"zones"`
+	Roster   []Member  `yaml:"roster"`
+	Profiles []Profile `yaml:"profiles"`
+	Services []Service `yaml:"services"`
+	Links    []Link    `yaml:"links"`
+}
+
+// Zone places an availability zone in a region.
+type Zone struct {
+	Zone   model.Zone   `yaml:"zone"`
+	Region model.Region `yaml:"region"`
+}
+
+// Member is an instance of the deployment.
+type Member struct {
+	ID   model.InstanceID `yaml:"id"`
+	Zone model.Zone       `yaml:"zone"`
+}
+
+// Profile is a steering profile; see model.Profile.
+type Profile struct {
+	Name              string       `yaml:"name"`
+	Class             string       `yaml:"class"`
+	Repeat            model.Repeat `yaml:"repeat"`
+	MaxAttempts       int          `yaml:"max_attempts"`
+	Hedge             bool         `yaml:"hedge"`
+	Deadline          Duration     `yaml:"deadline"`
+	QueueLimit        int          `yaml:"queue_limit"`
+	IdempotentMethods []string     `yaml:"idempotent_methods"`
+	Spill             string       `yaml:"spill"`
+}
+
+// Service binds a service to a profile.
+type Service struct {
+	Name    model.ServiceName `yaml:"name"`
+	Profile string            `yaml:"profile"`
+}
+
+// Link is the byte budget between two regions in each direction.
+type Link struct {
+	A    model.Region `yaml:"a"`
+	B    model.Region `yaml:"b"`
+	Rate Rate         `yaml:"rate"`
+}
+
+// Defaults.
+const (
+	DefaultRecordEvents = 100_000
+	DefaultLogLevel     = "info"
+	maxRecordEvents     = 10_000_000
+)
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings. The name stands for the file in errors.
+func Parse(name string, data []byte) (*Settings, error) {
+	s := &Settings{RecordEvents: DefaultRecordEvents, LogLevel: DefaultLogLevel}
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
+	if err := dec.Decode(s); err != nil {
+		return nil, decodeError(name, err)
+	}
+	if key, err := s.check(); err != nil {
+		return nil, &KeyError{File: name, Line: lineOf(data, key), Key: key, Err: err}
+	}
+	return s, nil
+}
+
+// KeyError is an error in one key of a settings file.
+type KeyError struct {
+	File string
+	Line int
+	Key  string
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %v", e.File, e.Line, e.Key, e.Err)
+}
+
+// Unwrap returns what is wrong with the key.
+func (e *KeyError) Unwrap() error { return e.Err }
+
+// decodeError adds file and line to an error of the YAML decoder.
+func decodeError(name string, err error) error {
+	var y yaml.Error
+	if errors.As(err, &y) && y.GetToken() != nil {
+		tok := y.GetToken()
+		return &KeyError{File: name, Line: tok.Position.Line, Key: tok.Value, Err: errors.New(y.GetMessage())}
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
+
+// lineOf returns the line of a key such as "peers[1]", 1 if it is missing.
+func lineOf(data []byte, key string) int {
+	for key != "" {
+		path, err := yaml.PathString("$." + key)
+		if err == nil {
+			if node, err := path.ReadNode(bytes.NewReader(data)); err == nil {
+				return node.GetToken().Position.Line
+			}
+		}
+		i := strings.LastIndexAny(key, ".[")
+		key = key[:max(i, 0)]
+	}
+	return 1
+}
+
+// check returns the first wrong key and what is wrong with it.
+func (s *Settings) check() (string, error) {
+	switch {
+	case s.Instance == "" || len(s.Instance) > model.MaxNameLength:
+		return "instance", fmt.Errorf("must have 1 to %d characters", model.MaxNameLength)
+	case s.Zone == "" || len(s.Zone) > model.MaxNameLength || strings.Contains(string(s.Zone), "."):
+		return "zone", fmt.Errorf("must have 1 to %d characters and no dot", model.MaxNameLength)
+	case s.RecordEvents < 0 || s.RecordEvents > maxRecordEvents:
+		return "record_events", fmt.Errorf("%d is not in 0 to %d", s.RecordEvents, maxRecordEvents)
+	}
+	if err := checkAddress(s.Listen); err != nil {
+		return "listen", err
+	}
+	if err := checkAddress(s.PeerListen); err != nil {
+		return "peer_listen", err
+	}
+	for i, p := range s.Peers {
+		if err := checkAddress(p); err != nil {
+			return fmt.Sprintf("peers[%d]", i), err
+		}
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		return "log_level", fmt.Errorf("%q is not debug, info, warn or error", s.LogLevel)
+	}
+	if s.Bootstrap != nil {
+		c := s.Bootstrap.Config()
+		if err := c.Validate(); err != nil {
+			return "bootstrap", err
+		}
+	}
+	return "", nil
+}
+
+// checkAddress accepts an IP address with a port; instances talk by IP number.
+func checkAddress(a string) error {
+	host, port, err := net.SplitHostPort(a)
+	if err != nil {
+		return fmt.Errorf("%q is not IP:PORT", a)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q has no IP address", a)
+	}
+	if _, err := net.LookupPort("tcp", port); err != nil {
+		return fmt.Errorf("%q has no valid port", a)
+	}
+	return nil
+}
+
+// Config returns the first dynamic configuration, with version 1.
+func (b *Bootstrap) Config() model.Config {
+	c := model.Config{Version: 1}
+	for _, z := range b.Zones {
+		c.Zones = append(c.Zones, model.ZoneInfo{Zone: z.Zone, Region: z.Region})
+	}
+	for _, m := range b.Roster {
+		c.Roster = append(c.Roster, model.RosterEntry{ID: m.ID, Zone: m.Zone})
+	}
+	for _, p := range b.Profiles {
+		c.Profiles = append(c.Profiles, model.Profile{
+			Name: p.Name, Class: p.Class, Repeat: p.Repeat, MaxAttempts: p.MaxAttempts, Hedge: p.Hedge,
+			DeadlineMs: p.Deadline.Duration().Milliseconds(), QueueLimit: p.QueueLimit,
+			IdempotentMethods: p.IdempotentMethods, Spill: p.Spill,
+		})
+	}
+	for _, v := range b.Services {
+		c.Services = append(c.Services, model.Service{Name: v.Name, Profile: v.Profile})
+	}
+	for _, l := range b.Links {
+		c.Links = append(c.Links, model.Link{A: l.A, B: l.B, BytesPerSecond: int64(l.Rate)})
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/settings/units.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Duration is a time with its unit, such as "500ms" or "2m".
+type Duration time.Duration
+
+// Duration returns the value.
+func (d Duration) Duration() time.Duration { return time.Duration(d) }
+
+// UnmarshalText parses a duration; a bare number has no unit and is an error.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as 500ms or 2m", text)
+	}
+	if v < 0 {
+		return fmt.Errorf("%q is negative", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Rate is a data rate in bytes per second, written in bits such as "280Mbit/s"
+// or "4Gbit/s".
+type Rate int64
+
+// UnmarshalText parses a rate.
+func (r *Rate) UnmarshalText(text []byte) error {
+	units := []struct {
+		suffix string
+		bits   float64
+	}{{"Gbit/s", 1e9}, {"Mbit/s", 1e6}, {"kbit/s", 1e3}}
+	for _, u := range units {
+		number, ok := strings.CutSuffix(string(text), u.suffix)
+		if !ok {
+			continue
+		}
+		v, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+		if err != nil || v <= 0 || v > 1e6 {
+			break
+		}
+		*r = Rate(v * u.bits / 8)
+		return nil
+	}
+	return fmt.Errorf("%q is not a rate such as 280Mbit/s or 4Gbit/s", text)
+}
--- /dev/null
+++ b/pkg/telemetry/telemetry.go
@@ -0,0 +1,122 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// maxTenants bounds the tenants with a histogram of their own. Tenant names
+// come from callers, and every histogram costs memory.
+const maxTenants = 256
+
+// otherTenants labels the tenants above maxTenants.
+const otherTenants = "other"
+
+// Telemetry holds the log and the metrics of one instance.
+type Telemetry struct {
+	logger   log.Interface
+	set      *metrics.Set
+	counters [event.CountersEnd]*metrics.Counter
+
+	mu         sync.RWMutex
+	histograms map[requestLabels]*metrics.Histogram
+	tenants    map[model.Tenant]bool
+}
+
+type requestLabels struct {
+	tenant  model.Tenant
+	service model.ServiceName
+	class   model.Class
+}
+
+// New returns telemetry that logs through the logger.
+func New(instance model.InstanceID, logger log.Interface) *Telemetry {
+	t := &Telemetry{
+		logger:     logger.WithField("instance", instance),
+		set:        metrics.NewSet(),
+		histograms: map[requestLabels]*metrics.Histogram{},
+		tenants:    map[model.Tenant]bool{},
+	}
+	for c := event.Counter(0); c < event.CountersEnd; c++ {
+		t.counters[c] = t.set.NewCounter("anvilcrank_" + c.String() + "_total")
+	}
+	return t
+}
+
+// Log writes a log event.
+func (t *Telemetry) Log(e event.Log) {
+	info := logevent.Lookup(e.Code)
+	fields := log.Fields{"event": int(e.Code), "name": info.Name}
+	for _, f := range e.Fields {
+		fields[f.Name] = f.Value
+	}
+	entry := t.logger.WithFields(fields)
+	switch info.Level {
+	case logevent.LevelError:
+		entry.Error(info.Message)
+	case logevent.LevelWarn:
+		entry.Warn(info.Message)
+	default:
+		entry.Info(info.Message)
+	}
+}
+
+// Count adds to a counter of the reducer.
+func (t *Telemetry) Count(e event.Count) { t.counters[e.Counter].Add(e.Add) }
+
+// Request records the latency and the code of an ended request.
+func (t *Telemetry) Request(tenant model.Tenant, service model.ServiceName, class model.Class, code result.Code, took time.Duration) {
+	t.histogram(tenant, service, class).Update(took.Seconds())
+	t.set.GetOrCreateCounter(`anvilcrank_results_total{code="` + strconv.Itoa(int(code)) + `"}`).Inc()
+}
+
+func (t *Telemetry) histogram(tenant model.Tenant, service model.ServiceName, class model.Class) *metrics.Histogram {
+	key := requestLabels{tenant, service, class}
+	t.mu.RLock()
+	h := t.histograms[key]
+	t.mu.RUnlock()
+	if h != nil {
+		return h
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.tenants[tenant] {
+		if len(t.tenants) >= maxTenants {
+			key.tenant = otherTenants
+		} else {
+			t.tenants[tenant] = true
+		}
+	}
+	name := fmt.Sprintf(`anvilcrank_request_seconds{tenant=%s,service=%s,class=%q}`,
+		label(string(key.tenant)), label(string(service)), class)
+	h = t.set.GetOrCreateHistogram(name)
+	t.histograms[key] = h
+	return h
+}
+
+// label quotes a label value. Names come from callers, so everything that the
+// exposition format gives a meaning is replaced.
+func label(v string) string {
+	clean := strings.Map(func(r rune) rune {
+		if r < ' ' || r == '"' || r == '\\' || r > '~' {
+			return '_'
+		}
+		return r
+	}, v)
+	return `"` + clean + `"`
+}
+
+// WriteMetrics writes all metrics in the Prometheus text format.
+func (t *Telemetry) WriteMetrics(w io.Writer) { t.set.WritePrometheus(w) }
