--- /dev/null
+++ b/pkg/logevent/docs_test.go
@@ -0,0 +1,55 @@
+package logevent_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+)
+
+var update = flag.Bool("update", false, "write docs/log-events.md")
+
+const page = "../../docs/log-events.md"
+
+func render() string {
+	var b strings.Builder
+	b.WriteString(`# Log events
+
+Every log line carries the number of its event in the field ` + "`event`" + ` and its name in ` + "`name`" + `. Numbers are never reused.
+
+This page is written by ` + "`go test ./pkg/logevent -update`" + `; a test compares it with the code.
+
+| event | name | level | meaning |
+|---|---|---|---|
+`)
+	for _, i := range logevent.Table {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", int(i.Code), i.Name, i.Level, i.Message)
+	}
+	return b.String()
+}
+
+// Guards against an event that operators meet and the catalogue does not list.
+func TestDocsListEveryEvent(t *testing.T) {
+	g := NewWithT(t)
+	if *update {
+		g.Expect(os.WriteFile(page, []byte(render()), 0o644)).To(Succeed())
+	}
+	data, err := os.ReadFile(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(Equal(render()))
+}
+
+// Guards against two events under one number.
+func TestNumbersAreUnique(t *testing.T) {
+	g := NewWithT(t)
+	seen := map[logevent.Code]bool{}
+	for _, i := range logevent.Table {
+		g.Expect(seen[i.Code]).To(BeFalse(), "event %d", int(i.Code))
+		seen[i.Code] = true
+	}
+}
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -17,6 +17,9 @@
 	LevelError
 )
 
+// String returns the name used in logs.
+func (l Level) String() string { return [...]string{"info", "warn", "error"}[l] }
+
 // Field is one value attached to a log event.
 type Field struct {
 	Name  string
--- a/pkg/model/config.go
+++ b/pkg/model/config.go
@@ -266,56 +266,76 @@
 	return ids
 }
 
-// Validate reports the first impossible value or dangling reference.
+// FieldError says which element of a configuration is wrong.
+type FieldError struct {
+	// Path is the element, such as "services[2]".
+	Path string
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *FieldError) Error() string { return e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns what is wrong with the element.
+func (e *FieldError) Unwrap() error { return e.Err }
+
+func fieldPath(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+
+func fieldErrorf(list string, i int, format string, args ...any) error {
+	return &FieldError{Path: fieldPath(list, i), Err: fmt.Errorf(format, args...)}
+}
+
+// Validate reports the first impossible value or dangling reference as a
+// *FieldError.
 func (c *Config) Validate() error {
 	zones := map[Zone]bool{}
 	regions := map[Region]bool{}
-	for _, z := range c.Zones {
+	for i, z := range c.Zones {
 		if z.Zone == "" || z.Region == "" {
-			return fmt.Errorf("zones: zone and region must be set")
+			return fieldErrorf("zones", i, "zone and region must be set")
 		}
 		if zones[z.Zone] {
-			return fmt.Errorf("zones: %s is listed twice", z.Zone)
+			return fieldErrorf("zones", i, "zone %s is listed twice", z.Zone)
 		}
 		zones[z.Zone] = true
 		regions[z.Region] = true
 	}
 	ids := map[InstanceID]bool{}
-	for _, r := range c.Roster {
+	for i, r := range c.Roster {
 		if r.ID == "" || ids[r.ID] {
-			return fmt.Errorf("roster: instance %q is empty or listed twice", r.ID)
+			return fieldErrorf("roster", i, "instance %q is empty or listed twice", r.ID)
 		}
 		if !zones[r.Zone] {
-			return fmt.Errorf("roster: instance %s is in unknown zone %q", r.ID, r.Zone)
+			return fieldErrorf("roster", i, "instance %s is in unknown zone %q", r.ID, r.Zone)
 		}
 		ids[r.ID] = true
 	}
 	profiles := map[string]bool{}
 	for i := range c.Profiles {
 		if err := c.Profiles[i].Validate(); err != nil {
-			return err
+			return &FieldError{Path: fieldPath("profiles", i), Err: err}
 		}
 		if profiles[c.Profiles[i].Name] {
-			return fmt.Errorf("profiles: %s is listed twice", c.Profiles[i].Name)
+			return fieldErrorf("profiles", i, "profile %s is listed twice", c.Profiles[i].Name)
 		}
 		profiles[c.Profiles[i].Name] = true
 	}
 	services := map[ServiceName]bool{}
-	for _, s := range c.Services {
+	for i, s := range c.Services {
 		if s.Name == "" || services[s.Name] {
-			return fmt.Errorf("services: %q is empty or listed twice", s.Name)
+			return fieldErrorf("services", i, "service %q is empty or listed twice", s.Name)
 		}
 		if !profiles[s.Profile] {
-			return fmt.Errorf("service %s: unknown profile %q", s.Name, s.Profile)
+			return fieldErrorf("services", i, "service %s has unknown profile %q", s.Name, s.Profile)
 		}
 		services[s.Name] = true
 	}
 	if err := validateShifts(c.Shifts, services, regions); err != nil {
 		return err
 	}
-	for _, l := range c.Links {
+	for i, l := range c.Links {
 		if !regions[l.A] || !regions[l.B] || l.A == l.B || l.BytesPerSecond <= 0 {
-			return fmt.Errorf("links: %s to %s needs two known regions and a positive rate", l.A, l.B)
+			return fieldErrorf("links", i, "%s to %s needs two known regions and a positive rate", l.A, l.B)
 		}
 	}
 	return validateDrains(c.Drains)
@@ -328,24 +348,24 @@
 	}
 	seen := map[string]bool{}
 	origins := map[origin]bool{}
-	for _, s := range shifts {
+	for i, s := range shifts {
 		if s.ID == "" || seen[s.ID] {
-			return fmt.Errorf("shifts: id %q is empty or listed twice", s.ID)
+			return fieldErrorf("shifts", i, "id %q is empty or listed twice", s.ID)
 		}
 		seen[s.ID] = true
 		if !services[s.Service] {
-			return fmt.Errorf("shift %s: unknown service %q", s.ID, s.Service)
+			return fieldErrorf("shifts", i, "shift %s: unknown service %q", s.ID, s.Service)
 		}
 		if !regions[s.From] || !regions[s.To] || s.From == s.To {
-			return fmt.Errorf("shift %s: from %q and to %q must be two known regions", s.ID, s.From, s.To)
+			return fieldErrorf("shifts", i, "shift %s: from %q and to %q must be two known regions", s.ID, s.From, s.To)
 		}
 		if s.Percent < 0 || s.Percent > 100 || s.Cap < 0 {
-			return fmt.Errorf("shift %s: percent %d is not in 0 to 100 or cap %d is negative", s.ID, s.Percent, s.Cap)
+			return fieldErrorf("shifts", i, "shift %s: percent %d is not in 0 to 100 or cap %d is negative", s.ID, s.Percent, s.Cap)
 		}
 		// Two shifts of one origin would have to share the same requests.
 		o := origin{s.Service, s.From}
 		if origins[o] {
-			return fmt.Errorf("shift %s: service %s already has a shift from %s", s.ID, s.Service, s.From)
+			return fieldErrorf("shifts", i, "shift %s: service %s already has a shift from %s", s.ID, s.Service, s.From)
 		}
 		origins[o] = true
 	}
@@ -353,14 +373,14 @@
 }
 
 func validateDrains(drains []Drain) error {
-	for _, d := range drains {
+	for i, d := range drains {
 		switch d.Kind {
 		case DrainUpstream, DrainInstance, DrainZone, DrainRegion:
 		default:
-			return fmt.Errorf("drains: kind %q is not upstream, instance, zone or region", d.Kind)
+			return fieldErrorf("drains", i, "kind %q is not upstream, instance, zone or region", d.Kind)
 		}
 		if d.Target == "" {
-			return fmt.Errorf("drains: target is empty")
+			return fieldErrorf("drains", i, "target is empty")
 		}
 	}
 	return nil
--- /dev/null
+++ b/pkg/result/docs_test.go
@@ -0,0 +1,68 @@
+package result_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+var update = flag.Bool("update", false, "write docs/results.md")
+
+const page = "../../docs/results.md"
+
+func render() string {
+	var b strings.Builder
+	b.WriteString(`# Result codes
+
+Every answer that anvilcrank itself makes carries a code in the ` + "`Anvilcrank-Code`" + ` header and in its JSON body. The class
+says what the code implies: with ` + "`not_run`" + ` the work provably did not run and may be sent again; with
+` + "`outcome_unknown`" + ` it may have run; with ` + "`conflict`" + ` another change took effect instead.
+
+This page is written by ` + "`go test ./pkg/result -update`" + `; a test compares it with the code.
+
+| code | name | class | HTTP status | meaning |
+|---|---|---|---|---|
+`)
+	for _, i := range result.Table {
+		fmt.Fprintf(&b, "| %d | %s | %s | %d | %s |\n", int(i.Code), i.Name, i.Class, i.Status, i.Message)
+	}
+	return b.String()
+}
+
+// Guards against a code that callers meet and the docs do not list.
+func TestDocsListEveryCode(t *testing.T) {
+	g := NewWithT(t)
+	if *update {
+		g.Expect(os.WriteFile(page, []byte(render()), 0o644)).To(Succeed())
+	}
+	data, err := os.ReadFile(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(Equal(render()))
+}
+
+// Guards against two meanings of one code and against a refusal whose HTTP status
+// tells clients something else than its class.
+func TestTableIsConsistent(t *testing.T) {
+	g := NewWithT(t)
+	seen := map[result.Code]bool{}
+	names := map[string]bool{}
+	for _, i := range result.Table {
+		g.Expect(seen[i.Code]).To(BeFalse(), "%v", i.Code)
+		g.Expect(names[i.Name]).To(BeFalse(), i.Name)
+		seen[i.Code], names[i.Name] = true, true
+		if i.Code >= 3000 && i.Code < 4000 {
+			g.Expect(i.Class).To(Equal(result.OutcomeUnknown))
+			g.Expect(i.Status).To(BeElementOf(502, 504))
+		}
+		if i.Code >= 2000 && i.Code < 3000 {
+			g.Expect(i.Class).To(Equal(result.NotRun))
+			g.Expect(i.Status).To(Equal(503))
+		}
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -129,6 +129,11 @@
 
 // decodeError adds file and line to an error of the YAML decoder.
 func decodeError(name string, err error) error {
+	var key *KeyError
+	if errors.As(err, &key) {
+		key.File = name
+		return key
+	}
 	var y yaml.Error
 	if errors.As(err, &y) && y.GetToken() != nil {
 		tok := y.GetToken()
@@ -180,8 +185,9 @@
 	}
 	if s.Bootstrap != nil {
 		c := s.Bootstrap.Config()
-		if err := c.Validate(); err != nil {
-			return "bootstrap", err
+		var field *model.FieldError
+		if err := c.Validate(); errors.As(err, &field) {
+			return "bootstrap." + field.Path, field.Err
 		}
 	}
 	return "", nil
--- a/pkg/settings/units.go
+++ b/pkg/settings/units.go
@@ -1,10 +1,13 @@
 package settings
 
 import (
+	"encoding"
 	"fmt"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/goccy/go-yaml/ast"
 )
 
 // Duration is a time with its unit, such as "500ms" or "2m".
@@ -13,6 +16,21 @@
 // Duration returns the value.
 func (d Duration) Duration() time.Duration { return time.Duration(d) }
 
+// UnmarshalYAML parses a duration and says where a wrong one stands.
+func (d *Duration) UnmarshalYAML(node ast.Node) error { return unmarshalNode(node, d) }
+
+// UnmarshalYAML parses a rate and says where a wrong one stands.
+func (r *Rate) UnmarshalYAML(node ast.Node) error { return unmarshalNode(node, r) }
+
+func unmarshalNode(node ast.Node, v encoding.TextUnmarshaler) error {
+	tok := node.GetToken()
+	if err := v.UnmarshalText([]byte(tok.Value)); err != nil {
+		key := strings.TrimPrefix(node.GetPath(), "$.")
+		return &KeyError{Line: tok.Position.Line, Key: key, Err: err}
+	}
+	return nil
+}
+
 // UnmarshalText parses a duration; a bare number has no unit and is an error.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
