--- a/cmd/anvilcrank/replay.go
+++ b/cmd/anvilcrank/replay.go
@@ -14,12 +14,7 @@
 }
 
 func (a *replayArgs) run() error {
-	f, err := os.Open(a.File)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	report, err := control.Replay(f)
+	report, err := control.ReplayFile(a.File)
 	if err != nil {
 		return err
 	}
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -101,6 +101,9 @@
 // Clock returns the clock of the loop.
 func (l *Loop) Clock() *Clock { return l.clock }
 
+// Done is closed when Run has ended.
+func (l *Loop) Done() <-chan struct{} { return l.stopped }
+
 // Submit hands in a new request or call. It returns ErrQueueFull at once when
 // the queue is full.
 func (l *Loop) Submit(b event.Body) error {
--- a/pkg/control/recorder.go
+++ b/pkg/control/recorder.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -123,6 +125,16 @@
 
 const maxFrame = 64 << 20
 
+// ReplayFile runs the recording in a file again and compares the effects.
+func ReplayFile(path string) (ReplayReport, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return ReplayReport{Mismatch: -1}, fmt.Errorf("read recording: %w", err)
+	}
+	defer f.Close()
+	return Replay(bufio.NewReader(f))
+}
+
 // Replay runs a recording again and compares the effects.
 func Replay(r io.Reader) (ReplayReport, error) {
 	report := ReplayReport{Mismatch: -1}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -64,13 +64,27 @@
 	p.exchanges.Store(e.id, e)
 	defer p.exchanges.Delete(e.id)
 	if err := p.control.Submit(arrived); err != nil {
-		WriteError(w, &result.Error{Code: result.ControlQueueFull})
-		p.records.Request(arrived.Tenant, service, model.Short, result.ControlQueueFull, time.Since(start))
+		// The event was not handed in, so the request cannot run.
+		code := result.ControlQueueFull
+		if p.isStopped() {
+			code = result.Stopping
+		}
+		WriteError(w, &result.Error{Code: code})
+		p.records.Request(arrived.Tenant, service, model.Short, code, time.Since(start))
 		return
 	}
 	e.await(arrived, start)
 }
 
+func (p *Proxy) isStopped() bool {
+	select {
+	case <-p.control.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // describe reads the request and makes the event for it.
 func (e *exchange) describe(service model.ServiceName) (event.RequestArrived, *result.Error) {
 	ev := event.RequestArrived{
@@ -154,10 +168,26 @@
 		case <-gone:
 			gone = nil
 			e.proxy.control.Report(event.RequestCanceled{ID: e.id})
+		case <-e.proxy.control.Done():
+			e.afterStop(arrived, start)
+			return
 		}
 	}
 }
 
+// afterStop ends a request that the control goroutine left open. It may have
+// been dispatched.
+func (e *exchange) afterStop(arrived event.RequestArrived, start time.Time) {
+	select {
+	case c := <-e.commands:
+		e.carryOut(c)
+		return
+	default:
+	}
+	WriteError(e.w, &result.Error{Code: result.UpstreamLost})
+	e.proxy.records.Request(arrived.Tenant, arrived.Service, model.Short, result.UpstreamLost, time.Since(start))
+}
+
 func (e *exchange) carryOut(c command) (result.Code, model.Class) {
 	switch {
 	case c.relay != nil:
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -49,6 +49,8 @@
 type Control interface {
 	Submit(event.Body) error
 	Report(event.Body)
+	// Done is closed when the control goroutine has ended.
+	Done() <-chan struct{}
 }
 
 // Recorder takes the latency and code of each ended request.
