Spread clients evenly over the instances of a zone

Cause: look-ups rotated the list of all instances and then filtered it by zone, so the member of a zone that follows the others was first for few clients.

Change: the client's hash selects within each group.

Figures: of 200 clients, the second of two instances in a zone was first for 31 before; TestLookupPrefersTheCallersZoneAndSpreadsClients asks for more than 50 and passes now.

Conclusion: each instance of a zone gets its share of callers.

--- /dev/null
+++ b/pkg/view/lookup_test.go
@@ -0,0 +1,64 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
+)
+
+func testView() *view.View {
+	v := &view.View{Config: &model.Config{
+		Version:  7,
+		Zones:    []model.ZoneInfo{{Zone: "a", Region: "r"}, {Zone: "b", Region: "r"}, {Zone: "c", Region: "s"}},
+		Profiles: []model.Profile{{Name: "p"}},
+		Services: []model.Service{{Name: "reads", Profile: "p"}},
+	}}
+	for _, z := range v.Config.Zones {
+		for k := range 2 {
+			v.Instances = append(v.Instances, view.Instance{
+				ID: model.InstanceID(fmt.Sprintf("%s-%d", z.Zone, k)), Zone: z.Zone, Region: z.Region})
+		}
+	}
+	v.Self = v.Instances[4]
+	return v
+}
+
+// Guards against callers sent out of their zone, or all to one instance.
+func TestLookupPrefersTheCallersZoneAndSpreadsClients(t *testing.T) {
+	g := NewWithT(t)
+	v := testView()
+	first := map[model.InstanceID]int{}
+	for n := range 200 {
+		a := v.Lookup("reads", "b", fmt.Sprint(n))
+		g.Expect(a.Instances).To(HaveLen(view.MaxLookupInstances))
+		zones := []model.Zone{}
+		for _, i := range a.Instances {
+			zones = append(zones, i.Zone)
+		}
+		g.Expect(zones).To(Equal([]model.Zone{"b", "b", "a", "a"}))
+		first[a.Instances[0].ID]++
+	}
+	g.Expect(first["b-0"]).To(BeNumerically(">", 50))
+	g.Expect(first["b-1"]).To(BeNumerically(">", 50))
+}
+
+// Guards against a key zone that the deployment does not know.
+func TestLookupWithUnknownZoneUsesTheInstancesZone(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(testView().Lookup("reads", "nowhere", "x").KeyZone).To(Equal(model.Zone("c")))
+	g.Expect(testView().Lookup("nothing", "a", "x")).To(BeNil())
+}
+
+func BenchmarkLookup(b *testing.B) {
+	v := testView()
+	b.ReportAllocs()
+	for b.Loop() {
+		if v.Lookup("reads", "b", "client-17") == nil {
+			b.Fatal("no answer")
+		}
+	}
+}
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -74,15 +74,30 @@
 	return a
 }
 
-func (a *Answer) appendGroup(all []Instance, start uint64, in func(*Instance) bool) {
-	n := uint64(len(all))
-	for k := uint64(0); k < n; k++ {
-		if len(a.Instances) == MaxLookupInstances {
-			return
+// appendGroup appends the instances of a group, beginning with the one that the
+// client's hash selects within the group.
+func (a *Answer) appendGroup(all []Instance, hash uint64, in func(*Instance) bool) {
+	size := 0
+	for k := range all {
+		if in(&all[k]) {
+			size++
 		}
-		i := &all[(start+k)%n]
-		if in(i) {
-			a.Instances = append(a.Instances, *i)
+	}
+	if size == 0 {
+		return
+	}
+	first := int(hash % uint64(size))
+	// The first walk takes the members from first on, the second one the rest.
+	for _, wrapped := range []bool{false, true} {
+		rank := 0
+		for k := range all {
+			if !in(&all[k]) {
+				continue
+			}
+			if (rank < first) == wrapped && len(a.Instances) < MaxLookupInstances {
+				a.Instances = append(a.Instances, all[k])
+			}
+			rank++
 		}
 	}
 }
