--- a/instance.go
+++ b/instance.go
@@ -132,6 +132,10 @@
 // ID returns the identifier of the instance.
 func (i *Instance) ID() model.InstanceID { return i.settings.Instance }
 
+// Handler returns the HTTP handler for callers, upstreams and operators, for
+// programs that serve it on a listener of their own.
+func (i *Instance) Handler() http.Handler { return i.api }
+
 // Run serves until Stop has let all work end, or until the context is canceled,
 // which cuts off what is in flight. It returns nil after a graceful stop.
 func (i *Instance) Run(ctx context.Context) error {
--- a/instance_test.go
+++ b/instance_test.go
@@ -28,7 +28,7 @@
 
 // startInstance runs one instance with the services "reads" (repeated freely)
 // and "writes" (never repeated). The channel gives what Run returns.
-func startInstance(t *testing.T) (*anvilcrank.Instance, chan error) {
+func startInstance(t testing.TB) (*anvilcrank.Instance, chan error) {
 	t.Helper()
 	profile := func(name string, repeat model.Repeat, attempts int) settings.Profile {
 		return settings.Profile{Name: name, Class: "short", Repeat: repeat, MaxAttempts: attempts,
@@ -64,7 +64,7 @@
 }
 
 // announce registers the server as an upstream of the service.
-func announce(t *testing.T, i *anvilcrank.Instance, service string, upstream *httptest.Server) {
+func announce(t testing.TB, i *anvilcrank.Instance, service string, upstream *httptest.Server) {
 	t.Helper()
 	body, _ := json.Marshal(model.Announcement{Upstream: model.UpstreamID(service + "-1"), Incarnation: 1,
 		Service: model.ServiceName(service), Zone: "a", Address: upstream.Listener.Addr().String(),
