Bound the service names with histograms

Cause: each unknown service name in a request made another histogram, so a caller could grow the memory of an instance without limit.

Change: at most 256 service names have histograms; the rest share one.

Conclusion: TestNamesFromCallersAreBounded guards it.

--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -17,12 +17,14 @@
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
-// maxTenants bounds the tenants with a histogram of their own. Tenant names
-// come from callers, and every histogram costs memory.
-const maxTenants = 256
-
-// otherTenants labels the tenants above maxTenants.
-const otherTenants = "other"
+// Tenant and service names come from callers, and every histogram costs memory,
+// so only so many names get histograms of their own.
+const (
+	maxTenants  = 256
+	maxServices = 256
+	// otherName labels the names above these bounds.
+	otherName = "other"
+)
 
 // Telemetry holds the log and the metrics of one instance.
 type Telemetry struct {
@@ -33,6 +35,7 @@
 	mu         sync.RWMutex
 	histograms map[requestLabels]*metrics.Histogram
 	tenants    map[model.Tenant]bool
+	services   map[model.ServiceName]bool
 }
 
 type requestLabels struct {
@@ -48,6 +51,7 @@
 		set:        metrics.NewSet(),
 		histograms: map[requestLabels]*metrics.Histogram{},
 		tenants:    map[model.Tenant]bool{},
+		services:   map[model.ServiceName]bool{},
 	}
 	for c := event.Counter(0); c < event.CountersEnd; c++ {
 		t.counters[c] = t.set.NewCounter("anvilcrank_" + c.String() + "_total")
@@ -92,20 +96,28 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.tenants[tenant] {
-		if len(t.tenants) >= maxTenants {
-			key.tenant = otherTenants
-		} else {
-			t.tenants[tenant] = true
-		}
-	}
+	key.tenant = admitName(t.tenants, tenant, maxTenants)
+	key.service = admitName(t.services, service, maxServices)
 	name := fmt.Sprintf(`anvilcrank_request_seconds{tenant=%s,service=%s,class=%q}`,
-		label(string(key.tenant)), label(string(service)), class)
+		label(string(key.tenant)), label(string(key.service)), class)
 	h = t.set.GetOrCreateHistogram(name)
 	t.histograms[key] = h
 	return h
 }
 
+// admitName returns the name if it is known or there is room for another one,
+// and otherName if not.
+func admitName[N ~string](known map[N]bool, name N, limit int) N {
+	if known[name] {
+		return name
+	}
+	if len(known) >= limit {
+		return otherName
+	}
+	known[name] = true
+	return name
+}
+
 // label quotes a label value. Names come from callers, so everything that the
 // exposition format gives a meaning is replaced.
 func label(v string) string {
--- /dev/null
+++ b/pkg/telemetry/telemetry_test.go
@@ -0,0 +1,34 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+	"github.com/anvilcrank/anvilcrank/pkg/telemetry"
+)
+
+// Guards against memory that grows with every name a caller makes up, and
+// against names that break the exposition format.
+func TestNamesFromCallersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	tel := telemetry.New("a-1", &log.Logger{Handler: discard.New()})
+	tel.Request("quote\"\n", "s", model.Short, result.Answered, time.Millisecond)
+	for n := range 2000 {
+		tel.Request(model.Tenant(fmt.Sprint("t", n)), model.ServiceName(fmt.Sprint("s", n)), model.Short, result.UnknownService, time.Millisecond)
+	}
+	var out bytes.Buffer
+	tel.WriteMetrics(&out)
+	text := out.String()
+	g.Expect(text).To(ContainSubstring(`tenant="quote__"`))
+	g.Expect(text).To(ContainSubstring(`tenant="other",service="other"`))
+	g.Expect(strings.Count(text, "request_seconds_count")).To(BeNumerically("<=", 300))
+}
