Add the scenario language and tests of the proxy's limits

Cause: crash and drain cases need real processes and scripts that say what must be seen; a full control queue and a large body had no test.

--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -72,6 +72,8 @@
 	attempts map[string]*fakeAttempt
 	owner    string
 	first    bool
+	// registered is closed when the first announcement was accepted.
+	registered chan struct{}
 }
 
 type fakeAttempt struct {
@@ -99,6 +101,7 @@
 		attempts:    map[string]*fakeAttempt{},
 		owner:       o.Instances[0],
 		first:       true,
+		registered:  make(chan struct{}),
 	}
 	u.slowdown.Store(100)
 	u.server = &http.Server{Handler: u}
@@ -110,6 +113,9 @@
 // ID returns the identifier of the upstream.
 func (u *Upstream) ID() model.UpstreamID { return u.options.ID }
 
+// Registered is closed when an instance has accepted the upstream.
+func (u *Upstream) Registered() <-chan struct{} { return u.registered }
+
 // SetSlowdown multiplies the service time by the factor.
 func (u *Upstream) SetSlowdown(factor float64) { u.slowdown.Store(int64(factor * 100)) }
 
@@ -325,6 +331,9 @@
 		return false
 	}
 	u.mu.Lock()
+	if u.first {
+		close(u.registered)
+	}
 	u.first = false
 	u.owner = resp.Request.URL.Host
 	u.mu.Unlock()
--- /dev/null
+++ b/internal/scenario/commands.go
@@ -0,0 +1,276 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/anvilcrank/anvilcrank/internal/fake"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// Defaults of fake upstreams.
+const (
+	defaultSlots       = 3
+	defaultConnections = 360
+	defaultServiceTime = 20 * time.Millisecond
+	defaultSize        = 512
+)
+
+type deploymentKey struct{}
+
+// Params returns the parameters of a testscript run over the scripts in dir.
+// binary is the folder of the built programs.
+func Params(dir, binary string) testscript.Params {
+	return testscript.Params{
+		Dir: dir,
+		Setup: func(env *testscript.Env) error {
+			d := newDeployment(env.WorkDir, binary)
+			env.Values[deploymentKey{}] = d
+			env.Setenv("PATH", binary+string(os.PathListSeparator)+env.Getenv("PATH"))
+			env.Defer(d.close)
+			return nil
+		},
+		Cmds: commands,
+	}
+}
+
+// command adapts a function over the deployment to testscript.
+func command(usage string, minArgs int, f func(ts *testscript.TestScript, d *deployment, args []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg || len(args) < minArgs {
+			ts.Fatalf("usage: %s", usage)
+		}
+		if err := f(ts, ts.Value(deploymentKey{}).(*deployment), args); err != nil {
+			ts.Fatalf("%v", err)
+		}
+	}
+}
+
+// each adapts a function of one instance or upstream to a list of names.
+func each(f func(d *deployment, name string) error) func(*testscript.TestScript, *deployment, []string) error {
+	return func(_ *testscript.TestScript, d *deployment, args []string) error {
+		for _, name := range args {
+			if err := f(d, name); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func signal(s syscall.Signal) func(*testscript.TestScript, *deployment, []string) error {
+	return each(func(d *deployment, name string) error { return d.signal(name, s) })
+}
+
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"deploy": command("deploy NAME[+disk]...", 1, func(ts *testscript.TestScript, d *deployment, args []string) error {
+		if err := d.deploy(args); err != nil {
+			return err
+		}
+		for _, i := range d.instances {
+			ts.Setenv(strings.ReplaceAll(i.name, "-", "_"), i.address())
+		}
+		return nil
+	}),
+	"start":        command("start NAME...", 1, each((*deployment).start)),
+	"crash":        command("crash NAME...", 1, signal(syscall.SIGKILL)),
+	"freeze":       command("freeze NAME...", 1, signal(syscall.SIGSTOP)),
+	"thaw":         command("thaw NAME...", 1, signal(syscall.SIGCONT)),
+	"terminate":    command("terminate NAME...", 1, signal(syscall.SIGTERM)),
+	"exited":       command("exited NAME...", 1, each((*deployment).exited)),
+	"upstream":     command("upstream ID KEY=VALUE...", 2, startUpstream),
+	"drain":        command("drain ID...", 1, onUpstream((*fake.Upstream).Drain)),
+	"killupstream": command("killupstream ID...", 1, onUpstream((*fake.Upstream).Kill)),
+	"slow":         command("slow ID FACTOR", 2, slow),
+	"idle":         command("idle ID DURATION", 2, idle),
+	"call": command("call NAME METHOD SERVICE at=INSTANCE ...", 4, func(_ *testscript.TestScript, d *deployment, args []string) error {
+		o, err := options(args[3:])
+		if err != nil {
+			return err
+		}
+		return d.call(args[0], strings.ToUpper(args[1]), args[2], o)
+	}),
+	"running": command("running NAME...", 1, each((*deployment).running)),
+	"result": command("result NAME OUTCOME [CODE]", 2, func(_ *testscript.TestScript, d *deployment, args []string) error {
+		code := ""
+		if len(args) > 2 {
+			code = args[2]
+		}
+		return d.result(args[0], args[1], code)
+	}),
+	"runs": command("runs NAME COUNT", 2, func(_ *testscript.TestScript, d *deployment, args []string) error {
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			return err
+		}
+		return d.runs(args[0], n)
+	}),
+	"await":  command("await DURATION REGEXP PROGRAM ARG...", 3, await),
+	"newkey": command("newkey VARIABLE ZONE", 2, newKey),
+}
+
+// newKey puts a new idempotency key into a variable.
+func newKey(ts *testscript.TestScript, _ *deployment, args []string) error {
+	now := model.Time(time.Now().UnixNano())
+	ts.Setenv(args[0], model.NewKey(model.Zone(args[1]), now, fmt.Sprintf("%016x", now)))
+	return nil
+}
+
+func startUpstream(_ *testscript.TestScript, d *deployment, args []string) error {
+	o, err := options(args[1:])
+	if err != nil {
+		return err
+	}
+	at, err := d.instance(o["at"])
+	if err != nil {
+		return err
+	}
+	u := fake.UpstreamOptions{
+		ID:          model.UpstreamID(args[0]),
+		Service:     model.ServiceName(o["service"]),
+		Zone:        model.Zone(at.zone),
+		Slots:       defaultSlots,
+		Connections: defaultConnections,
+		ServiceTime: defaultServiceTime,
+		BodySize:    defaultSize,
+		Journal:     d.journal,
+		Instances:   []string{at.address()},
+	}
+	if err := parseInt(o, "slots", &u.Slots); err != nil {
+		return err
+	}
+	if err := parseInt(o, "size", &u.BodySize); err != nil {
+		return err
+	}
+	if err := parseDuration(o, "time", &u.ServiceTime); err != nil {
+		return err
+	}
+	for _, i := range d.instances {
+		if i != at {
+			u.Instances = append(u.Instances, i.address())
+		}
+	}
+	started, err := fake.StartUpstream(u)
+	if err != nil {
+		return err
+	}
+	d.upstreams[args[0]] = started
+	select {
+	case <-started.Registered():
+		return nil
+	case <-time.After(readyTimeout):
+		return fmt.Errorf("upstream %s is not registered after %v", args[0], readyTimeout)
+	}
+}
+
+func onUpstream(f func(*fake.Upstream)) func(*testscript.TestScript, *deployment, []string) error {
+	return each(func(d *deployment, name string) error {
+		u := d.upstreams[name]
+		if u == nil {
+			return fmt.Errorf("no upstream %q", name)
+		}
+		f(u)
+		return nil
+	})
+}
+
+func slow(_ *testscript.TestScript, d *deployment, args []string) error {
+	factor, err := strconv.ParseFloat(args[1], 64)
+	if err != nil {
+		return err
+	}
+	return onUpstream(func(u *fake.Upstream) { u.SetSlowdown(factor) })(nil, d, args[:1])
+}
+
+// idle waits and checks that the upstream got no work meanwhile.
+func idle(_ *testscript.TestScript, d *deployment, args []string) error {
+	u := d.upstreams[args[0]]
+	if u == nil {
+		return fmt.Errorf("no upstream %q", args[0])
+	}
+	wait, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	before := u.Stats().Runs
+	time.Sleep(wait)
+	if n := u.Stats().Runs - before; n != 0 {
+		return fmt.Errorf("upstream %s ran %d requests within %v", args[0], n, wait)
+	}
+	return nil
+}
+
+// await runs a program until its output matches.
+func await(ts *testscript.TestScript, d *deployment, args []string) error {
+	limit, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	want, err := regexp.Compile(args[1])
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(limit)
+	for {
+		program := args[2]
+		if own := filepath.Join(d.binary, program); strings.HasPrefix(program, "anvilcrank") {
+			program = own
+		}
+		out, _ := exec.Command(program, args[3:]...).CombinedOutput()
+		if want.Match(out) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("after %v the output does not match %q:\n%s", limit, args[1], out)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// options parses KEY=VALUE arguments.
+func options(args []string) (map[string]string, error) {
+	o := map[string]string{}
+	for _, a := range args {
+		key, value, ok := strings.Cut(a, "=")
+		if !ok {
+			return nil, fmt.Errorf("%q is not KEY=VALUE", a)
+		}
+		o[key] = value
+	}
+	return o, nil
+}
+
+func parseInt(o map[string]string, key string, to *int) error {
+	text, ok := o[key]
+	if !ok {
+		return nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	}
+	*to = n
+	return nil
+}
+
+func parseDuration(o map[string]string, key string, to *time.Duration) error {
+	text, ok := o[key]
+	if !ok {
+		return nil
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	}
+	*to = v
+	return nil
+}
--- /dev/null
+++ b/internal/scenario/deployment.go
@@ -0,0 +1,241 @@
+package scenario
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/template"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/internal/fake"
+)
+
+const (
+	callerPort = 7001
+	peerPort   = 7101
+	// readyTimeout bounds the start of an instance.
+	readyTimeout = 10 * time.Second
+	// stopTimeout bounds a graceful stop after the work in flight has ended.
+	stopTimeout = 15 * time.Second
+)
+
+// deployments numbers the deployments of this process, so that each gets
+// loopback addresses of its own.
+var deployments atomic.Uint32
+
+// instance is one anvilcrankd process and its settings.
+type instance struct {
+	name     string
+	zone     string
+	ip       string
+	disk     bool
+	settings string
+	process  *exec.Cmd
+	log      *os.File
+	exited   chan error
+}
+
+func (i *instance) address() string { return net.JoinHostPort(i.ip, fmt.Sprint(callerPort)) }
+
+// deployment is what one script runs.
+type deployment struct {
+	dir       string
+	binary    string
+	journal   *fake.Journal
+	instances []*instance
+	upstreams map[string]*fake.Upstream
+	mu        sync.Mutex
+	calls     map[string]*call
+}
+
+// newDeployment returns an empty deployment whose files are in dir.
+func newDeployment(dir, binary string) *deployment {
+	return &deployment{
+		dir:       dir,
+		binary:    binary,
+		journal:   fake.NewJournal(),
+		upstreams: map[string]*fake.Upstream{},
+		calls:     map[string]*call{},
+	}
+}
+
+var settingsTemplate = template.Must(template.New("settings").Parse(`instance: {{.Self.Name}}
+zone: {{.Self.Zone}}
+listen: {{.Self.IP}}:{{.CallerPort}}
+peer_listen: {{.Self.IP}}:{{.PeerPort}}
+peers: [{{range $n, $p := .All}}{{if $n}}, {{end}}{{$p.IP}}:{{$.PeerPort}}{{end}}]
+{{- if .Self.Disk}}
+data: {{.Data}}
+{{- end}}
+{{- if .Group}}
+control_group: [{{range $n, $g := .Group}}{{if $n}}, {{end}}{{$g}}{{end}}]
+{{- end}}
+bootstrap:
+  zones:
+    - {zone: a, region: r1}
+    - {zone: b, region: r1}
+    - {zone: c, region: r2}
+    - {zone: d, region: r2}
+  roster: [{{range $n, $p := .All}}{{if $n}}, {{end}}{id: {{$p.Name}}, zone: {{$p.Zone}}}{{end}}]
+  profiles:
+    - {name: freely, class: short, repeat: freely, max_attempts: 3, deadline: 5s, queue_limit: 100, spill: any}
+    - {name: once, class: short, repeat: if-not-run, max_attempts: 3, deadline: 5s, queue_limit: 100, spill: any}
+    - {name: exports, class: long, repeat: never, max_attempts: 1, deadline: 60s, queue_limit: 100, spill: any}
+  services:
+    - {name: tabview, profile: freely}
+    - {name: settle, profile: once}
+    - {name: export, profile: exports}
+  links:
+    - {a: r1, b: r2, rate: 280Mbit/s}
+`))
+
+// templateInstance is an instance as the template sees it.
+type templateInstance struct {
+	Name, Zone, IP string
+	Disk           bool
+}
+
+// deploy writes the settings of the named instances.
+func (d *deployment) deploy(names []string) error {
+	number := deployments.Add(1)
+	var all []templateInstance
+	var group []string
+	for n, name := range names {
+		name, disk := strings.CutSuffix(name, "+disk")
+		zone, _, _ := strings.Cut(name, "-")
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, number, n+1)
+		all = append(all, templateInstance{name, zone, ip, disk})
+		if disk {
+			group = append(group, name)
+		}
+	}
+	for _, t := range all {
+		i := &instance{name: t.Name, zone: t.Zone, ip: t.IP, disk: t.Disk}
+		i.settings = filepath.Join(d.dir, t.Name+".yaml")
+		f, err := os.Create(i.settings)
+		if err != nil {
+			return err
+		}
+		err = settingsTemplate.Execute(f, map[string]any{
+			"Self": t, "All": all, "Group": group, "CallerPort": callerPort, "PeerPort": peerPort,
+			"Data": filepath.Join(d.dir, "data-"+t.Name),
+		})
+		if err != nil {
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return err
+		}
+		d.instances = append(d.instances, i)
+	}
+	return nil
+}
+
+func (d *deployment) instance(name string) (*instance, error) {
+	for _, i := range d.instances {
+		if i.name == name {
+			return i, nil
+		}
+	}
+	return nil, fmt.Errorf("no instance %q", name)
+}
+
+// start runs an instance and waits until it serves.
+func (d *deployment) start(name string) error {
+	i, err := d.instance(name)
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	i.process = exec.Command(filepath.Join(d.binary, "anvilcrankd"), i.settings)
+	i.process.Stderr = log
+	i.log = log
+	if err := i.process.Start(); err != nil {
+		return err
+	}
+	i.exited = make(chan error, 1)
+	go func(p *exec.Cmd, exited chan error) { exited <- p.Wait() }(i.process, i.exited)
+	return i.awaitReady()
+}
+
+func (i *instance) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get("http://" + i.address() + "/v1/health")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case err := <-i.exited:
+			return fmt.Errorf("%s ended at once: %v", i.name, err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("%s does not serve after %v", i.name, readyTimeout)
+}
+
+// signal sends a signal to an instance.
+func (d *deployment) signal(name string, s syscall.Signal) error {
+	i, err := d.instance(name)
+	if err != nil {
+		return err
+	}
+	if i.process == nil {
+		return fmt.Errorf("%s does not run", name)
+	}
+	if err := i.process.Process.Signal(s); err != nil {
+		return fmt.Errorf("signal %s: %w", name, err)
+	}
+	if s == syscall.SIGKILL {
+		<-i.exited
+		i.process = nil
+	}
+	return nil
+}
+
+// exited waits for the end of a graceful stop.
+func (d *deployment) exited(name string) error {
+	i, err := d.instance(name)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-i.exited:
+		i.process = nil
+		if err != nil {
+			return fmt.Errorf("%s ended with %w", name, err)
+		}
+		return nil
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("%s still runs %v after its stop", name, stopTimeout)
+	}
+}
+
+// close ends everything that the script left running.
+func (d *deployment) close() {
+	for _, u := range d.upstreams {
+		u.Kill()
+	}
+	for _, i := range d.instances {
+		if i.process != nil {
+			_ = i.process.Process.Kill()
+			<-i.exited
+		}
+		if i.log != nil {
+			_ = i.log.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,45 @@
+package scenario_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/anvilcrank/anvilcrank/internal/scenario"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+// run builds the programs that the scripts start.
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "anvilcrank-scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/anvilcrankd", "../../cmd/anvilcrank")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// Each script in testdata names the failure it guards against in its first
+// lines.
+func TestScenarios(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	testscript.Run(t, scenario.Params("testdata", binary))
+}
--- /dev/null
+++ b/pkg/proxy/proxy_test.go
@@ -0,0 +1,103 @@
+package proxy_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/proxy"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// stubControl records events and answers Submit with err.
+type stubControl struct {
+	err    error
+	done   chan struct{}
+	events chan event.Body
+}
+
+func newStubControl(err error) *stubControl {
+	return &stubControl{err: err, done: make(chan struct{}), events: make(chan event.Body, 16)}
+}
+
+func (c *stubControl) Submit(b event.Body) error {
+	if c.err == nil {
+		c.events <- b
+	}
+	return c.err
+}
+func (c *stubControl) Report(b event.Body)   { c.events <- b }
+func (c *stubControl) Done() <-chan struct{} { return c.done }
+
+type noRecorder struct{}
+
+func (noRecorder) Request(model.Tenant, model.ServiceName, model.Class, result.Code, time.Duration) {}
+
+func newProxy(c *stubControl) *proxy.Proxy {
+	p := proxy.New("a-1", noRecorder{}, func() model.Time { return model.Time(time.Now().UnixNano()) }, nil)
+	p.SetControl(c)
+	return p
+}
+
+// Guards against a request that waits or is told "unknown" when the control
+// goroutine cannot take it.
+func TestFullControlQueueIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	p := newProxy(newStubControl(errors.New("full")))
+	w := httptest.NewRecorder()
+	p.Serve(w, httptest.NewRequest("GET", "/s/reads/x", nil), "reads", "/x")
+	g.Expect(w.Code).To(Equal(503))
+	g.Expect(w.Header().Get(proxy.HeaderCode)).To(Equal("2003"))
+	g.Expect(w.Body.String()).To(ContainSubstring(`"class":"not_run"`))
+}
+
+// Guards against a caller that waits for ever, or is told "not run", when the
+// control goroutine ends with the request open.
+func TestRequestOpenAtTheEndOfControlIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	c := newStubControl(nil)
+	p := newProxy(c)
+	close(c.done)
+	w := httptest.NewRecorder()
+	p.Serve(w, httptest.NewRequest("GET", "/s/reads/x", nil), "reads", "/x")
+	g.Expect(w.Header().Get(proxy.HeaderCode)).To(Equal("3001"))
+}
+
+// Guards against a large request body that is held in memory or sent twice.
+func TestLargeBodyIsStreamedAndNotReplayable(t *testing.T) {
+	g := NewWithT(t)
+	size := 1 << 20
+	got := make(chan int, 1)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		got <- int(n)
+	}))
+	defer upstream.Close()
+	c := newStubControl(nil)
+	p := newProxy(c)
+	w := httptest.NewRecorder()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.Serve(w, httptest.NewRequest("POST", "/s/writes/x", strings.NewReader(strings.Repeat("x", size))), "writes", "/x")
+	}()
+	arrived := (<-c.events).(event.RequestArrived)
+	g.Expect(arrived.Replayable).To(BeFalse())
+	id := model.AttemptID{Instance: "a-1", Seq: 1}
+	p.Dispatch(event.Dispatch{Request: arrived.ID, Attempt: id, Address: upstream.Listener.Addr().String(),
+		Deadline: model.Time(time.Now().Add(5 * time.Second).UnixNano()), Connections: 4})
+	g.Expect(<-got).To(Equal(size))
+	g.Expect(<-c.events).To(BeAssignableToTypeOf(event.AttemptAnswered{}))
+	p.Relay(event.Relay{Request: arrived.ID, Attempt: id})
+	ev := (<-c.events).(event.AttemptEnded)
+	g.Expect(ev.Result).To(Equal(event.Completed))
+	<-ended
+}
