--- /dev/null
+++ b/pkg/alarm/queue.go
@@ -0,0 +1,64 @@
+package alarm
+
+import (
+	"container/heap"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// Queue holds items by due time. Items of equal time come out in the order in
+// which they were added. An item can't be removed early; whoever takes it
+// checks whether it still applies.
+type Queue[T any] struct {
+	items entries[T]
+	seq   uint64
+}
+
+type entry[T any] struct {
+	at    model.Time
+	seq   uint64
+	value T
+}
+
+// Add sets an alarm.
+func (q *Queue[T]) Add(at model.Time, value T) {
+	q.seq++
+	heap.Push(&q.items, entry[T]{at, q.seq, value})
+}
+
+// Next returns the earliest due time, 0 if there is none.
+func (q *Queue[T]) Next() model.Time {
+	if len(q.items) == 0 {
+		return 0
+	}
+	return q.items[0].at
+}
+
+// Pop takes an item that is due at the time.
+func (q *Queue[T]) Pop(at model.Time) (value T, ok bool) {
+	if len(q.items) == 0 || q.items[0].at > at {
+		return value, false
+	}
+	return heap.Pop(&q.items).(entry[T]).value, true
+}
+
+type entries[T any] []entry[T]
+
+func (h entries[T]) Len() int { return len(h) }
+func (h entries[T]) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h entries[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *entries[T]) Push(x any) { *h = append(*h, x.(entry[T])) }
+
+// Pop implements heap.Interface.
+func (h *entries[T]) Pop() any {
+	old := *h
+	n := len(old) - 1
+	e := old[n]
+	old[n] = entry[T]{}
+	*h = old[:n]
+	return e
+}
--- /dev/null
+++ b/pkg/permit/accounts.go
@@ -0,0 +1,265 @@
+package permit
+
+import (
+	"container/heap"
+	"fmt"
+	"sort"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// Account describes the slots of an upstream that this instance owns.
+type Account struct {
+	Upstream model.UpstreamID
+	Service  model.ServiceName
+	Slots    int
+	// Assumed slots count as used until AssumedUntil: a former owner may have
+	// work in flight there.
+	Assumed      int
+	AssumedUntil model.Time
+	// GrantFrom and GrantUntil bound the time in which slots may be granted.
+	GrantFrom  model.Time
+	GrantUntil model.Time
+}
+
+type account struct {
+	Account
+	used int
+}
+
+type permit struct {
+	attempt model.AttemptID
+	// holder is the instance that asked for the permit.
+	holder  model.InstanceID
+	account *account
+	granted model.Time
+	expires model.Time
+	index   int
+	// grant is the message to the holder, nil for attempts of this instance.
+	grant *message.PermitGrant
+	// newOwner is set when the upstream was handed over; it learns of the
+	// release from this instance.
+	newOwner model.InstanceID
+	share    *share
+}
+
+// Never is a time that does not come.
+const Never model.Time = 1 << 62
+
+// Meter reads the accounting of one upstream.
+type Meter interface {
+	// Free returns the number of slots that may be granted at the time.
+	Free(at model.Time) int
+	// Used returns the number of slots with a permit.
+	Used() int
+}
+
+// Own starts the accounting of an upstream.
+func (s *State) Own(a Account) Meter {
+	if s.Faults.FreeOnTakeover {
+		a.Assumed = 0
+		a.GrantFrom = 0
+	}
+	acc := &account{Account: a}
+	s.accounts[a.Upstream] = acc
+	if a.GrantFrom < Never {
+		s.opens.Add(a.GrantFrom, acc.gain())
+	}
+	if a.Assumed > 0 {
+		s.opens.Add(a.AssumedUntil, acc.gain())
+	}
+	s.gain(acc.gain())
+	return acc
+}
+
+func (a *account) gain() Gain { return Gain{a.Upstream, a.Service} }
+
+// Renew extends the time in which slots of the upstream may be granted.
+func (s *State) Renew(id model.UpstreamID, until model.Time) {
+	if a := s.accounts[id]; a != nil {
+		a.GrantUntil = until
+		s.gain(a.gain())
+	}
+}
+
+// Resize changes the number of slots of an upstream. Permits beyond a smaller
+// number stay until they end.
+func (s *State) Resize(id model.UpstreamID, slots int) {
+	a := s.accounts[id]
+	if a == nil {
+		return
+	}
+	if a.Assumed > 0 {
+		a.Assumed += max(0, slots-a.Slots)
+	}
+	a.Slots = slots
+	s.gain(a.gain())
+}
+
+// Disown ends the accounting of an upstream.
+func (s *State) Disown(id model.UpstreamID) { delete(s.accounts, id) }
+
+// Free implements Meter.
+func (a *account) Free(at model.Time) int {
+	if at < a.GrantFrom || at >= a.GrantUntil {
+		return 0
+	}
+	return a.Slots - a.used - a.assumedAt(at)
+}
+
+// Used implements Meter.
+func (a *account) Used() int { return a.used }
+
+func (a *account) assumedAt(at model.Time) int {
+	if at >= a.AssumedUntil {
+		return 0
+	}
+	return a.Assumed
+}
+
+// Grant takes a free slot for an attempt of this instance until the deadline
+// plus DeadlineGrace. The caller has checked Free.
+func (s *State) Grant(at model.Time, id model.UpstreamID, attempt model.AttemptID, deadline model.Time, out *event.Effects) {
+	s.grant(at, &permit{attempt: attempt, holder: s.self, account: s.accounts[id], granted: at, expires: deadline.Add(DeadlineGrace)}, out)
+}
+
+func (s *State) grant(at model.Time, p *permit, out *event.Effects) {
+	a := p.account
+	if s.Faults.ForgetOnExpiry {
+		p.expires = min(p.expires, at.Add(Validity))
+	}
+	a.used++
+	s.permits[p.attempt] = p
+	heap.Push(&s.expiry, p)
+	if a.used+a.assumedAt(at) > a.Slots {
+		out.Add(event.InvariantFailed{Name: "slot_bound", Detail: fmt.Sprintf("upstream %s: %d of %d slots granted", a.Upstream, a.used, a.Slots)})
+	}
+}
+
+// Release ends the permit of an attempt of this instance, or gives it back to
+// the owner that granted it. It reports whether there was one.
+func (s *State) Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool {
+	if p := s.permits[attempt]; p != nil {
+		s.release(at, p, out)
+		return true
+	}
+	return s.giveBack(at, attempt, out)
+}
+
+// release ends a permit whose slot is free, and tells the new owner if the
+// upstream was handed over.
+func (s *State) release(at model.Time, p *permit, out *event.Effects) {
+	s.end(at, p)
+	if p.newOwner != "" && !s.Faults.NoForward {
+		s.held[p.attempt] = &held{attempt: p.attempt, owner: p.newOwner, phase: releasing, expires: p.expires}
+		s.sendRelease(at, s.held[p.attempt], out)
+	}
+}
+
+func (s *State) end(at model.Time, p *permit) {
+	delete(s.permits, p.attempt)
+	heap.Remove(&s.expiry, p.index)
+	p.account.used--
+	s.gain(p.account.gain())
+	if p.share != nil {
+		p.share.used--
+	}
+}
+
+// Held reports whether the attempt holds a permit that this instance granted.
+func (s *State) Held(attempt model.AttemptID) bool { return s.permits[attempt] != nil }
+
+// HandOver ends the accounting of an upstream and returns its permits, if the
+// count is exact now. Later releases are passed on to the new owner.
+func (s *State) HandOver(at model.Time, id model.UpstreamID, to model.InstanceID) ([]message.HeldPermit, bool) {
+	a := s.accounts[id]
+	if a == nil || at < a.GrantFrom || a.assumedAt(at) > 0 {
+		return nil, false
+	}
+	delete(s.accounts, id)
+	permits := []message.HeldPermit{}
+	if a.used == 0 || s.Faults.NoForward {
+		return permits, true
+	}
+	for _, p := range s.expiry {
+		if p.account == a {
+			p.newOwner = to
+			permits = append(permits, message.HeldPermit{Attempt: p.attempt, Holder: p.holder, Left: p.expires.Sub(at)})
+		}
+	}
+	sort.Slice(permits, func(i, j int) bool { return lessAttempt(permits[i].Attempt, permits[j].Attempt) })
+	return permits, true
+}
+
+func lessAttempt(a, b model.AttemptID) bool {
+	if a.Instance != b.Instance {
+		return a.Instance < b.Instance
+	}
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation < b.Incarnation
+	}
+	return a.Seq < b.Seq
+}
+
+// TakeOver replaces the assumed slots of an upstream by the permits that its
+// former owner handed over.
+func (s *State) TakeOver(at model.Time, id model.UpstreamID, permits []message.HeldPermit) {
+	a := s.accounts[id]
+	if a == nil {
+		return
+	}
+	a.Assumed = 0
+	a.GrantFrom = at
+	for _, h := range permits {
+		if old := s.permits[h.Attempt]; old != nil {
+			// The permit was granted here and handed over before; the upstream has
+			// come back.
+			old.newOwner = ""
+			if old.account != a {
+				old.account.used--
+				old.account = a
+				a.used++
+			}
+			continue
+		}
+		p := &permit{attempt: h.Attempt, holder: h.Holder, account: a, granted: at, expires: at.Add(h.Left)}
+		a.used++
+		s.permits[h.Attempt] = p
+		heap.Push(&s.expiry, p)
+	}
+	s.gain(a.gain())
+}
+
+// permitHeap orders permits by expiry, then by attempt.
+type permitHeap []*permit
+
+func (h permitHeap) Len() int { return len(h) }
+func (h permitHeap) Less(i, j int) bool {
+	if h[i].expires != h[j].expires {
+		return h[i].expires < h[j].expires
+	}
+	return lessAttempt(h[i].attempt, h[j].attempt)
+}
+func (h permitHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *permitHeap) Push(x any) {
+	p := x.(*permit)
+	p.index = len(*h)
+	*h = append(*h, p)
+}
+
+// Pop implements heap.Interface.
+func (h *permitHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	p := old[n]
+	old[n] = nil
+	*h = old[:n]
+	return p
+}
--- /dev/null
+++ b/pkg/permit/asks.go
@@ -0,0 +1,159 @@
+package permit
+
+import (
+	"container/heap"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// maxAsks bounds the requests of other instances that wait for a service.
+const maxAsks = 2000
+
+// Ask is a request of another instance for a slot.
+type Ask struct {
+	message.PermitRequest
+	From     model.InstanceID
+	Deadline model.Time
+	// Near asks come from this instance's own region.
+	Near bool
+}
+
+type ask struct {
+	Ask
+	received model.Time
+	index    int
+}
+
+// askQueue orders the asks for a service: those of the own region first, then
+// by deadline, so that work from other regions never displaces local work.
+type askQueue []*ask
+
+func (h askQueue) Len() int { return len(h) }
+func (h askQueue) Less(i, j int) bool {
+	if h[i].Near != h[j].Near {
+		return h[i].Near
+	}
+	if h[i].Deadline != h[j].Deadline {
+		return h[i].Deadline < h[j].Deadline
+	}
+	return lessAttempt(h[i].Attempt, h[j].Attempt)
+}
+func (h askQueue) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *askQueue) Push(x any) {
+	a := x.(*ask)
+	a.index = len(*h)
+	*h = append(*h, a)
+}
+
+// Pop implements heap.Interface.
+func (h *askQueue) Pop() any {
+	old := *h
+	n := len(old) - 1
+	a := old[n]
+	old[n] = nil
+	*h = old[:n]
+	return a
+}
+
+// ReceiveRequest queues a request of another instance. maxDeadline is the
+// longest deadline of the service: a later one could outlast the wait of a
+// future owner. serves says whether this instance may have slots to grant.
+func (s *State) ReceiveRequest(at model.Time, from model.InstanceID, m *message.PermitRequest, maxDeadline model.Duration, near, serves bool, out *event.Effects) {
+	if p := s.permits[m.Attempt]; p != nil {
+		if p.grant != nil {
+			// The grant was lost or is still on its way.
+			out.Add(event.Send{To: from, Message: p.grant})
+		}
+		return
+	}
+	if s.asks[m.Attempt] != nil {
+		return
+	}
+	q := s.askQueues[m.Service]
+	if q == nil {
+		q = &askQueue{}
+		s.askQueues[m.Service] = q
+	}
+	limited := !s.mayShift(m.Shift)
+	if !serves || limited || m.Remaining <= 0 || m.Remaining > maxDeadline || q.Len() >= maxAsks {
+		out.Add(event.Send{To: from, Message: &message.PermitRefusal{Attempt: m.Attempt, LimitReached: limited}})
+		return
+	}
+	a := &ask{Ask: Ask{PermitRequest: *m, From: from, Deadline: at.Add(m.Remaining), Near: near}, received: at}
+	s.asks[m.Attempt] = a
+	heap.Push(q, a)
+	s.askEnds.Add(a.Deadline, m.Attempt)
+	s.gain(Gain{Service: m.Service})
+}
+
+// FirstAsk returns the ask for the service that is next in turn, nil if none
+// waits.
+func (s *State) FirstAsk(service model.ServiceName) *Ask {
+	q := s.askQueues[service]
+	if q == nil || q.Len() == 0 {
+		return nil
+	}
+	return &(*q)[0].Ask
+}
+
+// Waiting returns the number of asks that wait for the service.
+func (s *State) Waiting(service model.ServiceName) int {
+	if q := s.askQueues[service]; q != nil {
+		return q.Len()
+	}
+	return 0
+}
+
+// GrantAsk gives a free slot of the upstream to the waiting ask.
+func (s *State) GrantAsk(at model.Time, attempt model.AttemptID, to message.PermitGrant, out *event.Effects) {
+	a := s.asks[attempt]
+	s.removeAsk(a)
+	g := to
+	g.Attempt = attempt
+	g.SentAt = a.SentAt
+	g.Waited = at.Sub(a.received)
+	p := &permit{attempt: attempt, holder: a.From, account: s.accounts[g.Upstream], granted: at,
+		expires: a.Deadline.Add(DeadlineGrace), grant: &g}
+	s.countShare(at, p, a.Shift, out)
+	s.grant(at, p, out)
+	out.Add(event.Count{Counter: event.PermitsGranted, Add: 1})
+	out.Add(event.Send{To: a.From, Message: &g})
+}
+
+// RefuseAsk drops a waiting ask and tells its sender.
+func (s *State) RefuseAsk(attempt model.AttemptID, limited bool, out *event.Effects) {
+	a := s.asks[attempt]
+	s.removeAsk(a)
+	out.Add(event.Send{To: a.From, Message: &message.PermitRefusal{Attempt: attempt, LimitReached: limited}})
+}
+
+func (s *State) removeAsk(a *ask) {
+	delete(s.asks, a.Attempt)
+	heap.Remove(s.askQueues[a.Service], a.index)
+}
+
+// endAsk drops an ask whose deadline has passed.
+func (s *State) endAsk(attempt model.AttemptID, at model.Time) {
+	if a := s.asks[attempt]; a != nil && a.Deadline <= at {
+		s.removeAsk(a)
+	}
+}
+
+// ReceiveRelease ends the permit or the ask of another instance. It is
+// acknowledged in any case: an unknown attempt holds nothing here.
+func (s *State) ReceiveRelease(at model.Time, from model.InstanceID, m *message.PermitRelease, out *event.Effects) {
+	if p := s.permits[m.Attempt]; p != nil {
+		s.release(at, p, out)
+	}
+	if a := s.asks[m.Attempt]; a != nil {
+		s.removeAsk(a)
+	}
+	out.Add(event.Send{To: from, Message: &message.PermitReleased{Attempt: m.Attempt}})
+}
--- /dev/null
+++ b/pkg/permit/hints.go
@@ -0,0 +1,68 @@
+package permit
+
+import (
+	"sort"
+
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// HintAge is how long a hint counts. Without newer ones nothing is known.
+const HintAge = 5 * 1e9
+
+// Hint is what another instance said it owns of a service in a zone.
+type Hint struct {
+	message.Offer
+	Instance model.InstanceID
+	At       model.Time
+}
+
+type peerHints struct {
+	incarnation model.Incarnation
+	seq         uint64
+}
+
+// ReceiveAvailability replaces the hints of an instance. Older messages that
+// come late are dropped.
+func (s *State) ReceiveAvailability(at model.Time, from model.InstanceID, incarnation model.Incarnation, m *message.Availability) bool {
+	p := s.peers[from]
+	if p == nil {
+		p = &peerHints{}
+		s.peers[from] = p
+	}
+	if incarnation < p.incarnation || incarnation == p.incarnation && m.Seq <= p.seq {
+		return false
+	}
+	p.incarnation, p.seq = incarnation, m.Seq
+	s.dropHints(from)
+	for _, o := range m.Offers {
+		list := append(s.hints[o.Service], &Hint{Offer: o, Instance: from, At: at})
+		sort.Slice(list, func(i, j int) bool {
+			if list[i].Instance != list[j].Instance {
+				return list[i].Instance < list[j].Instance
+			}
+			return list[i].Zone < list[j].Zone
+		})
+		s.hints[o.Service] = list
+	}
+	return true
+}
+
+// ForgetPeer drops the hints of an instance that cannot be reached.
+func (s *State) ForgetPeer(id model.InstanceID) { s.dropHints(id) }
+
+func (s *State) dropHints(id model.InstanceID) {
+	for service, list := range s.hints {
+		kept := list[:0]
+		for _, h := range list {
+			if h.Instance != id {
+				kept = append(kept, h)
+			}
+		}
+		s.hints[service] = kept
+	}
+}
+
+// Hints returns the hints for the service in instance and zone order, aged ones
+// included. The caller may lower Free for the slots it asks for.
+func (s *State) Hints(service model.ServiceName) []*Hint { return s.hints[service] }
--- /dev/null
+++ b/pkg/permit/permit_test.go
@@ -0,0 +1,99 @@
+package permit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/permit"
+)
+
+const start = model.Time(time.Hour)
+
+func attempt(n uint64) model.AttemptID {
+	return model.AttemptID{Instance: "holder", Incarnation: 1, Seq: n}
+}
+
+func asked() (*permit.State, *event.Effects) {
+	s := permit.New("holder")
+	out := &event.Effects{}
+	s.AskFor(start, "owner", message.PermitRequest{Attempt: attempt(1), Service: "tabview"}, start.Add(time.Minute), out)
+	return s, out
+}
+
+func sent[M message.Message](out *event.Effects) []M {
+	var list []M
+	for _, e := range out.List() {
+		if s, ok := e.(event.Send); ok {
+			if m, ok := s.Message.(M); ok {
+				list = append(list, m)
+			}
+		}
+	}
+	return list
+}
+
+// Guards against work that reaches an upstream after the former owner's
+// permits should have run out.
+func TestLateGrantIsNotDispatched(t *testing.T) {
+	g := NewWithT(t)
+	s, out := asked()
+	grant := &message.PermitGrant{Attempt: attempt(1), SentAt: start, Waited: 300 * time.Millisecond, Upstream: "u"}
+	late := start.Add(300*time.Millisecond + permit.Validity)
+	g.Expect(s.ReceiveGrant(late, "owner", grant, out)).To(BeFalse())
+	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(1))
+}
+
+// Guards against a slot that stays in use until the deadline because one
+// release message was lost.
+func TestReleaseIsRepeatedUntilAcknowledged(t *testing.T) {
+	g := NewWithT(t)
+	s, out := asked()
+	g.Expect(s.ReceiveGrant(start.Add(1), "owner", &message.PermitGrant{Attempt: attempt(1), SentAt: start, Upstream: "u"}, out)).To(BeTrue())
+	s.Release(start.Add(2), attempt(1), out)
+	s.Wake(start.Add(time.Second), out)
+	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(2))
+	s.ReceiveReleased("owner", &message.PermitReleased{Attempt: attempt(1)})
+	s.Wake(start.Add(2*time.Second), out)
+	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(2))
+}
+
+// Guards against a repeated request that takes a second slot.
+func TestRepeatedRequestGetsTheSameGrant(t *testing.T) {
+	g := NewWithT(t)
+	s := permit.New("owner")
+	out := &event.Effects{}
+	m := s.Own(permit.Account{Upstream: "u", Service: "tabview", Slots: 3, GrantUntil: permit.Never})
+	r := &message.PermitRequest{Attempt: attempt(1), Service: "tabview", Remaining: time.Second}
+	s.ReceiveRequest(start, "holder", r, time.Second, true, true, out)
+	s.GrantAsk(start, attempt(1), message.PermitGrant{Upstream: "u"}, out)
+	s.ReceiveRequest(start.Add(5), "holder", r, time.Second, true, true, out)
+	grants := sent[*message.PermitGrant](out)
+	g.Expect(grants).To(HaveLen(2))
+	g.Expect(grants[1]).To(Equal(grants[0]))
+	g.Expect(m.Used()).To(Equal(1))
+}
+
+// Guards against a slot that two owners count as free after a handover.
+func TestHandoverCarriesEveryPermit(t *testing.T) {
+	g := NewWithT(t)
+	former, next := permit.New("former"), permit.New("next")
+	out := &event.Effects{}
+	former.Own(permit.Account{Upstream: "u", Slots: 2, GrantUntil: permit.Never})
+	former.Grant(start, "u", attempt(1), start.Add(time.Second), out)
+	permits, ok := former.HandOver(start, "u", "next")
+	g.Expect(ok).To(BeTrue())
+	m := next.Own(permit.Account{Upstream: "u", Slots: 2, Assumed: 2, AssumedUntil: permit.Never, GrantFrom: permit.Never, GrantUntil: permit.Never})
+	g.Expect(m.Free(start)).To(Equal(0))
+	next.TakeOver(start, "u", permits)
+	g.Expect(m.Free(start)).To(Equal(1))
+	former.Release(start, attempt(1), out)
+	released := sent[*message.PermitRelease](out)
+	g.Expect(released).To(HaveLen(1))
+	next.ReceiveRelease(start, "former", released[0], out)
+	g.Expect(m.Free(start)).To(Equal(2))
+}
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -131,7 +131,7 @@
 	}
 	switch r.phase {
 	case queued:
-		s.queue(r.arrived.Service).remove(r)
+		s.leaveQueue(at, r, out)
 		s.finish(at, r, result.CanceledByCaller, out)
 	case running:
 		if !r.idempotent {
--- /dev/null
+++ b/pkg/request/slots.go
@@ -0,0 +1,106 @@
+package request
+
+import (
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// SlotRequest says what an attempt needs.
+type SlotRequest struct {
+	Attempt  model.AttemptID
+	Service  model.ServiceName
+	Deadline model.Time
+	// Spill is how far the request may leave its zone.
+	Spill string
+	// Avoid is an upstream to be used only if there is no other, "" for none.
+	Avoid model.UpstreamID
+	// Asked says that another instance was asked already; the request is moved
+	// only to one that has a free slot.
+	Asked model.AttemptID
+}
+
+// SlotGrant is a slot of an upstream, held for one attempt.
+type SlotGrant struct {
+	Upstream    model.UpstreamID
+	Address     string
+	Region      model.Region
+	Connections int
+}
+
+// Slots grants slots of upstreams.
+type Slots interface {
+	// Acquire binds a free slot of this instance to the attempt, if there is one
+	// that the request should use now.
+	Acquire(at model.Time, r SlotRequest, out *event.Effects) (SlotGrant, bool)
+	// Ask asks another instance for a slot, if that is worth while. It is
+	// answered by State.Granted or State.Refused.
+	Ask(at model.Time, r SlotRequest, out *event.Effects) bool
+	// Release ends the hold of an attempt, or withdraws what was asked for it. It
+	// reports whether there was anything.
+	Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool
+	// Serves reports whether any upstream of the service is known.
+	Serves(service model.ServiceName) bool
+}
+
+// askFor asks another instance for a slot for a waiting request. A request that
+// was asked for before moves to a better instance, if there is one.
+func (s *State) askFor(at model.Time, r *request, out *event.Effects) bool {
+	q := s.slotRequest(r, s.nextAttempt())
+	q.Asked = r.ask
+	if !s.slots.Ask(at, q, out) {
+		return false
+	}
+	s.withdraw(at, r, out)
+	r.ask = q.Attempt
+	s.asks[q.Attempt] = r
+	return true
+}
+
+// withdraw takes back what was asked for a request.
+func (s *State) withdraw(at model.Time, r *request, out *event.Effects) {
+	if r.ask.Seq == 0 {
+		return
+	}
+	delete(s.asks, r.ask)
+	s.slots.Release(at, r.ask, out)
+	r.ask = model.AttemptID{}
+}
+
+// Granted dispatches the request for which another instance granted a slot.
+func (s *State) Granted(at model.Time, attempt model.AttemptID, grant SlotGrant, out *event.Effects) {
+	r := s.asks[attempt]
+	if r == nil || r.phase != queued || at >= r.deadline {
+		s.slots.Release(at, attempt, out)
+		return
+	}
+	delete(s.asks, attempt)
+	r.ask = model.AttemptID{}
+	s.queue(r.arrived.Service).remove(r)
+	s.send(at, r, attempt, grant, out)
+}
+
+// Refused handles an instance that grants no slot or was lost: the next one is
+// asked.
+func (s *State) Refused(at model.Time, attempt model.AttemptID, out *event.Effects) {
+	r := s.asks[attempt]
+	if r == nil {
+		return
+	}
+	delete(s.asks, attempt)
+	r.ask = model.AttemptID{}
+	s.askFor(at, r, out)
+}
+
+// AskMore asks for slots for waiting requests after other instances said what
+// they have.
+func (s *State) AskMore(at model.Time, service model.ServiceName, out *event.Effects) {
+	q := s.queues[service]
+	if q == nil {
+		return
+	}
+	for _, r := range q.heap {
+		if !s.askFor(at, r, out) {
+			return
+		}
+	}
+}
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -1,38 +1,12 @@
 package request
 
 import (
-	"sort"
-
+	"github.com/anvilcrank/anvilcrank/pkg/alarm"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
-// SlotRequest says what an attempt needs.
-type SlotRequest struct {
-	Attempt  model.AttemptID
-	Service  model.ServiceName
-	Deadline model.Time
-}
-
-// SlotGrant is a slot of an upstream, held for one attempt.
-type SlotGrant struct {
-	Upstream    model.UpstreamID
-	Address     string
-	Region      model.Region
-	Connections int
-}
-
-// Slots grants slots of upstreams.
-type Slots interface {
-	// Acquire binds a free slot to the attempt, if there is one now.
-	Acquire(at model.Time, r SlotRequest, out *event.Effects) (SlotGrant, bool)
-	// Release ends the hold of an attempt. It reports whether there was one.
-	Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool
-	// Serves reports whether any upstream of the service is known.
-	Serves(service model.ServiceName) bool
-}
-
 // Ledger decides whether a request with an idempotency key may run. Claim is
 // answered by a later call of State.ClaimDecided.
 type Ledger interface {
@@ -81,6 +55,10 @@
 	// lastRefusal is the code of the last attempt that provably did not run.
 	lastRefusal result.Code
 	queueIndex  int
+	// ask is the attempt for which another instance was asked for a slot.
+	ask model.AttemptID
+	// failedAt is the upstream of the last attempt that failed.
+	failedAt model.UpstreamID
 }
 
 // claimed reports whether the request holds a ledger claim.
@@ -95,7 +73,11 @@
 	config      *model.Config
 	open        map[model.RequestID]*request
 	queues      map[model.ServiceName]*queue
-	nextSeq     uint64
+	// asks are the waiting requests by the attempt for which a slot was asked.
+	asks map[model.AttemptID]*request
+	// ends holds the deadlines of waiting requests.
+	ends    alarm.Queue[model.RequestID]
+	nextSeq uint64
 }
 
 // New returns an empty state.
@@ -107,6 +89,7 @@
 		ledger:      ledger,
 		open:        map[model.RequestID]*request{},
 		queues:      map[model.ServiceName]*queue{},
+		asks:        map[model.AttemptID]*request{},
 	}
 }
 
@@ -201,6 +184,8 @@
 	}
 	r.phase = queued
 	q.push(r)
+	s.ends.Add(r.deadline, r.arrived.ID)
+	s.askFor(at, r, out)
 }
 
 func (s *State) queue(service model.ServiceName) *queue {
@@ -212,17 +197,39 @@
 	return q
 }
 
-// dispatch sends the request to an upstream if a slot is free.
+// dispatch sends the request to an upstream of this instance if a slot is free.
 func (s *State) dispatch(at model.Time, r *request, out *event.Effects) bool {
-	s.nextSeq++
-	id := model.AttemptID{Instance: s.self, Incarnation: s.incarnation, Seq: s.nextSeq}
-	grant, ok := s.slots.Acquire(at, SlotRequest{Attempt: id, Service: r.arrived.Service, Deadline: r.deadline}, out)
+	id := s.nextAttempt()
+	grant, ok := s.slots.Acquire(at, s.slotRequest(r, id), out)
 	if !ok {
 		return false
 	}
+	s.withdraw(at, r, out)
+	s.send(at, r, id, grant, out)
+	return true
+}
+
+func (s *State) nextAttempt() model.AttemptID {
+	s.nextSeq++
+	return model.AttemptID{Instance: s.self, Incarnation: s.incarnation, Seq: s.nextSeq}
+}
+
+func (s *State) slotRequest(r *request, id model.AttemptID) SlotRequest {
+	return SlotRequest{
+		Attempt:  id,
+		Service:  r.arrived.Service,
+		Deadline: r.deadline,
+		Spill:    r.profile.Spill,
+		Avoid:    r.failedAt,
+	}
+}
+
+// send dispatches the request on a slot that its attempt holds.
+func (s *State) send(at model.Time, r *request, id model.AttemptID, grant SlotGrant, out *event.Effects) {
 	r.phase = running
 	r.dispatched++
 	r.attempts = append(r.attempts, id)
+	r.failedAt = grant.Upstream
 	if r.dispatched > 1 {
 		out.Add(event.Count{Counter: event.Retries, Add: 1})
 	}
@@ -239,41 +246,57 @@
 		Deadline:    r.deadline,
 		Connections: grant.Connections,
 	})
-	return true
 }
 
-// Pump dispatches waiting requests of the service while slots are free.
-func (s *State) Pump(at model.Time, service model.ServiceName, out *event.Effects) {
+// PumpOne dispatches the first waiting request of the service if a slot of this
+// instance is free. It reports whether it did.
+func (s *State) PumpOne(at model.Time, service model.ServiceName, out *event.Effects) bool {
 	q := s.queues[service]
-	if q == nil {
-		return
+	if q == nil || q.Len() == 0 {
+		return false
 	}
-	for q.Len() > 0 {
-		r := q.first()
-		if r.deadline > at && !s.dispatch(at, r, out) {
+	r := q.first()
+	if r.deadline <= at || !s.dispatch(at, r, out) {
+		return false
+	}
+	q.remove(r)
+	return true
+}
+
+// Waiting returns the number of requests that wait for the service.
+func (s *State) Waiting(service model.ServiceName) int {
+	if q := s.queues[service]; q != nil {
+		return q.Len()
+	}
+	return 0
+}
+
+// Wake ends the requests whose deadline passed while they waited.
+func (s *State) Wake(at model.Time, out *event.Effects) {
+	for {
+		id, ok := s.ends.Pop(at)
+		if !ok {
 			return
 		}
-		q.remove(r)
-		if r.deadline <= at {
-			s.finish(at, r, result.DeadlineInQueue, out)
+		r := s.open[id]
+		if r == nil || r.phase != queued {
+			continue
 		}
+		s.leaveQueue(at, r, out)
+		s.finish(at, r, result.DeadlineInQueue, out)
 	}
 }
 
-// PumpAll dispatches waiting requests of all services, in name order.
-func (s *State) PumpAll(at model.Time, out *event.Effects) {
-	names := make([]model.ServiceName, 0, len(s.queues))
-	for name, q := range s.queues {
-		if q.Len() > 0 {
-			names = append(names, name)
-		}
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	for _, name := range names {
-		s.Pump(at, name, out)
-	}
+// leaveQueue takes a waiting request out of its queue.
+func (s *State) leaveQueue(at model.Time, r *request, out *event.Effects) {
+	s.queue(r.arrived.Service).remove(r)
+	s.withdraw(at, r, out)
 }
 
+// NextWake returns the earliest time at which Wake has something to do, 0 if
+// there is none.
+func (s *State) NextWake() model.Time { return s.ends.Next() }
+
 // finish ends a request with a code of ours. A code of class NotRun is given
 // only if no attempt may have run.
 func (s *State) finish(at model.Time, r *request, code result.Code, out *event.Effects) {
@@ -288,17 +311,3 @@
 	}
 	out.Add(event.Finish{Request: r.arrived.ID, Code: code})
 }
-
-// NextWake returns the earliest deadline of a waiting request, 0 if none waits.
-func (s *State) NextWake() model.Time {
-	var next model.Time
-	for _, q := range s.queues {
-		if q.Len() == 0 {
-			continue
-		}
-		if d := q.first().deadline; next == 0 || d < next {
-			next = d
-		}
-	}
-	return next
-}
--- /dev/null
+++ b/pkg/state/permits.go
@@ -0,0 +1,248 @@
+package state
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/request"
+	"github.com/anvilcrank/anvilcrank/pkg/upstream"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
+)
+
+const (
+	// minHintInterval bounds how often other instances are told what this one
+	// owns, and maxHintInterval how rarely.
+	minHintInterval = 100 * time.Millisecond
+	maxHintInterval = time.Second
+)
+
+// hinting is when and how other instances are told what this one owns.
+type hinting struct {
+	seq    uint64
+	next   model.Time
+	sentAt model.Time
+	last   []message.Offer
+	// stopping instances take over no upstreams.
+	stopping map[model.InstanceID]bool
+}
+
+// receivePermit handles the messages about permits and ownership. It reports
+// whether the message was one.
+func (s *State) receivePermit(at model.Time, b event.PeerReceived) bool {
+	out := &s.out
+	switch m := b.Message.(type) {
+	case *message.Availability:
+		s.receiveAvailability(at, b, m)
+	case *message.PermitRequest:
+		longest := s.longestDeadline(m.Service)
+		near := s.distance(m.Zone) < 2
+		s.permits.ReceiveRequest(at, b.From, m, longest, near, s.upstreams.Serves(m.Service), out)
+	case *message.PermitGrant:
+		s.receiveGrant(at, b.From, m)
+	case *message.PermitRefusal:
+		if s.permits.ReceiveRefusal(b.From, m) {
+			s.requests.Refused(at, m.Attempt, out)
+		}
+	case *message.PermitRelease:
+		s.permits.ReceiveRelease(at, b.From, m, out)
+	case *message.PermitReleased:
+		s.permits.ReceiveReleased(b.From, m)
+	case *message.HandoverRequest:
+		s.upstreams.ReceiveHandoverRequest(at, b.From, m, out)
+	case *message.Handover:
+		s.upstreams.ReceiveHandover(at, m)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *State) receiveAvailability(at model.Time, b event.PeerReceived, m *message.Availability) {
+	if !s.permits.ReceiveAvailability(at, b.From, b.Incarnation, m) {
+		return
+	}
+	s.hinting.stopping[b.From] = m.Stopping
+	for _, o := range m.Offers {
+		if o.Free > 0 {
+			s.requests.AskMore(at, o.Service, &s.out)
+		}
+	}
+}
+
+func (s *State) receiveGrant(at model.Time, from model.InstanceID, m *message.PermitGrant) {
+	if !s.permits.ReceiveGrant(at, from, m, &s.out) {
+		s.requests.Refused(at, m.Attempt, &s.out)
+		return
+	}
+	s.requests.Granted(at, m.Attempt, request.SlotGrant{
+		Upstream: m.Upstream, Address: m.Address, Region: s.config.RegionOf(m.Zone), Connections: m.Connections}, &s.out)
+}
+
+// peerLost moves the requests that wait at an instance that cannot be reached.
+func (s *State) peerLost(at model.Time, id model.InstanceID) {
+	s.permits.ForgetPeer(id)
+	delete(s.hinting.stopping, id)
+	for _, attempt := range s.permits.AskedAt(id) {
+		s.permits.Release(at, attempt, &s.out)
+		s.requests.Refused(at, attempt, &s.out)
+	}
+}
+
+// sendHints tells the other instances what this one owns, soon after a change
+// and otherwise now and then.
+func (s *State) sendHints(at model.Time) {
+	if at < s.hinting.next || len(s.peers) == 0 {
+		return
+	}
+	s.hinting.next = at.Add(minHintInterval)
+	offers := s.upstreams.Offers(at)
+	for i := range offers {
+		offers[i].Waiting = s.requests.Waiting(offers[i].Service) + s.permits.Waiting(offers[i].Service)
+	}
+	if sameOffers(offers, s.hinting.last) && at < s.hinting.sentAt.Add(maxHintInterval) {
+		return
+	}
+	s.hinting.last = offers
+	s.hinting.sentAt = at
+	s.hinting.seq++
+	m := &message.Availability{Seq: s.hinting.seq, Stopping: s.stopping, Offers: offers}
+	for _, p := range s.Peers() {
+		s.out.Add(event.Send{To: p, Message: m})
+	}
+}
+
+func sameOffers(a, b []message.Offer) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// nextHint returns when sendHints has something to do, 0 without other
+// instances.
+func (s *State) nextHint() model.Time {
+	if len(s.peers) == 0 {
+		return 0
+	}
+	return max(1, s.hinting.next)
+}
+
+// distance returns 0 for this instance's zone, 1 for its region and 2 for the
+// rest.
+func (s *State) distance(zone model.Zone) int {
+	if zone == s.identity.Zone {
+		return 0
+	}
+	if d, ok := s.distances[zone]; ok {
+		return d
+	}
+	return 2
+}
+
+// measureDistances prepares distance for a new configuration.
+func (s *State) measureDistances() {
+	s.distances = map[model.Zone]int{}
+	own := s.config.RegionOf(s.identity.Zone)
+	for _, z := range s.config.Zones {
+		s.distances[z.Zone] = 2
+		if z.Region == own {
+			s.distances[z.Zone] = 1
+		}
+	}
+	for _, svc := range s.config.Services {
+		p := s.config.Profile(svc.Name)
+		s.longest[svc.Name] = max(s.longest[svc.Name], p.Deadline())
+	}
+}
+
+// longestDeadline returns the longest deadline that the service has had since
+// this process started.
+func (s *State) longestDeadline(service model.ServiceName) model.Duration {
+	if d, ok := s.longest[service]; ok {
+		return d
+	}
+	return model.MaxDeadline
+}
+
+// LongestDeadline implements upstream.Deployment.
+func (s *State) LongestDeadline(service model.ServiceName) model.Duration {
+	return s.longestDeadline(service)
+}
+
+// Site implements upstream.Deployment.
+func (s *State) Site(a *model.Announcement) upstream.Site {
+	region := s.config.RegionOf(a.Zone)
+	return upstream.Site{
+		Region:   region,
+		Distance: s.distance(a.Zone),
+		Drained: s.config.IsDrained(model.DrainUpstream, string(a.Upstream)) ||
+			s.config.IsDrained(model.DrainZone, string(a.Zone)) ||
+			s.config.IsDrained(model.DrainRegion, string(region)),
+		Connections: s.connectionShare(a),
+	}
+}
+
+// connectionShare splits the connections of an upstream over the roster, so
+// that all instances together stay within its total.
+func (s *State) connectionShare(a *model.Announcement) int {
+	n := 1
+	if s.config != nil {
+		n = max(1, len(s.config.Roster))
+	}
+	return max(1, a.Connections/n)
+}
+
+// Peers implements upstream.Deployment.
+func (s *State) Peers() []model.InstanceID {
+	ids := make([]model.InstanceID, 0, len(s.peers))
+	for id := range s.peers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// PreferredOwner implements upstream.Deployment: the reachable instance with
+// the highest hash among those of the upstream's zone, so that the upstreams of
+// a zone spread evenly and few move when an instance comes or goes. Without any
+// in the zone, those of the region and then all come into question.
+func (s *State) PreferredOwner(a *model.Announcement) (model.InstanceID, string) {
+	region := s.config.RegionOf(a.Zone)
+	var best view.Instance
+	bestRank, bestHash := 3, uint64(0)
+	consider := func(i view.Instance) {
+		rank := 2
+		switch {
+		case i.Zone == a.Zone:
+			rank = 0
+		case region != "" && s.config.RegionOf(i.Zone) == region:
+			rank = 1
+		}
+		hash := xxhash.Sum64String(string(a.Upstream) + "\x00" + string(i.ID))
+		if rank < bestRank || rank == bestRank && (hash > bestHash || hash == bestHash && i.ID < best.ID) {
+			best, bestRank, bestHash = i, rank, hash
+		}
+	}
+	if !s.stopping {
+		consider(view.Instance{ID: s.identity.ID, Zone: s.identity.Zone})
+	}
+	for id, p := range s.peers {
+		if !s.hinting.stopping[id] {
+			consider(p)
+		}
+	}
+	if best.ID == s.identity.ID || best.ID == "" {
+		return "", ""
+	}
+	return best.ID, best.Address
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -35,7 +35,15 @@
 	ledger    *localLedger
 
 	// peers are the instances with a standing link.
-	peers    map[model.InstanceID]view.Instance
+	peers map[model.InstanceID]view.Instance
+	// distances caches the distance of each zone, and longest the longest
+	// deadline that each service has had.
+	distances map[model.Zone]int
+	longest   map[model.ServiceName]model.Duration
+	hinting   hinting
+	// othersFirst makes this instance's requests and those of others take turns.
+	othersFirst bool
+
 	stopping bool
 	// stopAt is when callers' cached look-ups have run out.
 	stopAt   model.Time
@@ -48,11 +56,13 @@
 func New(identity Identity) *State {
 	s := &State{
 		identity: identity,
-		permits:  permit.New(),
+		permits:  permit.New(identity.ID),
 		ledger:   &localLedger{},
 		peers:    map[model.InstanceID]view.Instance{},
+		longest:  map[model.ServiceName]model.Duration{},
+		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
-	s.upstreams = upstream.New(s.permits)
+	s.upstreams = upstream.New(s.permits, s, identity.Incarnation, identity.Seed)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
 	return s
 }
@@ -63,6 +73,8 @@
 	s.out.Reset()
 	s.route(ev.At, ev.Body)
 	s.decideClaims(ev.At)
+	s.pump(ev.At)
+	s.sendHints(ev.At)
 	s.checkStopped(ev.At)
 	s.publish()
 	s.setTimer()
@@ -81,17 +93,16 @@
 		s.requests.Answered(at, &b, out)
 	case event.AttemptEnded:
 		s.requests.Ended(at, &b, out)
-		s.requests.PumpAll(at, out)
 	case event.CancelConfirmed:
 		s.requests.CancelConfirmed(at, &b, out)
-		s.requests.PumpAll(at, out)
 	case event.UpstreamAnnounced:
-		s.announce(at, b)
+		s.upstreams.Announce(at, b, out)
 	case event.PeerConnected:
 		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
 		s.viewDone = false
 	case event.PeerLost:
 		delete(s.peers, b.Peer)
+		s.peerLost(at, b.Peer)
 		s.viewDone = false
 	case event.PeerReceived:
 		s.receive(at, b)
@@ -108,19 +119,11 @@
 	}
 }
 
-func (s *State) announce(at model.Time, b event.UpstreamAnnounced) {
-	longest := model.MaxDeadline
-	if p := s.config.Profile(b.Announcement.Service); p != nil {
-		longest = p.Deadline()
-	}
-	if s.upstreams.Announce(at, b, longest, &s.out) {
-		s.requests.Pump(at, b.Announcement.Service, &s.out)
-	}
-}
-
 // receive routes a message of another instance.
 func (s *State) receive(at model.Time, b event.PeerReceived) {
-	_, _ = at, b
+	if s.receivePermit(at, b) {
+		return
+	}
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -129,17 +132,21 @@
 		return
 	}
 	s.config = c
+	s.measureDistances()
 	s.requests.Configure(c)
+	s.upstreams.Reconfigure()
 	s.viewDone = false
 	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
-	s.requests.PumpAll(at, &s.out)
+	for _, svc := range c.Services {
+		s.pumpService(at, svc.Name)
+	}
 }
 
 // wake handles everything that is due.
 func (s *State) wake(at model.Time) {
 	s.upstreams.Wake(at, &s.out)
-	s.permits.Wake(at)
-	s.requests.PumpAll(at, &s.out)
+	s.permits.Wake(at, &s.out)
+	s.requests.Wake(at, &s.out)
 }
 
 // decideClaims passes on the ledger's decisions of this step.
@@ -192,7 +199,7 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake())
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextHint())
 	if s.stopping && !s.stopped {
 		next = earliest(next, s.stopAt)
 	}
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -1,13 +1,16 @@
 package upstream
 
 import (
+	"math/rand/v2"
 	"sort"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/pkg/alarm"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
-	"github.com/anvilcrank/anvilcrank/pkg/result"
+	"github.com/anvilcrank/anvilcrank/pkg/permit"
 )
 
 const (
@@ -16,105 +19,135 @@
 	LeaseDuration = 2 * time.Second
 	// AnnounceInterval is how often an upstream should announce itself.
 	AnnounceInterval = 500 * time.Millisecond
-	// PermitValidity is how long a permit may wait for its dispatch. A silent
-	// upstream gets no new work after LeaseDuration plus PermitValidity.
-	PermitValidity = time.Second
+	// grantMargin is the end of a lease in which no slot is granted, so that the
+	// delay of the last announcement and of the last dispatch stay within the 3 s
+	// after which a silent or draining upstream gets no new work.
+	grantMargin = 300 * time.Millisecond
 	// TakeoverWait is how long a new owner waits for the lease of the former
 	// owner and the permits it granted to run out before it grants slots.
-	TakeoverWait = LeaseDuration + PermitValidity + 500*time.Millisecond
+	TakeoverWait = LeaseDuration + permit.Validity + 500*time.Millisecond
+	// retention is how long the count of a silent upstream is kept after its last
+	// announcement. Nobody else grants its slots before TakeoverWait, so until
+	// then the count is exact and can be handed over or continued.
+	retention = LeaseDuration + permit.Validity
+	// drainHold is how long a drain counts against an announcement of "serving"
+	// that may have been sent before it and come late.
+	drainHold = 3 * time.Second
 )
 
 // Slots is what this package needs of the slot accounting.
 type Slots interface {
-	// Own starts the accounting of an upstream with the given number of slots,
-	// of which assumed are counted as used until the given time.
-	Own(id model.UpstreamID, slots, assumed int, until model.Time)
+	Own(permit.Account) permit.Meter
+	// Renew extends the time in which slots may be granted.
+	Renew(id model.UpstreamID, until model.Time)
 	// Resize changes the number of slots.
 	Resize(id model.UpstreamID, slots int)
 	// Disown ends the accounting.
 	Disown(id model.UpstreamID)
-	// Free returns the number of free slots at the time.
-	Free(id model.UpstreamID, at model.Time) int
-	// Used returns the number of slots in use.
-	Used(id model.UpstreamID) int
+	// HandOver ends the accounting and returns the permits if the count is exact.
+	HandOver(at model.Time, id model.UpstreamID, to model.InstanceID) ([]message.HeldPermit, bool)
+	// TakeOver replaces assumed slots by the former owner's permits.
+	TakeOver(at model.Time, id model.UpstreamID, permits []message.HeldPermit)
+}
+
+// Site is what the configuration says of the place of an upstream.
+type Site struct {
+	Region model.Region
+	// Distance is 0 in this instance's zone, 1 in its region and 2 elsewhere.
+	Distance int
+	// Drained upstreams were taken out of service by operators.
+	Drained bool
+	// Connections bounds the connections of this instance.
+	Connections int
+}
+
+// Distances is the number of values of Site.Distance.
+const Distances = 3
+
+// Deployment is what this package needs of the configuration and the other
+// instances.
+type Deployment interface {
+	// Site places an upstream.
+	Site(a *model.Announcement) Site
+	// PreferredOwner returns the instance that should own the upstream, with its
+	// address. The identifier is "" for this instance.
+	PreferredOwner(a *model.Announcement) (model.InstanceID, string)
+	// Peers lists the reachable instances in identifier order.
+	Peers() []model.InstanceID
+	// LongestDeadline bounds the deadlines that the service has had.
+	LongestDeadline(service model.ServiceName) model.Duration
 }
 
 // Upstream is one upstream that this instance owns.
 type Upstream struct {
 	Announcement model.Announcement
-	// LeaseUntil is when ownership ends without another announcement.
-	LeaseUntil model.Time
-	// GrantFrom is when this instance may first grant slots.
-	GrantFrom model.Time
+	Site         Site
+	Meter        permit.Meter
+	// forgetAt is when the count is dropped without another announcement.
+	forgetAt model.Time
+	// candidateUntil is set while a first registration waits for the proof that
+	// its answer arrived.
+	candidateUntil model.Time
+	// tenure identifies this ownership in handover messages; 0 once the count is
+	// not wanted any more.
+	tenure      uint64
+	askUntil    model.Time
+	drainSeenAt model.Time
+	// readyIndex is the position among the ready upstreams of the pool, -1 if it
+	// is not there.
+	readyIndex int
+	health     health
 }
 
 // State holds the upstreams that this instance owns.
 type State struct {
-	slots Slots
-	owned map[model.UpstreamID]*Upstream
-	// pools lists the owned upstreams of each service in identifier order.
-	pools map[model.ServiceName]*pool
+	Policy Policy
+
+	slots      Slots
+	deployment Deployment
+	rng        *rand.Rand
+	owned      map[model.UpstreamID]*Upstream
+	// pools lists the owned upstreams of each service.
+	pools  map[model.ServiceName]*pool
+	leases alarm.Queue[*Upstream]
+
+	tenures   uint64
+	handovers alarm.Queue[*Upstream]
+	handed    map[model.UpstreamID]*handedOver
+	redirects map[model.UpstreamID]*redirect
 }
 
+// pool holds the owned upstreams of one service.
 type pool struct {
+	// members are in identifier order.
 	members []*Upstream
-	// next is where the round-robin tie break continues.
-	next int
+	// ready lists, for each distance, those that may have a free slot.
+	ready   [Distances][]*Upstream
+	serving int
 }
 
 // New returns an empty state that accounts for slots in slots.
-func New(slots Slots) *State {
+//
+// The incarnation numbers the ownerships, so that none of an earlier process is
+// taken for one of this.
+func New(slots Slots, deployment Deployment, incarnation model.Incarnation, seed uint64) *State {
 	return &State{
-		slots: slots,
-		owned: map[model.UpstreamID]*Upstream{},
-		pools: map[model.ServiceName]*pool{},
+		Policy:     &LeastExpected{},
+		slots:      slots,
+		deployment: deployment,
+		rng:        rand.New(rand.NewPCG(seed, 2)),
+		owned:      map[model.UpstreamID]*Upstream{},
+		pools:      map[model.ServiceName]*pool{},
+		handed:     map[model.UpstreamID]*handedOver{},
+		redirects:  map[model.UpstreamID]*redirect{},
+		tenures:    uint64(incarnation),
 	}
 }
 
-// Announce handles an announcement. maxDeadline is the longest deadline of the
-// service's profile: work that a former owner dispatched ends by then. It
-// reports whether the service may have gained free slots.
-func (s *State) Announce(at model.Time, ev event.UpstreamAnnounced, maxDeadline model.Duration, out *event.Effects) bool {
-	a := ev.Announcement
-	if err := a.Validate(); err != nil {
-		out.Add(event.AnnounceReply{Call: ev.Call, Code: result.MalformedAnnouncement})
-		return false
-	}
-	u := s.owned[a.Upstream]
-	if u != nil && a.Incarnation < u.Announcement.Incarnation {
-		// A delayed announcement of an earlier process says nothing about the
-		// present one.
-		out.Add(event.AnnounceReply{Call: ev.Call, Code: result.MalformedAnnouncement})
-		return false
-	}
-	out.Add(event.AnnounceReply{Call: ev.Call, Code: result.Answered, Owner: true})
-	if u != nil && (u.Announcement.Service != a.Service || u.Announcement.Incarnation != a.Incarnation) {
-		s.remove(u)
-		u = nil
-	}
-	if u == nil {
-		if a.State == model.Leaving {
-			return false
-		}
-		u = s.add(at, a, maxDeadline, out)
-	}
-	s.update(at, u, a, out)
-	return a.State == model.Serving
-}
-
-func (s *State) add(at model.Time, a model.Announcement, maxDeadline model.Duration, out *event.Effects) *Upstream {
-	u := &Upstream{Announcement: a, GrantFrom: at}
-	if a.First {
-		s.slots.Own(a.Upstream, a.Slots, 0, at)
-		out.Add(event.Log{Code: logevent.UpstreamRegistered, Fields: []logevent.Field{
-			logevent.F("upstream", a.Upstream), logevent.F("service", a.Service)}})
-	} else {
-		u.GrantFrom = at.Add(TakeoverWait)
-		s.slots.Own(a.Upstream, a.Slots, a.Slots, u.GrantFrom.Add(maxDeadline))
-		out.Add(event.Log{Code: logevent.UpstreamTakenOver, Fields: []logevent.Field{
-			logevent.F("upstream", a.Upstream), logevent.F("service", a.Service)}})
-	}
+func (s *State) insert(at model.Time, a model.Announcement) *Upstream {
+	u := &Upstream{Announcement: a, Site: s.deployment.Site(&a), readyIndex: -1}
 	s.owned[a.Upstream] = u
+	delete(s.handed, a.Upstream)
 	p := s.pools[a.Service]
 	if p == nil {
 		p = &pool{}
@@ -124,30 +157,31 @@
 	p.members = append(p.members, nil)
 	copy(p.members[i+1:], p.members[i:])
 	p.members[i] = u
+	p.count()
 	return u
 }
 
-func (s *State) update(at model.Time, u *Upstream, a model.Announcement, out *event.Effects) {
-	was := u.Announcement
-	u.Announcement = a
-	u.LeaseUntil = at.Add(LeaseDuration)
-	if was.Slots != a.Slots {
-		s.slots.Resize(a.Upstream, a.Slots)
-	}
-	if was.State != a.State && a.State == model.Draining {
-		out.Add(event.Log{Code: logevent.UpstreamDraining, Fields: []logevent.Field{logevent.F("upstream", a.Upstream)}})
-	}
-	if a.State == model.Leaving {
-		s.remove(u)
-		out.Add(event.Log{Code: logevent.UpstreamLeft, Fields: []logevent.Field{logevent.F("upstream", a.Upstream)}})
+// count brings the number of serving members up to date.
+func (p *pool) count() {
+	p.serving = 0
+	for _, m := range p.members {
+		if m.takesWork() {
+			p.serving++
+		}
 	}
 }
 
+// takesWork reports whether the upstream is in service.
+func (u *Upstream) takesWork() bool {
+	return u.Announcement.State == model.Serving && !u.Site.Drained
+}
+
 func (s *State) remove(u *Upstream) {
-	a := u.Announcement
+	a := &u.Announcement
 	delete(s.owned, a.Upstream)
 	s.slots.Disown(a.Upstream)
 	p := s.pools[a.Service]
+	p.unready(u)
 	for i, m := range p.members {
 		if m == u {
 			p.members = append(p.members[:i], p.members[i+1:]...)
@@ -156,35 +190,85 @@
 	}
 	if len(p.members) == 0 {
 		delete(s.pools, a.Service)
+		return
 	}
+	p.count()
 }
 
-// NextWake returns when the next lease runs out, 0 if none does.
-func (s *State) NextWake() model.Time {
-	var next model.Time
-	for _, u := range s.owned {
-		if next == 0 || u.LeaseUntil < next {
-			next = u.LeaseUntil
+// MarkReady notes that an upstream may have gained a free slot.
+func (s *State) MarkReady(id model.UpstreamID) {
+	if u := s.owned[id]; u != nil {
+		s.pools[u.Announcement.Service].addReady(u)
+	}
+}
+
+func (p *pool) addReady(u *Upstream) {
+	if u.readyIndex >= 0 || !u.takesWork() {
+		return
+	}
+	list := &p.ready[u.Site.Distance]
+	u.readyIndex = len(*list)
+	*list = append(*list, u)
+}
+
+func (p *pool) unready(u *Upstream) {
+	if u.readyIndex < 0 {
+		return
+	}
+	list := &p.ready[u.Site.Distance]
+	last := len(*list) - 1
+	moved := (*list)[last]
+	(*list)[u.readyIndex] = moved
+	moved.readyIndex = u.readyIndex
+	(*list)[last] = nil
+	*list = (*list)[:last]
+	u.readyIndex = -1
+}
+
+// Reconfigure places all upstreams anew after a change of the configuration.
+func (s *State) Reconfigure() {
+	for _, p := range s.pools {
+		for _, u := range p.members {
+			p.unready(u)
+			u.Site = s.deployment.Site(&u.Announcement)
+			p.addReady(u)
 		}
+		p.count()
+	}
+}
+
+// NextWake returns the earliest time at which Wake has something to do, 0 if
+// there is none.
+func (s *State) NextWake() model.Time {
+	next := s.leases.Next()
+	if h := s.handovers.Next(); next == 0 || h != 0 && h < next {
+		next = h
 	}
 	return next
 }
 
-// Wake removes the upstreams whose lease ran out.
+// Wake removes the upstreams whose lease ran out, and repeats requests for
+// handovers.
 func (s *State) Wake(at model.Time, out *event.Effects) {
-	var expired []*Upstream
-	for _, u := range s.owned {
-		if u.LeaseUntil <= at {
-			expired = append(expired, u)
+	for {
+		u, ok := s.leases.Pop(at)
+		if !ok {
+			break
+		}
+		switch {
+		case s.owned[u.Announcement.Upstream] != u:
+		case u.forgetAt > at:
+			s.leases.Add(u.forgetAt, u)
+		default:
+			s.expire(u, out)
 		}
 	}
-	sort.Slice(expired, func(i, j int) bool {
-		return expired[i].Announcement.Upstream < expired[j].Announcement.Upstream
-	})
-	for _, u := range expired {
-		s.remove(u)
-		out.Add(event.Log{Code: logevent.UpstreamExpired, Fields: []logevent.Field{logevent.F("upstream", u.Announcement.Upstream)}})
-	}
+	s.wakeHandovers(at, out)
+}
+
+func (s *State) expire(u *Upstream, out *event.Effects) {
+	s.remove(u)
+	out.Add(event.Log{Code: logevent.UpstreamExpired, Fields: []logevent.Field{logevent.F("upstream", u.Announcement.Upstream)}})
 }
 
 // Owned returns the number of owned upstreams.
@@ -193,13 +277,42 @@
 // Serves reports whether this instance owns a serving upstream of the service.
 func (s *State) Serves(service model.ServiceName) bool {
 	p := s.pools[service]
-	if p == nil {
-		return false
+	return p != nil && p.serving > 0
+}
+
+// Offers sums up the owned upstreams by service and zone, in that order.
+func (s *State) Offers(at model.Time) []message.Offer {
+	names := make([]model.ServiceName, 0, len(s.pools))
+	for name := range s.pools {
+		names = append(names, name)
 	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	var offers []message.Offer
+	for _, name := range names {
+		offers = append(offers, s.pools[name].offers(at, name)...)
+	}
+	return offers
+}
+
+func (p *pool) offers(at model.Time, name model.ServiceName) []message.Offer {
+	var offers []message.Offer
 	for _, u := range p.members {
-		if u.Announcement.State == model.Serving {
-			return true
+		zone := u.Announcement.Zone
+		i := sort.Search(len(offers), func(i int) bool { return offers[i].Zone >= zone })
+		if i == len(offers) || offers[i].Zone != zone {
+			offers = append(offers, message.Offer{})
+			copy(offers[i+1:], offers[i:])
+			offers[i] = message.Offer{Service: name, Zone: zone}
+		}
+		o := &offers[i]
+		if !u.takesWork() {
+			o.Draining++
+			continue
+		}
+		o.Slots += u.Announcement.Slots
+		if free := u.free(at); free > 0 && !u.health.suspect {
+			o.Free += free
 		}
 	}
-	return false
+	return offers
 }
