Check permits in random schedules over several reducers

The run composes reducers with an in-memory link and simulated upstreams, and checks the slot bound, the truth of "not run", at most one run, the drain bound and that every request ends.

It found that a permit granted for one process of an upstream could reach the next one at the same address. Dispatches now name the process, which a later one refuses, and an owner goes on counting the former process's permits.

--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -169,10 +169,14 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
+	meant := r.Header.Get(proxy.HeaderIncarnation)
+	if meant != "" && meant != strconv.FormatInt(int64(u.incarnation), 10) {
+		refuse(w)
+		return
+	}
 	a, ok := u.begin(id, cancel)
 	if !ok {
-		w.Header().Set(proxy.HeaderNotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	}
 	defer u.finish(a)
@@ -182,6 +186,12 @@
 	u.work(ctx, w, token)
 }
 
+// refuse answers a request that did not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(proxy.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // begin takes a slot, or refuses before anything runs.
 func (u *Upstream) begin(id string, cancel context.CancelFunc) (*fakeAttempt, bool) {
 	u.mu.Lock()
--- a/pkg/event/request.go
+++ b/pkg/event/request.go
@@ -105,7 +105,9 @@
 	Request  model.RequestID
 	Attempt  model.AttemptID
 	Upstream model.UpstreamID
-	Address  string
+	// Incarnation is the process of the upstream for which the slot is held.
+	Incarnation model.Incarnation
+	Address     string
 	// Region is the upstream's region, to pace bytes on the link.
 	Region model.Region
 	Class  model.Class
--- a/pkg/message/permit.go
+++ b/pkg/message/permit.go
@@ -73,6 +73,7 @@
 	SentAt      model.Time
 	Waited      model.Duration
 	Upstream    model.UpstreamID
+	Incarnation model.Incarnation
 	Address     string
 	Zone        model.Zone
 	Connections int
--- a/pkg/permit/accounts.go
+++ b/pkg/permit/accounts.go
@@ -56,13 +56,23 @@
 	Used() int
 }
 
-// Own starts the accounting of an upstream.
+// Own starts the accounting of an upstream. Permits of an account that is still
+// open go on counting: work granted for the former process may reach the new one
+// at the same address.
 func (s *State) Own(a Account) Meter {
 	if s.Faults.FreeOnTakeover {
 		a.Assumed = 0
 		a.GrantFrom = 0
 	}
 	acc := &account{Account: a}
+	if old := s.accounts[a.Upstream]; old != nil && old.used > 0 {
+		for _, p := range s.expiry {
+			if p.account == old {
+				p.account = acc
+				acc.used++
+			}
+		}
+	}
 	s.accounts[a.Upstream] = acc
 	if a.GrantFrom < Never {
 		s.opens.Add(a.GrantFrom, acc.gain())
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -78,6 +78,7 @@
 	req.Header = in.Header.Clone()
 	dropHopHeaders(req.Header)
 	req.Header.Set(HeaderAttempt, a.dispatch.Attempt.String())
+	req.Header.Set(HeaderIncarnation, strconv.FormatInt(int64(a.dispatch.Incarnation), 10))
 	left := a.dispatch.Deadline.Sub(a.proxy.now())
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	// A body that the transport cannot rewind keeps it from sending the request
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -20,8 +20,11 @@
 	HeaderDeadline = "Anvilcrank-Deadline-Ms"
 	HeaderKey      = "Idempotency-Key"
 	HeaderAttempt  = "Anvilcrank-Attempt"
-	HeaderNotRun   = "Anvilcrank-Not-Run"
-	HeaderCode     = "Anvilcrank-Code"
+	// HeaderIncarnation names the upstream process for which the slot is held. A
+	// process started later refuses the request before it runs.
+	HeaderIncarnation = "Anvilcrank-Upstream-Incarnation"
+	HeaderNotRun      = "Anvilcrank-Not-Run"
+	HeaderCode        = "Anvilcrank-Code"
 	// HeaderInstance names the instance that answered.
 	HeaderInstance = "Anvilcrank-Instance"
 )
--- a/pkg/request/slots.go
+++ b/pkg/request/slots.go
@@ -22,6 +22,7 @@
 // SlotGrant is a slot of an upstream, held for one attempt.
 type SlotGrant struct {
 	Upstream    model.UpstreamID
+	Incarnation model.Incarnation
 	Address     string
 	Region      model.Region
 	Connections int
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -240,6 +240,7 @@
 		Request:     r.arrived.ID,
 		Attempt:     id,
 		Upstream:    grant.Upstream,
+		Incarnation: grant.Incarnation,
 		Address:     grant.Address,
 		Region:      grant.Region,
 		Class:       r.profile.WorkClass(),
--- a/pkg/state/permits.go
+++ b/pkg/state/permits.go
@@ -80,7 +80,7 @@
 		return
 	}
 	s.requests.Granted(at, m.Attempt, request.SlotGrant{
-		Upstream: m.Upstream, Address: m.Address, Region: s.config.RegionOf(m.Zone), Connections: m.Connections}, &s.out)
+		Upstream: m.Upstream, Incarnation: m.Incarnation, Address: m.Address, Region: s.config.RegionOf(m.Zone), Connections: m.Connections}, &s.out)
 }
 
 // peerLost moves the requests that wait at an instance that cannot be reached.
--- /dev/null
+++ b/pkg/state/schedules_test.go
@@ -0,0 +1,74 @@
+package state
+
+import (
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// schedulesVariable sets the number of schedules of a long run.
+const schedulesVariable = "ANVILCRANK_SCHEDULES"
+
+// defaultSchedules keeps the run under 20 s in CI.
+const defaultSchedules = 2000
+
+// runSchedules runs numbered schedules on all processors until one violates a
+// check. It returns the first of its violations.
+func runSchedules(count int, faults func(*State)) (seed uint64, violation string, total sim) {
+	var next atomic.Uint64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				n := next.Add(1)
+				mu.Lock()
+				stop := n > uint64(count) || violation != "" && n > seed
+				mu.Unlock()
+				if stop {
+					return
+				}
+				s := newSim(n, faults)
+				s.run()
+				mu.Lock()
+				total.ran += s.ran
+				total.granted += s.granted
+				total.shifted += s.shifted
+				total.hedges += s.hedges
+				if len(s.violations) > 0 && (violation == "" || n < seed) {
+					seed, violation = n, s.violations[0]
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return seed, violation, total
+}
+
+// Guards against any combination of loss, delay, duplicates, reordering,
+// partitions, crashes and drains that breaks a bound or loses a request.
+func TestSchedules(t *testing.T) {
+	count := defaultSchedules
+	if text := os.Getenv(schedulesVariable); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatalf("%s: %v", schedulesVariable, err)
+		}
+		count = n
+	}
+	seed, violation, total := runSchedules(count, nil)
+	if violation != "" {
+		t.Fatalf("seed %d: %s", seed, violation)
+	}
+	t.Logf("%d schedules, %d steps, %d permits for other instances, %d shifted dispatches, %d hedges",
+		count, total.ran, total.granted, total.shifted, total.hedges)
+	if total.granted == 0 {
+		t.Fatal("no permit was granted to another instance: the schedules test nothing")
+	}
+}
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -43,7 +43,7 @@
 
 func grantOf(u *upstream.Upstream) request.SlotGrant {
 	a := &u.Announcement
-	return request.SlotGrant{Upstream: a.Upstream, Address: a.Address, Region: u.Site.Region, Connections: u.Site.Connections}
+	return request.SlotGrant{Upstream: a.Upstream, Incarnation: a.Incarnation, Address: a.Address, Region: u.Site.Region, Connections: u.Site.Connections}
 }
 
 // freeHint returns the hint of the instance with the most free slots at the
@@ -162,7 +162,7 @@
 		}
 		g := grantOf(u)
 		s.permits.GrantAsk(at, a.Attempt, message.PermitGrant{
-			Upstream: g.Upstream, Address: g.Address, Zone: u.Announcement.Zone, Connections: g.Connections}, &s.out)
+			Upstream: g.Upstream, Incarnation: g.Incarnation, Address: g.Address, Zone: u.Announcement.Zone, Connections: g.Connections}, &s.out)
 		return true
 	}
 	return false
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -61,7 +61,11 @@
 		u = nil
 	}
 	if u != nil && (u.Announcement.Service != a.Service || u.Announcement.Incarnation != a.Incarnation) {
-		s.remove(u)
+		if u.Announcement.Service == a.Service && u.Announcement.Address == a.Address && a.State != model.Leaving {
+			s.unlist(u)
+		} else {
+			s.remove(u)
+		}
 		u = nil
 	}
 	if a.State != model.Leaving {
@@ -118,7 +122,7 @@
 		u.tenure = 0
 		s.own(u, permit.Account{GrantFrom: at})
 	case u.candidateUntil != 0:
-		s.remove(u)
+		s.unlist(u)
 		u = s.takeOver(at, a, out)
 	}
 	s.update(at, u, a, out)
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -176,10 +176,16 @@
 	return u.Announcement.State == model.Serving && !u.Site.Drained
 }
 
+// remove ends the ownership of an upstream and its accounting.
 func (s *State) remove(u *Upstream) {
+	s.slots.Disown(u.Announcement.Upstream)
+	s.unlist(u)
+}
+
+// unlist ends the ownership and keeps the accounting for the next one.
+func (s *State) unlist(u *Upstream) {
 	a := &u.Announcement
 	delete(s.owned, a.Upstream)
-	s.slots.Disown(a.Upstream)
 	p := s.pools[a.Service]
 	p.unready(u)
 	for i, m := range p.members {
