Announce test upstreams as real ones do

Cause: an owner grants slots only from the second announcement on, and the tests announced their upstream once; they waited until their deadline.

Conclusion: the rule is the product's, the test upstreams were not.

--- a/instance_test.go
+++ b/instance_test.go
@@ -63,20 +63,43 @@
 	return i, done
 }
 
-// announce registers the server as an upstream of the service.
+// announceInterval is how often test upstreams announce themselves.
+const announceInterval = 500 * time.Millisecond
+
+// announce registers the server as an upstream of the service and repeats the
+// announcement until the test ends.
 func announce(t testing.TB, i *anvilcrank.Instance, service string, upstream *httptest.Server) {
 	t.Helper()
-	body, _ := json.Marshal(model.Announcement{Upstream: model.UpstreamID(service + "-1"), Incarnation: 1,
+	a := model.Announcement{Upstream: model.UpstreamID(service + "-1"), Incarnation: 1,
 		Service: model.ServiceName(service), Zone: "a", Address: upstream.Listener.Addr().String(),
-		Slots: 3, Connections: 40, State: model.Serving, First: true})
-	NewWithT(t).Eventually(func() int {
+		Slots: 3, Connections: 40, State: model.Serving, First: true}
+	post := func() int {
+		body, _ := json.Marshal(a)
 		resp, err := http.Post("http://"+i.Address()+"/v1/announce", "application/json", bytes.NewReader(body))
 		if err != nil {
 			return 0
 		}
 		_ = resp.Body.Close()
 		return resp.StatusCode
-	}, "5s").Should(Equal(http.StatusOK))
+	}
+	g := NewWithT(t)
+	g.Eventually(post, "5s").Should(Equal(http.StatusOK))
+	a.First = false
+	g.Expect(post()).To(Equal(http.StatusOK))
+	ticker := time.NewTicker(announceInterval)
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				post()
+			case <-done:
+				return
+			}
+		}
+	}()
 }
 
 func get(t *testing.T, url string) (*http.Response, string, error) {
