Add retry budget, hedges, admission by deadline and tenant fairness

Retries were unlimited within a profile, a slow attempt held up its caller, work was started that could not finish, and one tenant could fill the queue.

Each service has a token bucket of 10% of its requests plus 1/s for retries and hedges. A hedge follows the observed p95 and its loser keeps its slot until known free. Work is refused with 2002 when its remaining time is below the observed median, or below p99 while others wait. Tenants take turns by deficit round robin with their service time as cost; a full queue refuses the tenant that fills it. Admission of a keyed request is checked after its claim, since an earlier attempt may have run.

--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -16,11 +16,14 @@
 	}
 	r.relayed = ev.Attempt
 	r.mayHaveRun = true
+	s.withdraw(at, r, out)
 	out.Add(event.Relay{Request: ev.Request, Attempt: ev.Attempt})
-	for _, id := range r.attempts {
-		if id != ev.Attempt {
-			out.Add(event.CancelAttempt{Request: ev.Request, Attempt: id})
+	for _, a := range r.attempts {
+		if a.id != ev.Attempt {
+			out.Add(event.CancelAttempt{Request: ev.Request, Attempt: a.id})
+			continue
 		}
+		s.service(at, r.arrived.Service).answers.add(at.Sub(a.sentAt))
 	}
 }
 
@@ -34,10 +37,18 @@
 		out.Add(event.CancelAttempt{Request: ev.Request, Attempt: ev.Attempt})
 	}
 	r := s.open[ev.Request]
-	if r == nil || !r.dropAttempt(ev.Attempt) {
+	if r == nil {
+		out.Add(event.Count{Counter: event.LateAnswers, Add: 1})
+		return
+	}
+	a, ok := r.dropAttempt(ev.Attempt)
+	if !ok {
 		out.Add(event.Count{Counter: event.LateAnswers, Add: 1})
 		return
 	}
+	if ev.Result == event.Completed {
+		s.service(at, r.arrived.Service).held(r.arrived.Tenant, at.Sub(a.sentAt))
+	}
 	if r.relayed == ev.Attempt {
 		s.endRelayed(at, r, ev, out)
 		return
@@ -77,7 +88,8 @@
 	if len(r.attempts) > 0 {
 		return
 	}
-	if at < r.deadline && s.mayRepeat(r, code) {
+	s.withdraw(at, r, out)
+	if at < r.deadline && s.mayRepeat(r, code) && s.service(at, r.arrived.Service).budget.take(at) {
 		s.admit(at, r, out)
 		return
 	}
@@ -87,7 +99,7 @@
 // mayRepeat reports whether the profile allows another attempt after one that
 // ended with the code.
 func (s *State) mayRepeat(r *request, code result.Code) bool {
-	if !r.arrived.Replayable || r.dispatched >= r.profile.MaxAttempts {
+	if r.canceled || !r.arrived.Replayable || r.dispatched >= r.profile.MaxAttempts {
 		return false
 	}
 	switch r.profile.Repeat {
@@ -129,6 +141,7 @@
 	if r == nil {
 		return
 	}
+	r.canceled = true
 	switch r.phase {
 	case queued:
 		s.leaveQueue(at, r, out)
@@ -138,26 +151,26 @@
 			return
 		}
 		for _, a := range r.attempts {
-			out.Add(event.CancelAttempt{Request: id, Attempt: a})
+			out.Add(event.CancelAttempt{Request: id, Attempt: a.id})
 		}
 	}
 }
 
 func (r *request) hasAttempt(id model.AttemptID) bool {
 	for _, a := range r.attempts {
-		if a == id {
+		if a.id == id {
 			return true
 		}
 	}
 	return false
 }
 
-func (r *request) dropAttempt(id model.AttemptID) bool {
+func (r *request) dropAttempt(id model.AttemptID) (openAttempt, bool) {
 	for i, a := range r.attempts {
-		if a == id {
+		if a.id == id {
 			r.attempts = append(r.attempts[:i], r.attempts[i+1:]...)
-			return true
+			return a, true
 		}
 	}
-	return false
+	return openAttempt{}, false
 }
--- a/pkg/request/slots.go
+++ b/pkg/request/slots.go
@@ -17,6 +17,8 @@
 	// Asked says that another instance was asked already; the request is moved
 	// only to one that has a free slot.
 	Asked model.AttemptID
+	// FreeOnly asks only an instance that has a free slot.
+	FreeOnly bool
 }
 
 // SlotGrant is a slot of an upstream, held for one attempt.
@@ -48,6 +50,7 @@
 func (s *State) askFor(at model.Time, r *request, out *event.Effects) bool {
 	q := s.slotRequest(r, s.nextAttempt())
 	q.Asked = r.ask
+	q.FreeOnly = r.ask.Seq != 0
 	if !s.slots.Ask(at, q, out) {
 		return false
 	}
@@ -70,13 +73,21 @@
 // Granted dispatches the request for which another instance granted a slot.
 func (s *State) Granted(at model.Time, attempt model.AttemptID, grant SlotGrant, out *event.Effects) {
 	r := s.asks[attempt]
-	if r == nil || r.phase != queued || at >= r.deadline {
+	if r == nil || at >= r.deadline {
 		s.slots.Release(at, attempt, out)
 		return
 	}
 	delete(s.asks, attempt)
 	r.ask = model.AttemptID{}
-	s.queue(r.arrived.Service).remove(r)
+	if r.phase == queued {
+		v := s.services[r.arrived.Service]
+		v.queue.charge(r, v.cost(r.arrived.Tenant))
+		v.queue.remove(r)
+	} else if len(r.attempts) != 1 || r.relayed.Seq != 0 || r.canceled || r.attempts[0].upstream == grant.Upstream {
+		// The hedge is not needed any more or would go to the slow upstream.
+		s.slots.Release(at, attempt, out)
+		return
+	}
 	s.send(at, r, attempt, grant, out)
 }
 
@@ -89,19 +100,23 @@
 	}
 	delete(s.asks, attempt)
 	r.ask = model.AttemptID{}
-	s.askFor(at, r, out)
+	if r.phase == queued {
+		s.askFor(at, r, out)
+	}
 }
 
 // AskMore asks for slots for waiting requests after other instances said what
 // they have.
 func (s *State) AskMore(at model.Time, service model.ServiceName, out *event.Effects) {
-	q := s.queues[service]
-	if q == nil {
+	v := s.services[service]
+	if v == nil {
 		return
 	}
-	for _, r := range q.heap {
-		if !s.askFor(at, r, out) {
-			return
+	for _, t := range v.queue.active {
+		for _, r := range t.heap {
+			if !s.askFor(at, r, out) {
+				return
+			}
 		}
 	}
 }
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -51,7 +51,9 @@
 	// relayed is the attempt whose answer goes to the caller.
 	relayed model.AttemptID
 	// attempts are the open ones.
-	attempts []model.AttemptID
+	attempts []openAttempt
+	// canceled is set once the caller went away.
+	canceled bool
 	// lastRefusal is the code of the last attempt that provably did not run.
 	lastRefusal result.Code
 	queueIndex  int
@@ -61,6 +63,13 @@
 	failedAt model.UpstreamID
 }
 
+// openAttempt is an attempt that has not ended.
+type openAttempt struct {
+	id       model.AttemptID
+	upstream model.UpstreamID
+	sentAt   model.Time
+}
+
 // claimed reports whether the request holds a ledger claim.
 func (r *request) claimed() bool { return r.arrived.Key.Text != "" && !r.idempotent }
 
@@ -72,11 +81,12 @@
 	ledger      Ledger
 	config      *model.Config
 	open        map[model.RequestID]*request
-	queues      map[model.ServiceName]*queue
+	services    map[model.ServiceName]*service
 	// asks are the waiting requests by the attempt for which a slot was asked.
 	asks map[model.AttemptID]*request
 	// ends holds the deadlines of waiting requests.
 	ends    alarm.Queue[model.RequestID]
+	hedges  alarm.Queue[hedgeDue]
 	nextSeq uint64
 }
 
@@ -88,7 +98,7 @@
 		slots:       slots,
 		ledger:      ledger,
 		open:        map[model.RequestID]*request{},
-		queues:      map[model.ServiceName]*queue{},
+		services:    map[model.ServiceName]*service{},
 		asks:        map[model.AttemptID]*request{},
 	}
 }
@@ -124,6 +134,7 @@
 		queueIndex:  -1,
 	}
 	s.open[ev.ID] = r
+	s.service(at, ev.Service).budget.request(at)
 	if r.claimed() {
 		r.phase = claiming
 		s.ledger.Claim(at, &r.arrived, out)
@@ -170,7 +181,14 @@
 		s.finish(at, r, result.DeadlineInQueue, out)
 		return
 	}
-	q := s.queue(r.arrived.Service)
+	v := s.service(at, r.arrived.Service)
+	if v.isTooLate(at, r) {
+		// Checked only now: what is said of a keyed request before its claim is
+		// decided could contradict an earlier attempt.
+		s.finish(at, r, result.DeadlineTooShort, out)
+		return
+	}
+	q := &v.queue
 	if q.Len() == 0 && s.dispatch(at, r, out) {
 		return
 	}
@@ -178,7 +196,7 @@
 		s.finish(at, r, result.NoUpstream, out)
 		return
 	}
-	if q.Len() >= r.profile.QueueLimit {
+	if q.Len() >= r.profile.QueueLimit && !s.makeRoom(at, q, r, out) {
 		s.finish(at, r, result.QueueFull, out)
 		return
 	}
@@ -188,13 +206,16 @@
 	s.askFor(at, r, out)
 }
 
-func (s *State) queue(service model.ServiceName) *queue {
-	q := s.queues[service]
-	if q == nil {
-		q = &queue{}
-		s.queues[service] = q
+// makeRoom refuses a waiting request of the tenant that has the most, if that
+// is fairer than to refuse the new one.
+func (s *State) makeRoom(at model.Time, q *queue, r *request, out *event.Effects) bool {
+	other := q.displaced(r.arrived.Tenant)
+	if other == nil {
+		return false
 	}
-	return q
+	s.leaveQueue(at, other, out)
+	s.finish(at, other, result.QueueFull, out)
+	return true
 }
 
 // dispatch sends the request to an upstream of this instance if a slot is free.
@@ -228,11 +249,15 @@
 func (s *State) send(at model.Time, r *request, id model.AttemptID, grant SlotGrant, out *event.Effects) {
 	r.phase = running
 	r.dispatched++
-	r.attempts = append(r.attempts, id)
+	r.attempts = append(r.attempts, openAttempt{id, grant.Upstream, at})
 	r.failedAt = grant.Upstream
-	if r.dispatched > 1 {
+	switch {
+	case len(r.attempts) > 1:
+		out.Add(event.Count{Counter: event.Hedges, Add: 1})
+	case r.dispatched > 1:
 		out.Add(event.Count{Counter: event.Retries, Add: 1})
 	}
+	s.planHedge(at, r, id)
 	if r.dispatched > 1 && r.mayHaveRun && !r.idempotent {
 		out.Add(event.InvariantFailed{Name: "at_most_once", Detail: "a non-idempotent request that may have run was dispatched again"})
 	}
@@ -252,28 +277,39 @@
 // PumpOne dispatches the first waiting request of the service if a slot of this
 // instance is free. It reports whether it did.
 func (s *State) PumpOne(at model.Time, service model.ServiceName, out *event.Effects) bool {
-	q := s.queues[service]
-	if q == nil || q.Len() == 0 {
+	v := s.services[service]
+	if v == nil {
 		return false
 	}
-	r := q.first()
-	if r.deadline <= at || !s.dispatch(at, r, out) {
-		return false
+	for v.queue.Len() > 0 {
+		r := v.queue.first(v.cost)
+		if v.isTooLate(at, r) {
+			s.leaveQueue(at, r, out)
+			s.finish(at, r, result.DeadlineTooShort, out)
+			continue
+		}
+		if !s.dispatch(at, r, out) {
+			return false
+		}
+		v.queue.charge(r, v.cost(r.arrived.Tenant))
+		v.queue.remove(r)
+		return true
 	}
-	q.remove(r)
-	return true
+	return false
 }
 
 // Waiting returns the number of requests that wait for the service.
 func (s *State) Waiting(service model.ServiceName) int {
-	if q := s.queues[service]; q != nil {
-		return q.Len()
+	if v := s.services[service]; v != nil {
+		return v.queue.Len()
 	}
 	return 0
 }
 
-// Wake ends the requests whose deadline passed while they waited.
+// Wake sends the hedges that are due and ends the requests whose deadline
+// passed while they waited.
 func (s *State) Wake(at model.Time, out *event.Effects) {
+	s.wakeHedges(at, out)
 	for {
 		id, ok := s.ends.Pop(at)
 		if !ok {
@@ -290,13 +326,19 @@
 
 // leaveQueue takes a waiting request out of its queue.
 func (s *State) leaveQueue(at model.Time, r *request, out *event.Effects) {
-	s.queue(r.arrived.Service).remove(r)
+	s.services[r.arrived.Service].queue.remove(r)
 	s.withdraw(at, r, out)
 }
 
 // NextWake returns the earliest time at which Wake has something to do, 0 if
 // there is none.
-func (s *State) NextWake() model.Time { return s.ends.Next() }
+func (s *State) NextWake() model.Time {
+	next := s.ends.Next()
+	if h := s.hedges.Next(); next == 0 || h != 0 && h < next {
+		next = h
+	}
+	return next
+}
 
 // finish ends a request with a code of ours. A code of class NotRun is given
 // only if no attempt may have run.
--- a/pkg/state/sim_test.go
+++ b/pkg/state/sim_test.go
@@ -316,11 +316,18 @@
 // arrive sends a request to a random instance that is up.
 func (s *sim) arrive() {
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	if s.chance(30) {
+		// One instance sees enough requests to learn their usual time and hedge.
+		n = s.nodes[0]
+	}
 	if n.state == nil {
 		return
 	}
 	s.nextID++
 	service := s.config.Services[s.rng.IntN(3)].Name
+	if s.chance(30) {
+		service = "reads"
+	}
 	method := "GET"
 	if service == "writes" {
 		method = "POST"
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -86,8 +86,7 @@
 	for distance := 0; distance <= reach(r.Spill) && h == nil; distance++ {
 		h = s.freeHint(at, r.Service, distance)
 	}
-	asked := r.Asked.Seq != 0
-	if asked && (h == nil || h.Instance == s.permits.AskedOf(r.Asked)) {
+	if r.FreeOnly && (h == nil || h.Instance == s.permits.AskedOf(r.Asked)) {
 		return false
 	}
 	if h == nil && !s.upstreams.Serves(r.Service) {
