Suspect outliers, start slowly and add baseline policies

All upstreams with a free slot were taken for equal, so a slow, stuck or cold one got as much work as the others.

Each service's upstreams are compared every 100 ms by latency and by the age of their oldest attempt, with what permit holders of the same region report. Outliers get only a probe per second, at most half at a time. New and returned upstreams begin with one slot.

A choice compares at most 8 upstreams of a list of those with a free slot.

--- a/pkg/message/permit.go
+++ b/pkg/message/permit.go
@@ -90,6 +90,17 @@
 // repeated until PermitReleased arrives.
 type PermitRelease struct {
 	Attempt model.AttemptID
+	Use     Use
+}
+
+// Use is what an attempt showed of its upstream.
+type Use struct {
+	// Latency is the time to the response headers, 0 if none came.
+	Latency model.Duration
+	// Hold is the time to the end of the response, 0 if it was not whole.
+	Hold model.Duration
+	// Unreachable says that no connection could be made.
+	Unreachable bool
 }
 
 // PermitReleased acknowledges a PermitRelease.
--- a/pkg/permit/accounts.go
+++ b/pkg/permit/accounts.go
@@ -27,6 +27,8 @@
 type account struct {
 	Account
 	used int
+	// oldest is when the oldest permit was granted, as of MeasureAges.
+	oldest model.Time
 }
 
 type permit struct {
@@ -43,6 +45,9 @@
 	// release from this instance.
 	newOwner model.InstanceID
 	share    *share
+	// far permits are held by an instance of another region. Their age says
+	// nothing of the upstream.
+	far bool
 }
 
 // Never is a time that does not come.
@@ -54,6 +59,9 @@
 	Free(at model.Time) int
 	// Used returns the number of slots with a permit.
 	Used() int
+	// Oldest returns when the oldest permit was granted, as of the last
+	// MeasureAges. It is Never if there was none.
+	Oldest() model.Time
 }
 
 // Own starts the accounting of an upstream. Permits of an account that is still
@@ -64,7 +72,7 @@
 		a.Assumed = 0
 		a.GrantFrom = 0
 	}
-	acc := &account{Account: a}
+	acc := &account{Account: a, oldest: Never}
 	if old := s.accounts[a.Upstream]; old != nil && old.used > 0 {
 		for _, p := range s.expiry {
 			if p.account == old {
@@ -122,6 +130,30 @@
 // Used implements Meter.
 func (a *account) Used() int { return a.used }
 
+// Oldest implements Meter.
+func (a *account) Oldest() model.Time { return a.oldest }
+
+// MeasureAges brings the ages of the oldest permits up to date.
+func (s *State) MeasureAges() {
+	for _, a := range s.accounts {
+		a.oldest = Never
+	}
+	for _, p := range s.expiry {
+		if !p.far {
+			p.account.oldest = min(p.account.oldest, p.granted)
+		}
+	}
+}
+
+// UpstreamOf returns the upstream of a permit that this instance granted, "" if
+// there is none.
+func (s *State) UpstreamOf(attempt model.AttemptID) model.UpstreamID {
+	if p := s.permits[attempt]; p != nil {
+		return p.account.Upstream
+	}
+	return ""
+}
+
 func (a *account) assumedAt(at model.Time) int {
 	if at >= a.AssumedUntil {
 		return 0
--- a/pkg/permit/asks.go
+++ b/pkg/permit/asks.go
@@ -120,7 +120,7 @@
 	g.SentAt = a.SentAt
 	g.Waited = at.Sub(a.received)
 	p := &permit{attempt: attempt, holder: a.From, account: s.accounts[g.Upstream], granted: at,
-		expires: a.Deadline.Add(DeadlineGrace), grant: &g}
+		expires: a.Deadline.Add(DeadlineGrace), grant: &g, far: !a.Near}
 	s.countShare(at, p, a.Shift, out)
 	s.grant(at, p, out)
 	out.Add(event.Count{Counter: event.PermitsGranted, Add: 1})
--- a/pkg/permit/held.go
+++ b/pkg/permit/held.go
@@ -27,6 +27,8 @@
 	deadline model.Time
 	// expires is when the owner has surely ended the permit itself.
 	expires model.Time
+	// use is told to the owner with the release.
+	use message.Use
 	// due is when the last message is repeated.
 	due model.Time
 }
@@ -53,7 +55,7 @@
 }
 
 func (s *State) sendRelease(at model.Time, h *held, out *event.Effects) {
-	out.Add(event.Send{To: h.owner, Message: &message.PermitRelease{Attempt: h.attempt}})
+	out.Add(event.Send{To: h.owner, Message: &message.PermitRelease{Attempt: h.attempt, Use: h.use}})
 	s.schedule(at, h)
 }
 
@@ -109,6 +111,19 @@
 	return true
 }
 
+// Note keeps what an attempt showed of its upstream for the owner. It reports
+// whether another instance granted the permit.
+func (s *State) Note(attempt model.AttemptID, use message.Use) bool {
+	h := s.held[attempt]
+	if h == nil || h.phase != granted {
+		return false
+	}
+	h.use.Latency = max(h.use.Latency, use.Latency)
+	h.use.Hold = max(h.use.Hold, use.Hold)
+	h.use.Unreachable = h.use.Unreachable || use.Unreachable
+	return true
+}
+
 // giveBack releases a permit of another instance or withdraws the ask for it.
 func (s *State) giveBack(at model.Time, attempt model.AttemptID, out *event.Effects) bool {
 	h := s.held[attempt]
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
@@ -24,6 +25,7 @@
 			continue
 		}
 		s.service(at, r.arrived.Service).answers.add(at.Sub(a.sentAt))
+		s.slots.Observe(at, a.id, message.Use{Latency: at.Sub(a.sentAt)})
 	}
 }
 
@@ -31,6 +33,7 @@
 // to be free; otherwise the upstream is asked to confirm, and the permit runs
 // until that or until the deadline.
 func (s *State) Ended(at model.Time, ev *event.AttemptEnded, out *event.Effects) {
+	s.observeEnd(at, ev)
 	if isSlotFree(ev.Result) {
 		s.slots.Release(at, ev.Attempt, out)
 	} else if ev.Result != event.Canceled {
@@ -59,6 +62,24 @@
 	s.afterFailure(at, r, ev.Result, out)
 }
 
+// observeEnd passes on what the end of an attempt shows of its upstream.
+func (s *State) observeEnd(at model.Time, ev *event.AttemptEnded) {
+	switch ev.Result {
+	case event.ConnectFailed:
+		s.slots.Observe(at, ev.Attempt, message.Use{Unreachable: true})
+	case event.Completed:
+		r := s.open[ev.Request]
+		if r == nil {
+			return
+		}
+		for _, a := range r.attempts {
+			if a.id == ev.Attempt {
+				s.slots.Observe(at, a.id, message.Use{Hold: at.Sub(a.sentAt)})
+			}
+		}
+	}
+}
+
 // isSlotFree reports whether the result proves that the upstream's slot is free.
 func isSlotFree(res event.AttemptResult) bool {
 	switch res {
--- a/pkg/request/request_test.go
+++ b/pkg/request/request_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/request"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -38,6 +39,7 @@
 	r.free++
 	return true
 }
+func (r *rig) Observe(model.Time, model.AttemptID, message.Use) {}
 
 func newRig(free int) *rig {
 	r := &rig{at: model.Time(time.Hour), free: free}
--- a/pkg/request/slots.go
+++ b/pkg/request/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -41,6 +42,9 @@
 	// Release ends the hold of an attempt, or withdraws what was asked for it. It
 	// reports whether there was anything.
 	Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool
+	// Observe tells what an attempt that still holds its slot showed of its
+	// upstream.
+	Observe(at model.Time, attempt model.AttemptID, use message.Use)
 	// Serves reports whether any upstream of the service is known.
 	Serves(service model.ServiceName) bool
 }
--- a/pkg/state/permits.go
+++ b/pkg/state/permits.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// minHintInterval bounds how often other instances are told what this one
-	// owns, and maxHintInterval how rarely.
-	minHintInterval = 100 * time.Millisecond
+	// maxHintInterval bounds how rarely other instances are told what this one
+	// owns. After a change they are told with the next tick.
 	maxHintInterval = time.Second
 )
 
@@ -49,6 +48,7 @@
 			s.requests.Refused(at, m.Attempt, out)
 		}
 	case *message.PermitRelease:
+		s.observe(at, s.permits.UpstreamOf(m.Attempt), s.comparable(b.From, m.Use))
 		s.permits.ReceiveRelease(at, b.From, m, out)
 	case *message.PermitReleased:
 		s.permits.ReceiveReleased(b.From, m)
@@ -83,6 +83,15 @@
 		Upstream: m.Upstream, Incarnation: m.Incarnation, Address: m.Address, Region: s.config.RegionOf(m.Zone), Connections: m.Connections}, &s.out)
 }
 
+// comparable drops the times that an instance of another region measured: its
+// distance would make an upstream look slow.
+func (s *State) comparable(from model.InstanceID, use message.Use) message.Use {
+	if p, ok := s.peers[from]; !ok || s.distance(p.Zone) == 2 {
+		use.Latency, use.Hold = 0, 0
+	}
+	return use
+}
+
 // peerLost moves the requests that wait at an instance that cannot be reached.
 func (s *State) peerLost(at model.Time, id model.InstanceID) {
 	s.permits.ForgetPeer(id)
@@ -93,13 +102,25 @@
 	}
 }
 
+// tick does what is due regularly while this instance owns upstreams or has
+// others to talk to.
+func (s *State) tick(at model.Time) {
+	if at < s.hinting.next || !s.ticks() {
+		return
+	}
+	s.hinting.next = at.Add(upstream.SweepInterval)
+	s.permits.MeasureAges()
+	for _, service := range s.upstreams.Sweep(at) {
+		s.pumpService(at, service)
+	}
+	s.sendHints(at)
+}
+
+func (s *State) ticks() bool { return len(s.peers) > 0 || s.upstreams.Owned() > 0 }
+
 // sendHints tells the other instances what this one owns, soon after a change
 // and otherwise now and then.
 func (s *State) sendHints(at model.Time) {
-	if at < s.hinting.next || len(s.peers) == 0 {
-		return
-	}
-	s.hinting.next = at.Add(minHintInterval)
 	offers := s.upstreams.Offers(at)
 	for i := range offers {
 		offers[i].Waiting = s.requests.Waiting(offers[i].Service) + s.permits.Waiting(offers[i].Service)
@@ -128,10 +149,9 @@
 	return true
 }
 
-// nextHint returns when sendHints has something to do, 0 without other
-// instances.
-func (s *State) nextHint() model.Time {
-	if len(s.peers) == 0 {
+// nextTick returns when tick has something to do, 0 if it has nothing.
+func (s *State) nextTick() model.Time {
+	if !s.ticks() {
 		return 0
 	}
 	return max(1, s.hinting.next)
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -27,18 +27,31 @@
 // Acquire implements request.Slots. A slot of another instance that is nearer
 // goes before one of this instance.
 func (l *slots) Acquire(at model.Time, r request.SlotRequest, out *event.Effects) (request.SlotGrant, bool) {
-	s := l.s
+	u := l.s.choose(at, r, false)
+	if u == nil {
+		u = l.s.choose(at, r, true)
+	}
+	if u == nil {
+		return request.SlotGrant{}, false
+	}
+	l.s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
+	return grantOf(u), true
+}
+
+// choose returns the nearest upstream of this instance with a free slot, nil if
+// there is none or another instance has one nearer. Suspect upstreams count only
+// as spare.
+func (s *State) choose(at model.Time, r request.SlotRequest, spare bool) *upstream.Upstream {
 	for distance := 0; distance <= reach(r.Spill); distance++ {
-		u := s.upstreams.Choose(at, upstream.Query{Service: r.Service, Distance: distance, Avoid: r.Avoid})
-		if u != nil {
-			s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
-			return grantOf(u), true
+		q := upstream.Query{Service: r.Service, Distance: distance, Avoid: r.Avoid, Spare: spare}
+		if u := s.upstreams.Choose(at, q); u != nil {
+			return u
 		}
 		if s.freeHint(at, r.Service, distance) != nil {
-			break
+			return nil
 		}
 	}
-	return request.SlotGrant{}, false
+	return nil
 }
 
 func grantOf(u *upstream.Upstream) request.SlotGrant {
@@ -107,6 +120,20 @@
 	return l.s.permits.Release(at, attempt, out)
 }
 
+// Observe implements request.Slots.
+func (l *slots) Observe(at model.Time, attempt model.AttemptID, use message.Use) {
+	if l.s.permits.Note(attempt, use) {
+		return
+	}
+	l.s.observe(at, l.s.permits.UpstreamOf(attempt), use)
+}
+
+func (s *State) observe(at model.Time, id model.UpstreamID, use message.Use) {
+	if use != (message.Use{}) {
+		s.upstreams.Observe(at, id, use)
+	}
+}
+
 // Serves implements request.Slots.
 func (l *slots) Serves(service model.ServiceName) bool {
 	if l.s.upstreams.Serves(service) {
@@ -154,8 +181,9 @@
 	if a == nil {
 		return false
 	}
-	for distance := range upstream.Distances {
-		u := s.upstreams.Choose(at, upstream.Query{Service: service, Distance: distance, Avoid: a.Avoid})
+	for k := range 2 * upstream.Distances {
+		q := upstream.Query{Service: service, Distance: k % upstream.Distances, Avoid: a.Avoid, Spare: k >= upstream.Distances}
+		u := s.upstreams.Choose(at, q)
 		if u == nil {
 			continue
 		}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -21,6 +21,8 @@
 	Address string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
+	// Policy names the selection policy for benches, "" for the usual one.
+	Policy string
 }
 
 // State is the whole control state of an instance.
@@ -63,6 +65,7 @@
 		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
 	s.upstreams = upstream.New(s.permits, s, identity.Incarnation, identity.Seed)
+	s.upstreams.Policy = upstream.NewPolicy(identity.Policy)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
 	return s
 }
@@ -74,7 +77,7 @@
 	s.route(ev.At, ev.Body)
 	s.decideClaims(ev.At)
 	s.pump(ev.At)
-	s.sendHints(ev.At)
+	s.tick(ev.At)
 	s.checkStopped(ev.At)
 	s.publish()
 	s.setTimer()
@@ -199,7 +202,7 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextHint())
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick())
 	if s.stopping && !s.stopped {
 		next = earliest(next, s.stopAt)
 	}
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -15,24 +15,17 @@
 	Region model.Region
 	// Avoid is an upstream to be used only if there is no other, "" for none.
 	Avoid model.UpstreamID
-}
-
-// Policy selects one of several upstreams with a free slot.
-type Policy interface {
-	// Pick returns the index of the chosen upstream. There is at least one.
-	Pick(at model.Time, candidates []*Upstream) int
-	// Full reports whether the policy compares all upstreams instead of a sample.
-	Full() bool
+	// Spare accepts a suspect or avoided upstream if there is no other.
+	Spare bool
 }
 
 // Choose returns an upstream with a free slot, nil if there is none.
 func (s *State) Choose(at model.Time, q Query) *Upstream {
 	p := s.pools[q.Service]
-	if p == nil {
+	if p == nil || len(p.ready[q.Distance]) == 0 {
 		return nil
 	}
-	var sample [maxSample]*Upstream
-	candidates := s.sample(at, p, q, sample[:0])
+	candidates := s.sample(at, p, q)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -40,34 +33,44 @@
 }
 
 // sample collects upstreams with a free slot. An upstream found full leaves the
-// ready list, so each is looked at once for every slot it gains.
-func (s *State) sample(at model.Time, p *pool, q Query, into []*Upstream) []*Upstream {
+// ready list, so each is looked at once for every slot it gains. A suspect
+// upstream that is due for a probe goes first.
+func (s *State) sample(at model.Time, p *pool, q Query) []*Upstream {
+	into := s.candidates[:0]
 	limit := maxSample
 	if s.Policy.Full() {
 		limit = len(p.ready[q.Distance])
 	}
-	var spare *Upstream
 	start := 0
 	if n := len(p.ready[q.Distance]); n > limit {
 		start = s.rng.IntN(n)
 	}
+	observes := s.Policy.Observes()
+	var spare *Upstream
 	for k := 0; k < len(p.ready[q.Distance]) && len(into) < limit; {
 		list := p.ready[q.Distance]
 		u := list[(start+k)%len(list)]
-		switch {
-		case u.free(at) <= 0:
+		if u.free(at) <= 0 {
 			p.unready(u)
 			continue
+		}
+		k++
+		switch {
 		case q.Region != "" && u.Site.Region != q.Region:
-		case u.Announcement.Upstream == q.Avoid || u.health.suspect:
+		case u.Announcement.Upstream == q.Avoid:
+			spare = u
+		case observes && u.mayProbe(at):
+			u.health.probeAt = at.Add(probeInterval)
+			return append(into[:0], u)
+		case observes && u.health.suspect:
 			spare = u
 		default:
 			into = append(into, u)
 		}
-		k++
 	}
-	if len(into) == 0 && spare != nil {
+	if len(into) == 0 && spare != nil && q.Spare {
 		into = append(into, spare)
 	}
+	s.candidates = into
 	return into
 }
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -1,11 +1,83 @@
 package upstream
 
-import "github.com/anvilcrank/anvilcrank/pkg/model"
+import (
+	"time"
 
-// health is what this instance has observed of an upstream.
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+const (
+	// latencyWeight is the weight of a new sample in the moving mean.
+	latencyWeight = 0.2
+	// SweepInterval is how often the upstreams of a service are compared.
+	SweepInterval = 100 * time.Millisecond
+)
+
+// health is what is known of an upstream from attempts and its own reports.
 type health struct {
-	suspect bool
+	// latency and hold are moving means in nanoseconds, 0 before the first.
+	latency, hold float64
+	suspicion
+	slowStart
+	loadHint
+}
+
+// Observe takes the observation of an attempt, of this instance or another.
+func (s *State) Observe(at model.Time, id model.UpstreamID, o message.Use) {
+	u := s.owned[id]
+	if u == nil {
+		return
+	}
+	p := s.pools[u.Announcement.Service]
+	h := &u.health
+	if o.Unreachable {
+		h.failed = true
+		p.suspect(at, u)
+		return
+	}
+	if o.Latency > 0 {
+		good := p.median == 0 || float64(o.Latency) <= outlierFactor*p.median
+		if good {
+			h.succeeded = true
+			if h.suspect {
+				h.latency = 0
+				p.clear(at, u)
+			}
+		}
+		h.latency = mean(h.latency, float64(o.Latency))
+	}
+	if o.Hold > 0 {
+		h.hold = mean(h.hold, float64(o.Hold))
+	}
+}
+
+func mean(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + latencyWeight*(sample-old)
+}
+
+// Sweep compares the upstreams of each service and lets slow starts go on. It
+// returns the services that gained slots by that, valid until the next call.
+func (s *State) Sweep(at model.Time) []model.ServiceName {
+	s.raised = s.raised[:0]
+	for _, name := range s.services() {
+		p := s.pools[name]
+		p.findOutliers(at, &s.scratch)
+		if p.raiseLimits(at) {
+			s.raised = append(s.raised, name)
+		}
+	}
+	return s.raised
 }
 
 // free returns the number of slots that may be granted now.
-func (u *Upstream) free(at model.Time) int { return u.Meter.Free(at) }
+func (u *Upstream) free(at model.Time) int {
+	free := u.Meter.Free(at)
+	if limit := u.health.limit; limit > 0 {
+		return min(free, limit-u.Meter.Used())
+	}
+	return free
+}
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -133,6 +133,9 @@
 func (s *State) register(at model.Time, a model.Announcement, out *event.Effects) *Upstream {
 	u := s.insert(at, a)
 	u.candidateUntil = at.Add(candidateWindow)
+	if s.Policy.Observes() {
+		u.beginSlowStart(at)
+	}
 	s.own(u, permit.Account{GrantFrom: permit.Never})
 	s.start(at, u, out)
 	out.Add(event.Log{Code: logevent.UpstreamRegistered, Fields: []logevent.Field{
@@ -199,6 +202,7 @@
 		a.State = model.Draining
 	}
 	u.Announcement = a
+	u.health.load, u.health.loadAt = a.Load, at
 	u.forgetAt = at.Add(retention)
 	s.slots.Renew(a.Upstream, at.Add(LeaseDuration-grantMargin))
 	if was.Slots != a.Slots {
--- a/pkg/upstream/policy_leastexpected.go
+++ b/pkg/upstream/policy_leastexpected.go
@@ -2,24 +2,44 @@
 
 import "github.com/anvilcrank/anvilcrank/pkg/model"
 
-// LeastExpected picks the upstream with the smallest share of its slots in use,
-// by this instance's own exact counts. Upstreams that tie take turns.
+// similar is how many times the median a latency may be and still count as the
+// median. Without it, small differences would keep upstreams idle whose latency
+// is then never observed again.
+const similar = 1.5
+
+// LeastExpected picks the upstream with the smallest expected time: its observed
+// latency, times the share of its slots in use by exact count. Latencies near or
+// below the service's median count as the median, so that work doesn't crowd on
+// the upstream that happened to be fastest. Ties go to the smaller reported load,
+// then in turn.
 type LeastExpected struct{ turn int }
 
 // Full implements Policy.
 func (*LeastExpected) Full() bool { return false }
 
+// Observes implements Policy.
+func (*LeastExpected) Observes() bool { return true }
+
 // Pick implements Policy.
-func (l *LeastExpected) Pick(_ model.Time, candidates []*Upstream) int {
+func (l *LeastExpected) Pick(at model.Time, candidates []*Upstream) int {
 	l.turn++
 	n := len(candidates)
 	best := l.turn % n
+	bestScore := candidates[best].expected()
 	for k := 1; k < n; k++ {
 		i := (l.turn + k) % n
-		a, b := candidates[i], candidates[best]
-		if a.Meter.Used()*b.Announcement.Slots < b.Meter.Used()*a.Announcement.Slots {
-			best = i
+		score := candidates[i].expected()
+		if score < bestScore || score == bestScore && candidates[i].reportedLoad(at) < candidates[best].reportedLoad(at) {
+			best, bestScore = i, score
 		}
 	}
 	return best
 }
+
+func (u *Upstream) expected() float64 {
+	latency := u.health.latency
+	if latency < similar*u.pool.median {
+		latency = u.pool.median
+	}
+	return max(latency, 1) * float64(u.Meter.Used()+1) / float64(u.Announcement.Slots)
+}
--- /dev/null
+++ b/pkg/upstream/policy_leastload.go
@@ -0,0 +1,27 @@
+package upstream
+
+import "github.com/anvilcrank/anvilcrank/pkg/model"
+
+// LeastLoad picks the upstream that reported the least load. Ties take turns. It
+// is a baseline for benches.
+type LeastLoad struct{ turn int }
+
+// Full implements Policy.
+func (*LeastLoad) Full() bool { return true }
+
+// Observes implements Policy.
+func (*LeastLoad) Observes() bool { return false }
+
+// Pick implements Policy.
+func (l *LeastLoad) Pick(at model.Time, candidates []*Upstream) int {
+	l.turn++
+	n := len(candidates)
+	best := l.turn % n
+	for k := 1; k < n; k++ {
+		i := (l.turn + k) % n
+		if candidates[i].reportedLoad(at) < candidates[best].reportedLoad(at) {
+			best = i
+		}
+	}
+	return best
+}
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -96,6 +96,7 @@
 	// readyIndex is the position among the ready upstreams of the pool, -1 if it
 	// is not there.
 	readyIndex int
+	pool       *pool
 	health     health
 }
 
@@ -115,6 +116,11 @@
 	handovers alarm.Queue[*Upstream]
 	handed    map[model.UpstreamID]*handedOver
 	redirects map[model.UpstreamID]*redirect
+
+	// Buffers of Choose and Sweep.
+	candidates []*Upstream
+	scratch    []float64
+	raised     []model.ServiceName
 }
 
 // pool holds the owned upstreams of one service.
@@ -124,6 +130,10 @@
 	// ready lists, for each distance, those that may have a free slot.
 	ready   [Distances][]*Upstream
 	serving int
+	// suspects counts the suspect members. median is that of their latencies, 0
+	// if unknown.
+	suspects int
+	median   float64
 }
 
 // New returns an empty state that accounts for slots in slots.
@@ -157,6 +167,7 @@
 	p.members = append(p.members, nil)
 	copy(p.members[i+1:], p.members[i:])
 	p.members[i] = u
+	u.pool = p
 	p.count()
 	return u
 }
@@ -188,6 +199,9 @@
 	delete(s.owned, a.Upstream)
 	p := s.pools[a.Service]
 	p.unready(u)
+	if u.health.suspect {
+		p.suspects--
+	}
 	for i, m := range p.members {
 		if m == u {
 			p.members = append(p.members[:i], p.members[i+1:]...)
@@ -288,16 +302,21 @@
 
 // Offers sums up the owned upstreams by service and zone, in that order.
 func (s *State) Offers(at model.Time) []message.Offer {
+	var offers []message.Offer
+	for _, name := range s.services() {
+		offers = append(offers, s.pools[name].offers(at, name)...)
+	}
+	return offers
+}
+
+// services lists the services of owned upstreams in name order.
+func (s *State) services() []model.ServiceName {
 	names := make([]model.ServiceName, 0, len(s.pools))
 	for name := range s.pools {
 		names = append(names, name)
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	var offers []message.Offer
-	for _, name := range names {
-		offers = append(offers, s.pools[name].offers(at, name)...)
-	}
-	return offers
+	return names
 }
 
 func (p *pool) offers(at model.Time, name model.ServiceName) []message.Offer {
