Shift traffic between regions under a cap

Shifts were configured but had no effect, and nothing kept work from other regions from filling a region.

A percentage of the requests of the origin region asks owners in the target region for slots, and is served at home when those have none. Each instance of the target region grants within its share of the cap. A restarted instance waits for the longest deadline first, a share that grows waits until others have let go, and the ramp holds while the target's p95 is twice its baseline.

--- a/pkg/message/permit.go
+++ b/pkg/message/permit.go
@@ -33,6 +33,8 @@
 	Slots int
 	// Free counts those that could be granted now.
 	Free int
+	// Far counts those that could be granted to another region now.
+	Far int
 	// Waiting counts the requests that wait for a slot at this instance.
 	Waiting int
 	// Draining counts the upstreams that take no new work.
@@ -122,6 +124,8 @@
 	Holder  model.InstanceID
 	// Left is the time until the permit expires.
 	Left model.Duration
+	// Far permits are held by an instance of another region than the owner's.
+	Far bool
 }
 
 // Handover passes on the count of an upstream. The sender no longer owns it.
--- a/pkg/permit/accounts.go
+++ b/pkg/permit/accounts.go
@@ -145,6 +145,10 @@
 	}
 }
 
+// FarUsed returns the number of permits of the service that instances of other
+// regions hold.
+func (s *State) FarUsed(service model.ServiceName) int { return s.farUsed[service] }
+
 // UpstreamOf returns the upstream of a permit that this instance granted, "" if
 // there is none.
 func (s *State) UpstreamOf(attempt model.AttemptID) model.UpstreamID {
@@ -175,6 +179,9 @@
 	a.used++
 	s.permits[p.attempt] = p
 	heap.Push(&s.expiry, p)
+	if p.far {
+		s.farUsed[a.Service]++
+	}
 	if a.used+a.assumedAt(at) > a.Slots {
 		out.Add(event.InvariantFailed{Name: "slot_bound", Detail: fmt.Sprintf("upstream %s: %d of %d slots granted", a.Upstream, a.used, a.Slots)})
 	}
@@ -208,6 +215,9 @@
 	if p.share != nil {
 		p.share.used--
 	}
+	if p.far {
+		s.farUsed[p.account.Service]--
+	}
 }
 
 // Held reports whether the attempt holds a permit that this instance granted.
@@ -228,7 +238,7 @@
 	for _, p := range s.expiry {
 		if p.account == a {
 			p.newOwner = to
-			permits = append(permits, message.HeldPermit{Attempt: p.attempt, Holder: p.holder, Left: p.expires.Sub(at)})
+			permits = append(permits, message.HeldPermit{Attempt: p.attempt, Holder: p.holder, Left: p.expires.Sub(at), Far: p.far})
 		}
 	}
 	sort.Slice(permits, func(i, j int) bool { return lessAttempt(permits[i].Attempt, permits[j].Attempt) })
@@ -266,7 +276,10 @@
 			}
 			continue
 		}
-		p := &permit{attempt: h.Attempt, holder: h.Holder, account: a, granted: at, expires: at.Add(h.Left)}
+		p := &permit{attempt: h.Attempt, holder: h.Holder, account: a, granted: at, expires: at.Add(h.Left), far: h.Far}
+		if p.far {
+			s.farUsed[a.Service]++
+		}
 		a.used++
 		s.permits[h.Attempt] = p
 		heap.Push(&s.expiry, p)
--- a/pkg/permit/asks.go
+++ b/pkg/permit/asks.go
@@ -81,7 +81,7 @@
 		q = &askQueue{}
 		s.askQueues[m.Service] = q
 	}
-	limited := !s.mayShift(m.Shift)
+	limited := m.Shift != "" && !s.MayShift(at, m.Shift)
 	if !serves || limited || m.Remaining <= 0 || m.Remaining > maxDeadline || q.Len() >= maxAsks {
 		out.Add(event.Send{To: from, Message: &message.PermitRefusal{Attempt: m.Attempt, LimitReached: limited}})
 		return
@@ -121,7 +121,9 @@
 	g.Waited = at.Sub(a.received)
 	p := &permit{attempt: attempt, holder: a.From, account: s.accounts[g.Upstream], granted: at,
 		expires: a.Deadline.Add(DeadlineGrace), grant: &g, far: !a.Near}
-	s.countShare(at, p, a.Shift, out)
+	if a.Shift != "" {
+		s.countShare(p, a.Shift, out)
+	}
 	s.grant(at, p, out)
 	out.Add(event.Count{Counter: event.PermitsGranted, Add: 1})
 	out.Add(event.Send{To: a.From, Message: &g})
--- a/pkg/permit/held.go
+++ b/pkg/permit/held.go
@@ -142,6 +142,12 @@
 		return false
 	}
 	delete(s.held, m.Attempt)
+	for _, hint := range s.hints[h.request.Service] {
+		if hint.Instance == from {
+			// The hint was out of date; a newer one replaces it.
+			hint.Free, hint.Far, hint.Slots = 0, 0, 0
+		}
+	}
 	return true
 }
 
--- a/pkg/permit/permit_test.go
+++ b/pkg/permit/permit_test.go
@@ -25,6 +25,12 @@
 	return s, out
 }
 
+func request(id model.AttemptID, shift string) *message.PermitRequest {
+	return &message.PermitRequest{Attempt: id, Service: "tabview", Remaining: time.Second, Shift: shift}
+}
+
+func grantTo(id model.UpstreamID) message.PermitGrant { return message.PermitGrant{Upstream: id} }
+
 func sent[M message.Message](out *event.Effects) []M {
 	var list []M
 	for _, e := range out.List() {
@@ -55,10 +61,10 @@
 	s, out := asked()
 	g.Expect(s.ReceiveGrant(start.Add(1), "owner", &message.PermitGrant{Attempt: attempt(1), SentAt: start, Upstream: "u"}, out)).To(BeTrue())
 	s.Release(start.Add(2), attempt(1), out)
-	s.Wake(start.Add(time.Second), out)
+	s.Wake(start.Add(time.Second), nil, out)
 	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(2))
 	s.ReceiveReleased("owner", &message.PermitReleased{Attempt: attempt(1)})
-	s.Wake(start.Add(2*time.Second), out)
+	s.Wake(start.Add(2*time.Second), nil, out)
 	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(2))
 }
 
--- a/pkg/permit/shares.go
+++ b/pkg/permit/shares.go
@@ -1,25 +1,154 @@
 package permit
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/anvilcrank/anvilcrank/pkg/alarm"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
-// share is this instance's part of the cap of a shift.
+const (
+	// rampStep is the part of a share, in percent, by which its use may grow in
+	// each rampInterval.
+	rampStep     = 10
+	rampInterval = time.Second
+	// rampTolerance is how many times its baseline the target's p95 may be for
+	// the ramp to go on.
+	rampTolerance = 2
+	// configLag is how long another instance may still work by the configuration
+	// before a change.
+	configLag = 5 * time.Second
+)
+
+// Share is this instance's part of the cap of a shift into its region.
+type Share struct {
+	Shift   string
+	Service model.ServiceName
+	// Limit is the most shifted requests that it may grant at once.
+	Limit int
+	// LongestDeadline bounds work that was granted before.
+	LongestDeadline model.Duration
+	// Existed says that the configuration before had the shift too, so that other
+	// instances may still use what this share gains.
+	Existed bool
+}
+
+// Latencies tells how a service does here.
+type Latencies interface {
+	// P95 returns the observed p95 latency, 0 if unknown.
+	P95(model.ServiceName) model.Duration
+}
+
 type share struct {
-	used int
+	service model.ServiceName
+	used    int
+	limit   int
+	// next replaces limit at nextAt: others may still use what this share gains.
+	next   int
+	nextAt model.Time
+	// from is when grants may begin: a former process of this instance may have
+	// granted the whole share.
+	from     model.Time
+	percent  int
+	raiseAt  model.Time
+	baseline model.Duration
 }
 
 type shares struct {
 	byShift map[string]*share
 	wake    alarm.Queue[string]
+	started model.Time
 }
 
 func newShares() shares { return shares{byShift: map[string]*share{}} }
 
-func (s *State) mayShift(shift string) bool { return shift == "" }
+// Start notes when this process began.
+func (s *State) Start(at model.Time) { s.shares.started = at }
 
-func (s *State) countShare(_ model.Time, _ *permit, _ string, _ *event.Effects) {}
+// Configure replaces the shares. A share that is not listed grants nothing more.
+func (s *State) Configure(at model.Time, list []Share, latencies Latencies) {
+	listed := map[string]bool{}
+	for _, c := range list {
+		listed[c.Shift] = true
+		wait := c.LongestDeadline + DeadlineGrace
+		h := s.shares.byShift[c.Shift]
+		if h == nil {
+			h = &share{service: c.Service, limit: c.Limit, percent: rampStep,
+				from: s.shares.started.Add(wait), baseline: latencies.P95(c.Service)}
+			if c.Existed {
+				h.from = at.Add(wait + configLag)
+			}
+			h.raiseAt = max(at, h.from).Add(rampInterval)
+			s.shares.byShift[c.Shift] = h
+			s.shares.wake.Add(h.raiseAt, c.Shift)
+			continue
+		}
+		h.next = c.Limit
+		if c.Limit <= h.limit {
+			h.limit = c.Limit
+			continue
+		}
+		h.nextAt = at.Add(wait + configLag)
+		s.shares.wake.Add(h.nextAt, c.Shift)
+	}
+	for id, h := range s.shares.byShift {
+		if !listed[id] {
+			h.limit, h.next = 0, 0
+		}
+	}
+}
 
-func (s *State) wakeShares(model.Time) {}
+// allowance returns how many shifted requests the share may have in flight now.
+func (h *share) allowance(at model.Time) int {
+	if at < h.from || h.limit == 0 {
+		return 0
+	}
+	return max(1, h.limit*h.percent/100)
+}
+
+// MayShift reports whether another request of the shift may be granted here.
+func (s *State) MayShift(at model.Time, shift string) bool {
+	h := s.shares.byShift[shift]
+	return s.Faults.IgnoreShare || h != nil && h.used < h.allowance(at)
+}
+
+func (s *State) countShare(p *permit, shift string, out *event.Effects) {
+	h := s.shares.byShift[shift]
+	if h == nil {
+		return
+	}
+	p.share = h
+	h.used++
+	if h.used > h.limit && !s.Faults.IgnoreShare {
+		out.Add(event.InvariantFailed{Name: "shift_cap", Detail: fmt.Sprintf("shift %s: %d granted of a share of %d", shift, h.used, h.limit)})
+	}
+}
+
+// wakeShares goes on with the ramps. A target that has become slow holds its
+// ramp where it is; lowering it would make load swing between the regions.
+func (s *State) wakeShares(at model.Time, latencies Latencies) {
+	for {
+		id, ok := s.shares.wake.Pop(at)
+		if !ok {
+			return
+		}
+		h := s.shares.byShift[id]
+		if h.nextAt != 0 && at >= h.nextAt {
+			h.limit, h.nextAt = h.next, 0
+		}
+		if h.percent >= 100 || at < h.raiseAt {
+			continue
+		}
+		now := latencies.P95(h.service)
+		if h.baseline == 0 {
+			h.baseline = now
+		}
+		if h.baseline == 0 || now < rampTolerance*h.baseline {
+			h.percent += rampStep
+		}
+		h.raiseAt = at.Add(rampInterval)
+		s.shares.wake.Add(h.raiseAt, id)
+	}
+}
--- /dev/null
+++ b/pkg/permit/shares_test.go
@@ -0,0 +1,85 @@
+package permit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/permit"
+)
+
+type fixedP95 time.Duration
+
+func (f fixedP95) P95(model.ServiceName) model.Duration { return time.Duration(f) }
+
+func shiftShare(limit int) []permit.Share {
+	return []permit.Share{{Shift: "s", Service: "tabview", Limit: limit, LongestDeadline: time.Second, Existed: true}}
+}
+
+// allowed counts the shifted requests that may be granted at the time.
+func allowed(s *permit.State, at model.Time) int {
+	out := &event.Effects{}
+	var ids []model.AttemptID
+	for s.MayShift(at, "s") {
+		ids = append(ids, attempt(uint64(len(ids))))
+		s.ReceiveRequest(at, "x", request(ids[len(ids)-1], "s"), time.Minute, false, true, out)
+		s.GrantAsk(at, ids[len(ids)-1], grantTo("u"), out)
+	}
+	for _, id := range ids {
+		s.Release(at, id, out)
+	}
+	return len(ids)
+}
+
+func sharing(limit int) *permit.State {
+	s := permit.New("i")
+	s.Start(start)
+	s.Own(permit.Account{Upstream: "u", Service: "tabview", Slots: 1000, GrantUntil: permit.Never})
+	list := shiftShare(limit)
+	list[0].Existed = false
+	s.Configure(start, list, fixedP95(10*time.Millisecond))
+	return s
+}
+
+// Guards against a shift that floods its target before it is seen to cope, and
+// against a ramp that goes on, or back, while the target is slow.
+func TestRampHoldsWhileTheTargetIsSlow(t *testing.T) {
+	g := NewWithT(t)
+	s := sharing(50)
+	at := start.Add(time.Second + permit.DeadlineGrace)
+	g.Expect(allowed(s, at.Add(-1))).To(Equal(0), "a former process may have used the share")
+	g.Expect(allowed(s, at)).To(Equal(5))
+	s.Wake(at.Add(time.Second), fixedP95(19*time.Millisecond), &event.Effects{})
+	g.Expect(allowed(s, at.Add(time.Second))).To(Equal(10))
+	for k := range 3 {
+		s.Wake(at.Add(time.Duration(2+k)*time.Second), fixedP95(25*time.Millisecond), &event.Effects{})
+	}
+	g.Expect(allowed(s, at.Add(4*time.Second))).To(Equal(10))
+	for k := range 20 {
+		s.Wake(at.Add(time.Duration(5+k)*time.Second), fixedP95(10*time.Millisecond), &event.Effects{})
+	}
+	g.Expect(allowed(s, at.Add(25*time.Second))).To(Equal(50))
+}
+
+// Guards against two instances that use the same part of a cap after a change
+// of the roster.
+func TestShareGrowsOnlyAfterOthersLetGo(t *testing.T) {
+	g := NewWithT(t)
+	s := sharing(10)
+	at := start.Add(time.Minute)
+	for k := range 30 {
+		s.Wake(start.Add(time.Duration(k)*time.Second), fixedP95(0), &event.Effects{})
+	}
+	s.Configure(at, shiftShare(20), fixedP95(0))
+	g.Expect(allowed(s, at)).To(Equal(10))
+	later := at.Add(time.Second + permit.DeadlineGrace + 5*time.Second)
+	s.Wake(later, fixedP95(0), &event.Effects{})
+	g.Expect(allowed(s, later)).To(Equal(20))
+	s.Configure(later, shiftShare(4), fixedP95(0))
+	g.Expect(allowed(s, later)).To(Equal(4))
+	s.Configure(later, nil, fixedP95(0))
+	g.Expect(allowed(s, later)).To(Equal(0))
+}
--- a/pkg/permit/state.go
+++ b/pkg/permit/state.go
@@ -60,6 +60,8 @@
 	hints  map[model.ServiceName][]*Hint
 	peers  map[model.InstanceID]*peerHints
 	shares shares
+	// farUsed counts the permits of each service that other regions hold.
+	farUsed map[model.ServiceName]int
 }
 
 // New returns an empty state.
@@ -74,6 +76,7 @@
 		hints:     map[model.ServiceName][]*Hint{},
 		peers:     map[model.InstanceID]*peerHints{},
 		shares:    newShares(),
+		farUsed:   map[model.ServiceName]int{},
 	}
 }
 
@@ -97,7 +100,7 @@
 }
 
 // Wake ends expired permits and asks, and repeats unanswered messages.
-func (s *State) Wake(at model.Time, out *event.Effects) {
+func (s *State) Wake(at model.Time, latencies Latencies, out *event.Effects) {
 	for len(s.expiry) > 0 && s.expiry[0].expires <= at {
 		s.end(at, s.expiry[0])
 	}
@@ -116,7 +119,7 @@
 		s.endAsk(attempt, at)
 	}
 	s.resend(at, out)
-	s.wakeShares(at)
+	s.wakeShares(at, latencies)
 }
 
 // Gain says that a service may have gained a free slot, at an upstream or, if
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -164,6 +164,9 @@
 	}
 	r.canceled = true
 	switch r.phase {
+	case shifting:
+		s.withdraw(at, r, out)
+		s.finish(at, r, result.CanceledByCaller, out)
 	case queued:
 		s.leaveQueue(at, r, out)
 		s.finish(at, r, result.CanceledByCaller, out)
--- a/pkg/request/request_test.go
+++ b/pkg/request/request_test.go
@@ -39,6 +39,7 @@
 	r.free++
 	return true
 }
+func (r *rig) Shift(model.ServiceName) string                   { return "" }
 func (r *rig) Observe(model.Time, model.AttemptID, message.Use) {}
 
 func newRig(free int) *rig {
--- a/pkg/request/slots.go
+++ b/pkg/request/slots.go
@@ -20,6 +20,9 @@
 	Asked model.AttemptID
 	// FreeOnly asks only an instance that has a free slot.
 	FreeOnly bool
+	// Shift is the traffic shift that the request is part of, "" for none. It
+	// goes to the target region of the shift only.
+	Shift string
 }
 
 // SlotGrant is a slot of an upstream, held for one attempt.
@@ -42,6 +45,9 @@
 	// Release ends the hold of an attempt, or withdraws what was asked for it. It
 	// reports whether there was anything.
 	Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool
+	// Shift decides whether the next request of the service is part of a traffic
+	// shift, and returns its identifier or "".
+	Shift(service model.ServiceName) string
 	// Observe tells what an attempt that still holds its slot showed of its
 	// upstream.
 	Observe(at model.Time, attempt model.AttemptID, use message.Use)
@@ -83,7 +89,9 @@
 	}
 	delete(s.asks, attempt)
 	r.ask = model.AttemptID{}
-	if r.phase == queued {
+	if r.phase == shifting {
+		r.queueIndex = -1
+	} else if r.phase == queued {
 		v := s.services[r.arrived.Service]
 		v.queue.charge(r, v.cost(r.arrived.Tenant))
 		v.queue.remove(r)
@@ -104,8 +112,11 @@
 	}
 	delete(s.asks, attempt)
 	r.ask = model.AttemptID{}
-	if r.phase == queued {
+	switch r.phase {
+	case queued:
 		s.askFor(at, r, out)
+	case shifting:
+		s.admit(at, r, out)
 	}
 }
 
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -33,6 +33,8 @@
 
 const (
 	claiming phase = iota
+	// shifting requests wait for a slot in the target region of a shift only.
+	shifting
 	queued
 	running
 )
@@ -85,9 +87,11 @@
 	// asks are the waiting requests by the attempt for which a slot was asked.
 	asks map[model.AttemptID]*request
 	// ends holds the deadlines of waiting requests.
-	ends    alarm.Queue[model.RequestID]
-	hedges  alarm.Queue[hedgeDue]
-	nextSeq uint64
+	ends   alarm.Queue[model.RequestID]
+	hedges alarm.Queue[hedgeDue]
+	// shiftEnds holds the times at which shifted requests stay at home instead.
+	shiftEnds alarm.Queue[model.RequestID]
+	nextSeq   uint64
 }
 
 // New returns an empty state.
@@ -181,6 +185,9 @@
 		s.finish(at, r, result.DeadlineInQueue, out)
 		return
 	}
+	if r.phase == claiming && s.shift(at, r, out) {
+		return
+	}
 	v := s.service(at, r.arrived.Service)
 	if v.isTooLate(at, r) {
 		// Checked only now: what is said of a keyed request before its claim is
@@ -310,6 +317,7 @@
 // passed while they waited.
 func (s *State) Wake(at model.Time, out *event.Effects) {
 	s.wakeHedges(at, out)
+	s.wakeShifts(at, out)
 	for {
 		id, ok := s.ends.Pop(at)
 		if !ok {
@@ -334,8 +342,10 @@
 // there is none.
 func (s *State) NextWake() model.Time {
 	next := s.ends.Next()
-	if h := s.hedges.Next(); next == 0 || h != 0 && h < next {
-		next = h
+	for _, t := range [...]model.Time{s.hedges.Next(), s.shiftEnds.Next()} {
+		if next == 0 || t != 0 && t < next {
+			next = t
+		}
 	}
 	return next
 }
--- a/pkg/state/permits.go
+++ b/pkg/state/permits.go
@@ -123,6 +123,7 @@
 func (s *State) sendHints(at model.Time) {
 	offers := s.upstreams.Offers(at)
 	for i := range offers {
+		offers[i].Far = min(offers[i].Free, s.farRoom(offers[i].Service))
 		offers[i].Waiting = s.requests.Waiting(offers[i].Service) + s.permits.Waiting(offers[i].Service)
 	}
 	if sameOffers(offers, s.hinting.last) && at < s.hinting.sentAt.Add(maxHintInterval) {
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -64,10 +64,31 @@
 func (s *State) freeHint(at model.Time, service model.ServiceName, distance int) *permit.Hint {
 	var best *permit.Hint
 	for _, h := range s.permits.Hints(service) {
-		if h.Free <= 0 || at > h.At.Add(permit.HintAge) || s.distance(h.Zone) != distance {
+		if free(h, distance) <= 0 || at > h.At.Add(permit.HintAge) || s.distance(h.Zone) != distance {
 			continue
 		}
-		if best == nil || h.Free > best.Free {
+		if best == nil || free(h, distance) > free(best, distance) {
+			best = h
+		}
+	}
+	return best
+}
+
+// free returns the slots that an owner at the distance has for this instance.
+func free(h *permit.Hint, distance int) int {
+	if distance == 2 {
+		return h.Far
+	}
+	return h.Free
+}
+
+// shiftHint returns the hint of the instance with the most free slots in the
+// target region of a shift.
+func (s *State) shiftHint(at model.Time, service model.ServiceName, shift string) *permit.Hint {
+	region := s.shiftTarget(shift)
+	var best *permit.Hint
+	for _, h := range s.permits.Hints(service) {
+		if h.Far > 0 && at <= h.At.Add(permit.HintAge) && s.config.RegionOf(h.Zone) == region && (best == nil || h.Far > best.Far) {
 			best = h
 		}
 	}
@@ -96,7 +117,10 @@
 func (l *slots) Ask(at model.Time, r request.SlotRequest, out *event.Effects) bool {
 	s := l.s
 	var h *permit.Hint
-	for distance := 0; distance <= reach(r.Spill) && h == nil; distance++ {
+	if r.Shift != "" {
+		h = s.shiftHint(at, r.Service, r.Shift)
+	}
+	for distance := 0; r.Shift == "" && distance <= reach(r.Spill) && h == nil; distance++ {
 		h = s.freeHint(at, r.Service, distance)
 	}
 	if r.FreeOnly && (h == nil || h.Instance == s.permits.AskedOf(r.Asked)) {
@@ -109,9 +133,10 @@
 		return false
 	}
 	h.Free--
+	h.Far--
 	h.Waiting++
 	s.permits.AskFor(at, h.Instance, message.PermitRequest{
-		Attempt: r.Attempt, Service: r.Service, Zone: s.identity.Zone, Avoid: r.Avoid}, r.Deadline, out)
+		Attempt: r.Attempt, Service: r.Service, Zone: s.identity.Zone, Avoid: r.Avoid, Shift: r.Shift}, r.Deadline, out)
 	return true
 }
 
@@ -181,8 +206,12 @@
 	if a == nil {
 		return false
 	}
+	if limited := s.isLimited(at, a); limited {
+		s.permits.RefuseAsk(a.Attempt, limited, &s.out)
+		return true
+	}
 	for k := range 2 * upstream.Distances {
-		q := upstream.Query{Service: service, Distance: k % upstream.Distances, Avoid: a.Avoid, Spare: k >= upstream.Distances}
+		q := upstream.Query{Service: service, Distance: k % upstream.Distances, Region: s.shiftTarget(a.Shift), Avoid: a.Avoid, Spare: k >= upstream.Distances}
 		u := s.upstreams.Choose(at, q)
 		if u == nil {
 			continue
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"math/rand/v2"
 	"sort"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -51,6 +52,7 @@
 	stopAt   model.Time
 	stopped  bool
 	timerAt  model.Time
+	rng      *rand.Rand
 	viewDone bool
 }
 
@@ -61,6 +63,7 @@
 		permits:  permit.New(identity.ID),
 		ledger:   &localLedger{},
 		peers:    map[model.InstanceID]view.Instance{},
+		rng:      rand.New(rand.NewPCG(identity.Seed, 3)),
 		longest:  map[model.ServiceName]model.Duration{},
 		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
@@ -115,6 +118,7 @@
 		s.timerAt = 0
 		s.wake(at)
 	case event.Started:
+		s.permits.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
@@ -134,9 +138,11 @@
 	if s.config != nil && c.Version <= s.config.Version {
 		return
 	}
+	before := s.config
 	s.config = c
 	s.measureDistances()
 	s.requests.Configure(c)
+	s.permits.Configure(at, s.ownShares(before), s.requests)
 	s.upstreams.Reconfigure()
 	s.viewDone = false
 	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
@@ -148,7 +154,7 @@
 // wake handles everything that is due.
 func (s *State) wake(at model.Time) {
 	s.upstreams.Wake(at, &s.out)
-	s.permits.Wake(at, &s.out)
+	s.permits.Wake(at, s.requests, &s.out)
 	s.requests.Wake(at, &s.out)
 }
 
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -214,6 +214,8 @@
 	p := s.pools[a.Service]
 	if was.State != a.State {
 		p.unready(u)
+	}
+	if was.State != a.State || was.Slots != a.Slots {
 		p.count()
 	}
 	if u.free(at) > 0 {
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -130,6 +130,8 @@
 	// ready lists, for each distance, those that may have a free slot.
 	ready   [Distances][]*Upstream
 	serving int
+	// slots counts the slots of the serving members.
+	slots int
 	// suspects counts the suspect members. median is that of their latencies, 0
 	// if unknown.
 	suspects int
@@ -174,10 +176,11 @@
 
 // count brings the number of serving members up to date.
 func (p *pool) count() {
-	p.serving = 0
+	p.serving, p.slots = 0, 0
 	for _, m := range p.members {
 		if m.takesWork() {
 			p.serving++
+			p.slots += m.Announcement.Slots
 		}
 	}
 }
@@ -300,6 +303,14 @@
 	return p != nil && p.serving > 0
 }
 
+// Slots returns the number of slots of the owned serving upstreams.
+func (s *State) Slots(service model.ServiceName) int {
+	if p := s.pools[service]; p != nil {
+		return p.slots
+	}
+	return 0
+}
+
 // Offers sums up the owned upstreams by service and zone, in that order.
 func (s *State) Offers(at model.Time) []message.Offer {
 	var offers []message.Offer
