Pace bodies between regions and resume truncated reads

Bodies crossed regions without a limit, and a read whose upstream broke off within the body was cut off for its caller.

Each link's budget is split over the instances of both regions; a token bucket paces every body, and long ones also a second at 80%. A truncated idempotent read is repeated if no body byte was sent on, or continued by Range if the entity tag is strong and unchanged.

--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -183,7 +183,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	token := r.Header.Get(HeaderToken)
 	u.options.Journal.Run(token)
-	u.work(ctx, w, token)
+	u.work(ctx, w, token, firstByte(r))
 }
 
 // refuse answers a request that did not run.
@@ -221,8 +221,15 @@
 	close(a.done)
 }
 
+// firstByte returns where the body begins that the request asks for.
+func firstByte(r *http.Request) int {
+	var first int
+	_, _ = fmt.Sscanf(r.Header.Get("Range"), "bytes=%d-", &first)
+	return first
+}
+
 // work waits for the service time and writes the answer in chunks.
-func (u *Upstream) work(ctx context.Context, w http.ResponseWriter, token string) {
+func (u *Upstream) work(ctx context.Context, w http.ResponseWriter, token string, first int) {
 	u.mu.Lock()
 	jitter := 0.5 + u.rng.Float64()
 	u.mu.Unlock()
@@ -231,9 +238,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	size := u.options.BodySize
-	w.Header().Set("Content-Length", strconv.Itoa(size))
+	w.Header().Set("Content-Length", strconv.Itoa(size-first))
+	w.Header().Set("Etag", fmt.Sprintf("%q", token))
+	w.Header().Set("Accept-Ranges", "bytes")
+	if first > 0 {
+		w.Header().Set("Content-Range", fmt.Sprintf("bytes %d-%d/%d", first, size-1, size))
+		w.WriteHeader(http.StatusPartialContent)
+	}
 	chunk := bytes.Repeat([]byte{bodyPattern(token)}, (size+bodyChunks-1)/bodyChunks)
-	for sent := 0; sent < size; sent += len(chunk) {
+	for sent := first; sent < size; sent += len(chunk) {
 		if _, err := w.Write(chunk[:min(len(chunk), size-sent)]); err != nil {
 			return
 		}
--- a/pkg/event/request.go
+++ b/pkg/event/request.go
@@ -68,6 +68,9 @@
 	Result  AttemptResult
 	// Relayed is the number of body bytes sent on to the caller.
 	Relayed int64
+	// Resumable says that the rest of a truncated response can be asked for: it
+	// has a strong entity tag and the upstream accepts byte ranges.
+	Resumable bool
 	// Answer is the recorded answer of a completed keyed request, nil if it was
 	// too large to keep.
 	Answer *model.Answer
@@ -117,8 +120,8 @@
 	Connections int
 }
 
-// Relay streams the response of an attempt to the caller. At most one Relay is
-// given for a request.
+// Relay streams the response of an attempt to the caller. Another Relay for the
+// same request is given only after a truncated attempt, to send the rest.
 type Relay struct {
 	Request model.RequestID
 	Attempt model.AttemptID
--- /dev/null
+++ b/pkg/linkbudget/linkbudget_test.go
@@ -0,0 +1,90 @@
+package linkbudget
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+func config() *model.Config {
+	return &model.Config{
+		Version: 1,
+		Zones:   []model.ZoneInfo{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}, {Zone: "c1", Region: "c"}},
+		Roster:  []model.RosterEntry{{ID: "i1", Zone: "a1"}, {ID: "i2", Zone: "a1"}, {ID: "i3", Zone: "b1"}, {ID: "i4", Zone: "c1"}},
+		Links:   []model.Link{{A: "a", B: "b", BytesPerSecond: 3_000_001}},
+	}
+}
+
+// Guards against instances that together use more than the link's budget.
+func TestSharesAddUpToTheBudget(t *testing.T) {
+	g := NewWithT(t)
+	c := config()
+	total := map[[2]model.Region]int64{}
+	for _, r := range c.Roster {
+		for _, s := range Shares(c, r.ID) {
+			total[[2]model.Region{s.From, s.To}] += s.BytesPerSecond
+			g.Expect(s.LongBytesPerSecond).To(Equal(s.BytesPerSecond * 80 / 100))
+		}
+	}
+	g.Expect(total).To(HaveLen(2))
+	for _, sum := range total {
+		g.Expect(sum).To(BeNumerically("<=", c.Links[0].BytesPerSecond))
+		g.Expect(sum).To(BeNumerically(">", c.Links[0].BytesPerSecond-3))
+	}
+	g.Expect(Shares(c, "i4")).To(BeEmpty())
+}
+
+// passed counts the bytes that a stream of chunks could send within a time.
+func passed(b *bucket, chunk int, within time.Duration) int {
+	at, n := model.Time(time.Hour), 0
+	b.filled = at
+	end := at.Add(within)
+	for {
+		at = at.Add(b.take(at, chunk))
+		if at > end {
+			return n
+		}
+		n += chunk
+	}
+}
+
+// Guards against a rate that is exceeded, or not reached, over a second.
+func TestBucketKeepsItsRate(t *testing.T) {
+	g := NewWithT(t)
+	b := &bucket{}
+	b.setRate(model.Time(time.Hour), 1_000_000)
+	n := passed(b, 10_000, time.Second)
+	g.Expect(n).To(BeNumerically("<=", 1_000_000+50_000))
+	g.Expect(n).To(BeNumerically(">=", 1_000_000))
+}
+
+// Guards against a change of the budget that hands out a second burst, and
+// against bytes that were taken in advance being forgotten.
+func TestNewRateKeepsWhatWasTaken(t *testing.T) {
+	g := NewWithT(t)
+	at := model.Time(time.Hour)
+	b := &bucket{}
+	b.setRate(at, 1000)
+	b.take(at, 1050)
+	b.setRate(at, 2000)
+	g.Expect(b.take(at, 1000)).To(Equal(time.Second))
+}
+
+// Guards against a long body that takes the whole share, and against traffic
+// inside a region being paced.
+func TestLongBodiesLeaveRoom(t *testing.T) {
+	g := NewWithT(t)
+	at := model.Time(time.Hour)
+	p := NewPacer(func() model.Time { return at })
+	p.Configure(config(), "i1")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Expect(p.Wait(ctx, "a", "a", model.Long, 1<<30)).To(Succeed())
+	g.Expect(p.Wait(ctx, "b", "a", model.Long, 40_000)).To(Succeed())
+	g.Expect(p.Wait(ctx, "b", "a", model.Long, 10_000)).To(MatchError(context.Canceled))
+	g.Expect(p.Wait(ctx, "b", "a", model.Short, 9_000)).To(Succeed())
+}
--- /dev/null
+++ b/pkg/linkbudget/shares.go
@@ -0,0 +1,49 @@
+package linkbudget
+
+import "github.com/anvilcrank/anvilcrank/pkg/model"
+
+// longPercent is the part of a share that long bodies may take, so that short
+// ones keep room.
+const longPercent = 80
+
+// Share is what one instance may send in one direction of a region pair.
+type Share struct {
+	From, To model.Region
+	// BytesPerSecond is for all bodies, LongBytesPerSecond for long ones.
+	BytesPerSecond     int64
+	LongBytesPerSecond int64
+}
+
+// Shares returns the shares of an instance. Bytes cross a pair in both
+// directions, whichever side proxies, so each direction is split evenly over the
+// instances of both regions.
+func Shares(c *model.Config, id model.InstanceID) []Share {
+	if c == nil {
+		return nil
+	}
+	region, found := regionOf(c, id)
+	if !found {
+		return nil
+	}
+	var list []Share
+	for _, l := range c.Links {
+		if l.A != region && l.B != region {
+			continue
+		}
+		users := len(c.RosterInRegion(l.A)) + len(c.RosterInRegion(l.B))
+		rate := l.BytesPerSecond / int64(users)
+		for _, d := range [][2]model.Region{{l.A, l.B}, {l.B, l.A}} {
+			list = append(list, Share{From: d[0], To: d[1], BytesPerSecond: rate, LongBytesPerSecond: rate * longPercent / 100})
+		}
+	}
+	return list
+}
+
+func regionOf(c *model.Config, id model.InstanceID) (model.Region, bool) {
+	for _, r := range c.Roster {
+		if r.ID == id {
+			return c.RegionOf(r.Zone), true
+		}
+	}
+	return "", false
+}
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -81,15 +81,20 @@
 	req.Header.Set(HeaderIncarnation, strconv.FormatInt(int64(a.dispatch.Incarnation), 10))
 	left := a.dispatch.Deadline.Sub(a.proxy.now())
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	a.exchange.askForRest(req)
 	// A body that the transport cannot rewind keeps it from sending the request
 	// again by itself, which it would do for GET and for an Idempotency-Key.
 	req.GetBody = nil
 	if a.exchange.stream != nil {
-		req.Body = io.NopCloser(a.exchange.stream)
+		req.Body = io.NopCloser(a.paced(a.exchange.stream))
 		req.ContentLength = in.ContentLength
 		return req, nil
 	}
-	req.Body = io.NopCloser(bytes.NewReader(a.exchange.body))
+	if len(a.exchange.body) == 0 {
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+		return req, nil
+	}
+	req.Body = io.NopCloser(a.paced(bytes.NewReader(a.exchange.body)))
 	req.ContentLength = int64(len(a.exchange.body))
 	return req, nil
 }
@@ -144,74 +149,6 @@
 	return d.Add(cancelTimeout)
 }
 
-// relay streams the response to the caller and reports whether it was whole.
-func (a *attempt) relay(w http.ResponseWriter) bool {
-	resp := a.response.Load()
-	defer resp.Body.Close()
-	header := w.Header()
-	for name, values := range resp.Header {
-		header[name] = values
-	}
-	dropHopHeaders(header)
-	for name := range resp.Trailer {
-		header.Add("Trailer", name)
-	}
-	w.WriteHeader(resp.StatusCode)
-	var kept *bytes.Buffer
-	if a.exchange.keyed {
-		kept = &bytes.Buffer{}
-	}
-	n, readErr, writeErr := a.copyBody(w, resp.Body, &kept)
-	switch {
-	case readErr != nil && a.canceled.Load():
-		a.end(event.AttemptEnded{Result: event.Canceled, Relayed: n})
-	case readErr != nil:
-		a.end(event.AttemptEnded{Result: event.Truncated, Relayed: n})
-	default:
-		for name, values := range resp.Trailer {
-			header[name] = values
-		}
-		a.end(event.AttemptEnded{Result: event.Completed, Relayed: n, Answer: recorded(resp, kept)})
-	}
-	return readErr == nil && writeErr == nil
-}
-
-// copyBody copies the body. After the caller went away, it reads on where the
-// outcome is to be recorded. kept collects the body and becomes nil when that
-// is too large to keep.
-func (a *attempt) copyBody(w http.ResponseWriter, body io.Reader, kept **bytes.Buffer) (n int64, readErr, writeErr error) {
-	buf := a.proxy.buffers.Get().(*[]byte)
-	defer a.proxy.buffers.Put(buf)
-	flusher, _ := w.(http.Flusher)
-	for {
-		k, err := body.Read(*buf)
-		if k > 0 && writeErr == nil {
-			_, writeErr = w.Write((*buf)[:k])
-			if flusher != nil && writeErr == nil && k < len(*buf) && err == nil {
-				flusher.Flush()
-			}
-			n += int64(k)
-		}
-		if k > 0 && *kept != nil {
-			if (*kept).Len()+k > model.MaxRecordedBody {
-				*kept = nil
-			} else {
-				(*kept).Write((*buf)[:k])
-			}
-		}
-		if err == io.EOF {
-			return n, nil, writeErr
-		}
-		if err != nil {
-			return n, err, writeErr
-		}
-		if writeErr != nil && !a.exchange.keyed {
-			a.canceled.Store(true)
-			a.cancel()
-		}
-	}
-}
-
 // recorded makes the answer that the ledger keeps.
 func recorded(resp *http.Response, kept *bytes.Buffer) *model.Answer {
 	if kept == nil {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -17,8 +17,8 @@
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
-// commandQueue holds the commands of one exchange. The reducer gives at most
-// one Relay, Finish or ReplayAnswer for a request, so it never fills.
+// commandQueue holds the commands of one exchange. The reducer gives another
+// Relay or a Finish only after the last Relay has ended, so it never fills.
 const commandQueue = 4
 
 // command is an effect for one exchange.
@@ -40,6 +40,8 @@
 	stream   io.Reader // set instead of body for a large request body
 	keyed    bool
 	commands chan command
+	progress progress
+	class    model.Class // of the last relayed attempt
 }
 
 // Serve handles a caller's request for a service. The path is what follows the
@@ -144,9 +146,12 @@
 	for {
 		select {
 		case c := <-e.commands:
-			code, class := e.carryOut(c)
+			code, class, ended := e.carryOut(c)
+			if !ended {
+				continue
+			}
 			e.proxy.records.Request(arrived.Tenant, arrived.Service, class, code, time.Since(start))
-			if c.relay != nil && code != result.Answered {
+			if (e.progress.started || c.relay != nil) && code != result.Answered {
 				// The caller must see that the body is not whole.
 				panic(http.ErrAbortHandler)
 			}
@@ -158,19 +163,27 @@
 	}
 }
 
-func (e *exchange) carryOut(c command) (result.Code, model.Class) {
+// carryOut handles a command and reports whether the request has ended. A
+// truncated response is followed by a relay of its rest or by a finish.
+func (e *exchange) carryOut(c command) (code result.Code, class model.Class, ended bool) {
 	switch {
 	case c.relay != nil:
-		if c.relay.relay(e.w) {
-			return result.Answered, c.relay.dispatch.Class
+		e.class = c.relay.dispatch.Class
+		switch c.relay.relay(e.w) {
+		case relayTruncated:
+			return result.UpstreamLost, e.class, false
+		case relayBroken:
+			return result.UpstreamLost, e.class, true
 		}
-		return result.UpstreamLost, c.relay.dispatch.Class
+		return result.Answered, e.class, true
 	case c.answer != nil:
 		writeAnswer(e.w, c.answer)
-		return result.Answered, model.Short
+		return result.Answered, model.Short, true
+	}
+	if !e.progress.started {
+		WriteError(e.w, &result.Error{Code: c.code})
 	}
-	WriteError(e.w, &result.Error{Code: c.code})
-	return c.code, model.Short
+	return c.code, e.class, true
 }
 
 // writeAnswer sends a recorded answer.
--- /dev/null
+++ b/pkg/proxy/pace.go
@@ -0,0 +1,56 @@
+package proxy
+
+import (
+	"io"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// paceResponse waits until bytes of the response may cross the link from the
+// upstream's region.
+func (a *attempt) paceResponse(n int) error {
+	home, ok := a.proxy.home()
+	if !ok {
+		return nil
+	}
+	return a.proxy.pacer.Wait(a.ctx, a.dispatch.Region, home, a.dispatch.Class, n)
+}
+
+// home returns the region of this instance, once the configuration is known, and
+// keeps the pacer up to date with it.
+func (p *Proxy) home() (model.Region, bool) {
+	v := p.control.View()
+	if v == nil || v.Config == nil {
+		return "", false
+	}
+	p.pacer.Configure(v.Config, p.self)
+	return v.Self.Region, true
+}
+
+// paced returns a reader of a request body that is sent to the upstream's
+// region.
+func (a *attempt) paced(r io.Reader) io.Reader {
+	home, ok := a.proxy.home()
+	if !ok || home == a.dispatch.Region {
+		return r
+	}
+	return &pacedReader{attempt: a, from: home, body: r}
+}
+
+type pacedReader struct {
+	attempt *attempt
+	from    model.Region
+	body    io.Reader
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b[:min(len(b), copyBuffer)])
+	if n > 0 {
+		a := r.attempt
+		if paceErr := a.proxy.pacer.Wait(a.ctx, r.from, a.dispatch.Region, a.dispatch.Class, n); paceErr != nil {
+			return 0, paceErr
+		}
+	}
+	return n, err
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/linkbudget"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
 )
 
 // Headers of requests and answers.
@@ -52,6 +54,8 @@
 type Control interface {
 	Submit(event.Body) error
 	Report(event.Body)
+	// View returns the published view.
+	View() *view.View
 }
 
 // Recorder takes the latency and code of each ended request.
@@ -75,6 +79,7 @@
 	exchanges sync.Map // model.RequestID to *exchange
 	attempts  sync.Map // model.AttemptID to *attempt
 	buffers   sync.Pool
+	pacer     *linkbudget.Pacer
 
 	mu         sync.Mutex
 	transports map[transportKey]*http.Transport
@@ -96,6 +101,7 @@
 		self:       self,
 		records:    records,
 		now:        now,
+		pacer:      linkbudget.NewPacer(now),
 		dial:       dial,
 		buffers:    sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }},
 		transports: map[transportKey]*http.Transport{},
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -89,15 +89,30 @@
 	return false
 }
 
-// endRelayed ends a request whose answer went to the caller. The traffic side
-// has ended the caller's response accordingly.
+// endRelayed ends a request whose answer went to the caller, or has the rest of
+// a truncated answer sent by another attempt.
 func (s *State) endRelayed(at model.Time, r *request, ev *event.AttemptEnded, out *event.Effects) {
+	if ev.Result == event.Truncated {
+		if s.mayResume(at, r, ev) {
+			r.relayed = model.AttemptID{}
+			s.admit(at, r, out)
+			return
+		}
+		out.Add(event.Finish{Request: r.arrived.ID, Code: result.UpstreamLost})
+	}
 	delete(s.open, r.arrived.ID)
 	if r.claimed() {
 		s.ledger.Record(at, r.arrived.ID, ev.Answer, out)
 	}
 }
 
+// mayResume reports whether another attempt may send what is missing of a
+// truncated answer: all of it, or the rest if the upstream can send that.
+func (s *State) mayResume(at model.Time, r *request, ev *event.AttemptEnded) bool {
+	return r.idempotent && (ev.Relayed == 0 || ev.Resumable) && at < r.deadline &&
+		s.mayRepeat(r, result.UpstreamLost) && s.service(at, r.arrived.Service).budget.take(at)
+}
+
 // afterFailure repeats the request where its profile allows it, or ends it.
 func (s *State) afterFailure(at model.Time, r *request, res event.AttemptResult, out *event.Effects) {
 	code := failureCode(res)
--- a/pkg/state/sim_upstream_test.go
+++ b/pkg/state/sim_upstream_test.go
@@ -201,7 +201,11 @@
 func (s *sim) relay(n *simNode, e event.Relay) {
 	a := n.attempts[e.Attempt]
 	a.relayed = true
-	s.after(s.between(0, 20*time.Millisecond), func() { s.report(a, event.Completed) })
+	res := event.Completed
+	if s.chance(5) {
+		res = event.Truncated
+	}
+	s.after(s.between(0, 20*time.Millisecond), func() { s.report(a, res) })
 }
 
 // report ends an attempt once.
@@ -210,10 +214,10 @@
 		return
 	}
 	a.ended = true
-	if a.relayed {
+	if a.relayed && res != event.Truncated {
 		s.requests[a.request].ended = true
 	}
-	s.step(a.node, event.AttemptEnded{Request: a.dispatch.Request, Attempt: a.dispatch.Attempt, Result: res})
+	s.step(a.node, event.AttemptEnded{Request: a.dispatch.Request, Attempt: a.dispatch.Attempt, Result: res, Resumable: s.chance(50)})
 }
 
 // cancel closes an attempt and asks its upstream to stop it.
