Order the graceful stop and prove that the checks catch faults

A stopping instance kept its upstreams until their leases ran out and exited without passing on its counts. It now announces that it leaves, serves for the look-up TTL, then redirects announcements and hands over counts, and exits when its requests, handovers and releases are done.

--- a/pkg/permit/accounts.go
+++ b/pkg/permit/accounts.go
@@ -173,8 +173,8 @@
 
 func (s *State) grant(at model.Time, p *permit, out *event.Effects) {
 	a := p.account
-	if s.Faults.ForgetOnExpiry {
-		p.expires = min(p.expires, at.Add(Validity))
+	if s.Faults.ExpireEarly {
+		p.expires = min(p.expires, at.Add(Validity/10))
 	}
 	a.used++
 	s.permits[p.attempt] = p
@@ -287,6 +287,23 @@
 	s.gain(a.gain())
 }
 
+// Unsettled returns the number of permits that other instances hold and of
+// releases that are not acknowledged.
+func (s *State) Unsettled() int {
+	n := 0
+	for _, p := range s.expiry {
+		if p.holder != s.self {
+			n++
+		}
+	}
+	for _, h := range s.held {
+		if h.phase == releasing {
+			n++
+		}
+	}
+	return n
+}
+
 // permitHeap orders permits by expiry, then by attempt.
 type permitHeap []*permit
 
--- a/pkg/permit/state.go
+++ b/pkg/permit/state.go
@@ -26,9 +26,8 @@
 	FreeOnTakeover bool
 	// NoValidity lets permits be dispatched however old their grant is.
 	NoValidity bool
-	// ForgetOnExpiry ends permits at their grant's validity instead of the
-	// deadline.
-	ForgetOnExpiry bool
+	// ExpireEarly ends permits after 100 ms instead of at the deadline.
+	ExpireEarly bool
 	// IgnoreShare grants shifted work beyond the share.
 	IgnoreShare bool
 	// NoForward loses releases of permits that were handed over, and their
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -138,6 +138,9 @@
 	if r.canceled || !r.arrived.Replayable || r.dispatched >= r.profile.MaxAttempts {
 		return false
 	}
+	if s.Faults.RepeatUnknown {
+		return true
+	}
 	switch r.profile.Repeat {
 	case model.RepeatNever:
 		return false
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -75,8 +75,21 @@
 // claimed reports whether the request holds a ledger claim.
 func (r *request) claimed() bool { return r.arrived.Key.Text != "" && !r.idempotent }
 
+// Faults switch off one rule each. Tests use them to show that their checks
+// notice a broken rule.
+type Faults struct {
+	// RepeatUnknown repeats non-idempotent requests that may have run.
+	RepeatUnknown bool
+	// DenyRun tells that requests did not run although they may have.
+	DenyRun bool
+	// NeverExpire lets requests wait beyond their deadline.
+	NeverExpire bool
+}
+
 // State holds the open requests of this instance.
 type State struct {
+	Faults Faults
+
 	self        model.InstanceID
 	incarnation model.Incarnation
 	slots       Slots
@@ -265,7 +278,7 @@
 		out.Add(event.Count{Counter: event.Retries, Add: 1})
 	}
 	s.planHedge(at, r, id)
-	if r.dispatched > 1 && r.mayHaveRun && !r.idempotent {
+	if r.dispatched > 1 && r.mayHaveRun && !r.idempotent && !s.Faults.RepeatUnknown {
 		out.Add(event.InvariantFailed{Name: "at_most_once", Detail: "a non-idempotent request that may have run was dispatched again"})
 	}
 	out.Add(event.Dispatch{
@@ -324,7 +337,7 @@
 			return
 		}
 		r := s.open[id]
-		if r == nil || r.phase != queued {
+		if r == nil || r.phase != queued || s.Faults.NeverExpire {
 			continue
 		}
 		s.leaveQueue(at, r, out)
@@ -354,8 +367,11 @@
 // only if no attempt may have run.
 func (s *State) finish(at model.Time, r *request, code result.Code, out *event.Effects) {
 	delete(s.open, r.arrived.ID)
+	if s.Faults.DenyRun {
+		code = result.ConnectionFailed
+	}
 	notRun := code.Class() == result.NotRun
-	if notRun && r.mayHaveRun {
+	if notRun && r.mayHaveRun && !s.Faults.DenyRun {
 		code = result.UpstreamLost
 		notRun = false
 	}
--- a/pkg/state/permits.go
+++ b/pkg/state/permits.go
@@ -66,7 +66,10 @@
 	if !s.permits.ReceiveAvailability(at, b.From, b.Incarnation, m) {
 		return
 	}
-	s.hinting.stopping[b.From] = m.Stopping
+	if s.hinting.stopping[b.From] != m.Stopping {
+		s.hinting.stopping[b.From] = m.Stopping
+		s.viewDone = false
+	}
 	for _, o := range m.Offers {
 		if o.Free > 0 {
 			s.requests.AskMore(at, o.Service, &s.out)
@@ -254,7 +257,7 @@
 			best, bestRank, bestHash = i, rank, hash
 		}
 	}
-	if !s.stopping {
+	if !s.handingOver {
 		consider(view.Instance{ID: s.identity.ID, Zone: s.identity.Zone})
 	}
 	for id, p := range s.peers {
--- a/pkg/state/schedules_test.go
+++ b/pkg/state/schedules_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"runtime"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,8 @@
 // runSchedules runs numbered schedules on all processors until one violates a
 // check. It returns the first of its violations.
 func runSchedules(count int, faults func(*State)) (seed uint64, violation string, total sim) {
+	// The live heap is small, so the collector would run all the time.
+	defer debug.SetGCPercent(debug.SetGCPercent(1000))
 	var next atomic.Uint64
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -40,6 +43,7 @@
 				total.granted += s.granted
 				total.shifted += s.shifted
 				total.hedges += s.hedges
+				total.stops += s.stops
 				if len(s.violations) > 0 && (violation == "" || n < seed) {
 					seed, violation = n, s.violations[0]
 				}
@@ -66,9 +70,9 @@
 	if violation != "" {
 		t.Fatalf("seed %d: %s", seed, violation)
 	}
-	t.Logf("%d schedules, %d steps, %d permits for other instances, %d shifted dispatches, %d hedges",
-		count, total.ran, total.granted, total.shifted, total.hedges)
-	if total.granted == 0 {
-		t.Fatal("no permit was granted to another instance: the schedules test nothing")
+	t.Logf("%d schedules, %d steps, %d permits for other instances, %d shifted dispatches, %d hedges, %d graceful stops",
+		count, total.ran, total.granted, total.shifted, total.hedges, total.stops)
+	if total.granted == 0 || total.shifted == 0 || total.hedges == 0 || total.stops == 0 {
+		t.Fatal("the schedules leave out permits, shifts, hedges or stops")
 	}
 }
--- a/pkg/state/sim_test.go
+++ b/pkg/state/sim_test.go
@@ -15,8 +15,12 @@
 const (
 	simStart    = model.Time(time.Hour)
 	simLoad     = 7 * time.Second
-	simSettle   = 4 * time.Second
+	simSettle   = 6 * time.Second
 	simDeadline = 900 * time.Millisecond
+	// simLongDeadline lets permits outlive their validity.
+	simLongDeadline = 4500 * time.Millisecond
+	// simMaxLate is the longest delay of a message that comes late.
+	simMaxLate = 4 * time.Second
 	// simMaxDelay is the longest one-way delay between any two processes.
 	simMaxDelay = 60 * time.Millisecond
 	simSlow     = 700 * time.Millisecond
@@ -36,8 +40,8 @@
 	cut       map[[2]model.Zone]bool
 	faults    func(*State)
 	// ran counts the events, to show that a schedule did something.
-	ran, granted, shifted, hedges int
-	violations                    []string
+	ran, granted, shifted, hedges, stops int
+	violations                           []string
 }
 
 type simRequestID struct {
@@ -114,16 +118,19 @@
 		requests: map[simRequestID]*simRequest{}, cut: map[[2]model.Zone]bool{},
 	}
 	short := model.Profile{Class: "short", MaxAttempts: 3, DeadlineMs: simDeadline.Milliseconds(), QueueLimit: 30}
-	reads, writes, shifted := short, short, short
+	reads, writes, shifted, exports := short, short, short, short
 	reads.Name, reads.Repeat, reads.Hedge, reads.Spill = "reads", model.RepeatFreely, true, model.SpillAny
 	writes.Name, writes.Repeat, writes.Spill = "writes", model.RepeatIfNotRun, model.SpillAny
 	shifted.Name, shifted.Repeat, shifted.Spill = "shifted", model.RepeatFreely, model.SpillRegion
+	exports.Name, exports.Class, exports.Repeat, exports.Spill = "exports", "long", model.RepeatIfNotRun, model.SpillAny
+	exports.DeadlineMs = simLongDeadline.Milliseconds()
 	s.config = model.Config{
 		Version:  1,
 		Zones:    []model.ZoneInfo{{Zone: "a1", Region: "a"}, {Zone: "a2", Region: "a"}, {Zone: "b1", Region: "b"}},
-		Profiles: []model.Profile{reads, writes, shifted},
-		Services: []model.Service{{Name: "reads", Profile: "reads"}, {Name: "writes", Profile: "writes"}, {Name: "shifted", Profile: "shifted"}},
-		Shifts:   []model.Shift{{ID: "s1", Service: "shifted", From: "a", To: "b", Percent: 60, Cap: 3}},
+		Profiles: []model.Profile{reads, writes, shifted, exports},
+		Services: []model.Service{{Name: "reads", Profile: "reads"}, {Name: "writes", Profile: "writes"}, {Name: "shifted", Profile: "shifted"},
+			{Name: "exports", Profile: "exports"}},
+		Shifts: []model.Shift{{ID: "s1", Service: "shifted", From: "a", To: "b", Percent: 80, Cap: 2}},
 	}
 	for i, zone := range []model.Zone{"a1", "a1", "a2", "b1", "b1"} {
 		n := &simNode{id: model.InstanceID(fmt.Sprintf("%s-%d", zone, i)), zone: zone}
@@ -133,7 +140,7 @@
 	for _, n := range s.nodes {
 		s.boot(n)
 	}
-	for i, service := range []model.ServiceName{"reads", "writes", "shifted", "reads", "writes", "shifted", "shifted"} {
+	for i, service := range []model.ServiceName{"reads", "writes", "shifted", "reads", "writes", "shifted", "shifted", "exports", "exports"} {
 		zone := s.config.Zones[(i+i/3)%3].Zone
 		if service == "shifted" {
 			zone = []model.Zone{"a1", "b1", "b1"}[i/3]
@@ -244,6 +251,9 @@
 
 func (s *sim) carryOut(n *simNode, e event.Effect) {
 	state := n.state
+	if state == nil {
+		return
+	}
 	switch e := e.(type) {
 	case event.SetTimer:
 		n.timer++
@@ -263,6 +273,8 @@
 		s.cancel(n, n.attempts[e.Attempt])
 	case event.Finish:
 		s.finish(simRequestID{n.id, n.incarnation, e.Request}, e.Code)
+	case event.Stopped:
+		s.stopped(n)
 	case event.InvariantFailed:
 		s.violation("%s: invariant %s: %s", n.id, e.Name, e.Detail)
 	case event.Count:
@@ -287,7 +299,7 @@
 		}
 		d := s.delay()
 		if s.chance(3) {
-			d += s.between(0, 2*time.Second)
+			d += s.between(0, simMaxLate)
 		}
 		from, incarnation, msg := n.id, n.incarnation, e.Message
 		s.after(d, func() { s.step(m, event.PeerReceived{From: from, Incarnation: incarnation, Message: copyOf(msg)}) })
@@ -320,12 +332,13 @@
 		// One instance sees enough requests to learn their usual time and hedge.
 		n = s.nodes[0]
 	}
-	if n.state == nil {
+	if n.state == nil || n.state.handingOver {
+		// Callers have dropped the look-ups that named a stopping instance.
 		return
 	}
 	s.nextID++
-	service := s.config.Services[s.rng.IntN(3)].Name
-	if s.chance(30) {
+	service := s.config.Services[s.rng.IntN(4)].Name
+	if s.chance(20) {
 		service = "reads"
 	}
 	method := "GET"
@@ -382,23 +395,31 @@
 	for range 1 + s.rng.IntN(5) {
 		s.queue.Add(simStart.Add(s.between(time.Second, simLoad)), s.fault)
 	}
+	s.play(end.Add(simSettle))
+	if len(s.violations) == 0 {
+		s.check()
+	}
+}
+
+// play lets everything happen that is due until the end.
+func (s *sim) play(end model.Time) {
 	for {
 		next := s.queue.Next()
-		if next == 0 || next > end.Add(simSettle) || len(s.violations) > 0 {
+		if next == 0 || next > end || len(s.violations) > 0 {
 			break
 		}
 		s.now = max(s.now, next)
 		f, _ := s.queue.Pop(next)
 		f()
 	}
-	if len(s.violations) == 0 {
-		s.check()
-	}
 }
 
 func (s *sim) fault() {
 	u := s.upstreams[s.rng.IntN(len(s.upstreams))]
-	switch s.rng.IntN(6) {
+	if s.chance(30) {
+		u = s.upstreams[len(s.upstreams)-1]
+	}
+	switch s.rng.IntN(8) {
 	case 0, 1:
 		if n := s.nodes[s.rng.IntN(len(s.nodes))]; n.state != nil {
 			s.crash(n)
@@ -406,15 +427,51 @@
 	case 2:
 		s.split()
 	case 3:
-		if u.up {
-			u.state = model.Draining
-			u.drainedAt = s.now
-			s.announce(u)
-		}
+		s.drain(u)
 	case 4:
 		s.crashUpstream(u)
 	case 5:
 		// The upstream announces itself elsewhere, as after failed announcements.
 		u.owner = s.rng.IntN(len(s.nodes))
+	case 6:
+		s.step(s.nodes[s.rng.IntN(len(s.nodes))], event.StopRequested{})
+	case 7:
+		s.drainBehindCut(u)
+	}
+}
+
+// drainBehindCut drains an upstream whose zone is heard by no other for a while,
+// so that grants made before the drain arrive long after it.
+func (s *sim) drainBehindCut(u *simUpstream) {
+	var cuts [][2]model.Zone
+	for _, z := range s.config.Zones {
+		if z.Zone != u.zone {
+			cuts = append(cuts, [2]model.Zone{u.zone, z.Zone})
+			s.cut[cuts[len(cuts)-1]] = true
+		}
+	}
+	s.after(s.between(0, 500*time.Millisecond), func() { s.drain(u) })
+	s.after(s.between(3*time.Second, simMaxLate), func() {
+		for _, c := range cuts {
+			delete(s.cut, c)
+		}
+	})
+}
+
+func (s *sim) drain(u *simUpstream) {
+	if u.up && u.state == model.Serving {
+		u.state, u.drainedAt = model.Draining, s.now
+		s.announce(u)
+	}
+}
+
+// stopped ends a process that stopped gracefully.
+func (s *sim) stopped(n *simNode) {
+	s.stops++
+	for key, r := range s.requests {
+		if key.node == n.id && key.incarnation == n.incarnation && !r.ended {
+			s.violation("%s stopped with request %d open", n.id, key.id)
+		}
 	}
+	s.crash(n)
 }
--- a/pkg/state/sim_upstream_test.go
+++ b/pkg/state/sim_upstream_test.go
@@ -160,6 +160,9 @@
 	if s.chance(10) {
 		service = s.between(simSlow/2, simSlow)
 	}
+	if u.service == "exports" {
+		service *= 4
+	}
 	incarnation := u.incarnation
 	s.after(min(service, left), func() {
 		if u.incarnation != incarnation || u.running[a.dispatch.Attempt] == nil {
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -49,11 +49,13 @@
 
 	stopping bool
 	// stopAt is when callers' cached look-ups have run out.
-	stopAt   model.Time
-	stopped  bool
-	timerAt  model.Time
-	rng      *rand.Rand
-	viewDone bool
+	stopAt  model.Time
+	stopped bool
+	// handingOver is set once ownership moves to other instances.
+	handingOver bool
+	timerAt     model.Time
+	rng         *rand.Rand
+	viewDone    bool
 }
 
 // New returns the state of an instance that has seen no event.
@@ -77,6 +79,7 @@
 // valid until the next call.
 func (s *State) Step(ev event.Event) []event.Effect {
 	s.out.Reset()
+	s.advanceStop(ev.At)
 	s.route(ev.At, ev.Body)
 	s.decideClaims(ev.At)
 	s.pump(ev.At)
@@ -165,27 +168,6 @@
 	}
 }
 
-// stop begins a graceful stop: look-ups stop naming this instance, and callers
-// with a cached answer are served until it has run out.
-func (s *State) stop(at model.Time) {
-	if s.stopping {
-		return
-	}
-	s.stopping = true
-	s.stopAt = at.Add(view.LookupTTL)
-	s.viewDone = false
-	s.out.Add(event.Log{Code: logevent.ProcessStopping})
-}
-
-func (s *State) checkStopped(at model.Time) {
-	if !s.stopping || s.stopped || at < s.stopAt || s.requests.Open() > 0 {
-		return
-	}
-	s.stopped = true
-	s.out.Add(event.Log{Code: logevent.ProcessStopped})
-	s.out.Add(event.Stopped{})
-}
-
 // publish makes a new view if anything it shows has changed.
 func (s *State) publish() {
 	if s.viewDone {
@@ -195,7 +177,10 @@
 	self := view.Instance{ID: s.identity.ID, Address: s.identity.Address, Zone: s.identity.Zone}
 	self.Region = s.config.RegionOf(self.Zone)
 	v := &view.View{Self: self, Config: s.config, Stopping: s.stopping}
-	for _, p := range s.peers {
+	for id, p := range s.peers {
+		if s.hinting.stopping[id] {
+			continue
+		}
 		p.Region = s.config.RegionOf(p.Zone)
 		v.Instances = append(v.Instances, p)
 	}
@@ -208,10 +193,7 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick())
-	if s.stopping && !s.stopped {
-		next = earliest(next, s.stopAt)
-	}
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick(), s.nextStop())
 	if next == 0 || next == s.timerAt {
 		return
 	}
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -195,6 +195,9 @@
 
 func (s *State) update(at model.Time, u *Upstream, a model.Announcement, out *event.Effects) {
 	was := u.Announcement
+	if s.Faults.IgnoreDrain {
+		a.State = model.Serving
+	}
 	switch {
 	case a.State == model.Draining:
 		u.drainSeenAt = at
@@ -251,6 +254,11 @@
 		return
 	}
 	s.remove(u)
+	if s.Faults.KeepAfterHandover {
+		kept := s.insert(at, u.Announcement)
+		kept.forgetAt = at.Add(retention)
+		s.own(kept, permit.Account{GrantFrom: at, GrantUntil: kept.forgetAt})
+	}
 	h := &handedOver{to: from, message: &message.Handover{
 		Upstream: m.Upstream, Incarnation: m.Incarnation, Tenure: m.Tenure, Permits: permits}}
 	s.handed[m.Upstream] = h
@@ -261,7 +269,7 @@
 // request of the present ownership counts: an older one may have missed grants.
 func (s *State) ReceiveHandover(at model.Time, m *message.Handover) {
 	u := s.owned[m.Upstream]
-	if u == nil || u.candidateUntil != 0 || u.tenure == 0 || u.tenure != m.Tenure || u.Announcement.Incarnation != m.Incarnation {
+	if u == nil || u.candidateUntil != 0 || u.tenure == 0 || u.tenure != m.Tenure && !s.Faults.AnyTenure || u.Announcement.Incarnation != m.Incarnation {
 		return
 	}
 	u.tenure = 0
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -100,9 +100,21 @@
 	health     health
 }
 
+// Faults switch off one rule each. Tests use them to show that their checks
+// notice a broken rule.
+type Faults struct {
+	// IgnoreDrain goes on to use draining upstreams.
+	IgnoreDrain bool
+	// AnyTenure takes a handover without comparing the tenure.
+	AnyTenure bool
+	// KeepAfterHandover goes on to grant slots that were handed over.
+	KeepAfterHandover bool
+}
+
 // State holds the upstreams that this instance owns.
 type State struct {
 	Policy Policy
+	Faults Faults
 
 	slots      Slots
 	deployment Deployment
