Leave the permits of a former process alone

A restarted instance that received a grant meant for its former process gave it back, although that process may have dispatched on it and the upstream may still be at work. Such a permit runs until its deadline.

--- a/pkg/permit/held.go
+++ b/pkg/permit/held.go
@@ -89,6 +89,11 @@
 // ReceiveGrant handles a grant. It reports whether the attempt may be
 // dispatched now; otherwise the slot goes back at once.
 func (s *State) ReceiveGrant(at model.Time, from model.InstanceID, m *message.PermitGrant, out *event.Effects) bool {
+	if m.Attempt.Incarnation != s.incarnation {
+		// A former process of this instance may have dispatched on the permit, and
+		// the upstream may still be at work.
+		return false
+	}
 	h := s.held[m.Attempt]
 	if h == nil {
 		// Withdrawn and acknowledged; a repeated request was granted afterwards.
--- a/pkg/permit/permit_test.go
+++ b/pkg/permit/permit_test.go
@@ -19,7 +19,7 @@
 }
 
 func asked() (*permit.State, *event.Effects) {
-	s := permit.New("holder")
+	s := permit.New("holder", 1)
 	out := &event.Effects{}
 	s.AskFor(start, "owner", message.PermitRequest{Attempt: attempt(1), Service: "tabview"}, start.Add(time.Minute), out)
 	return s, out
@@ -54,6 +54,15 @@
 	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(1))
 }
 
+// Guards against a restarted instance that releases a slot on which its former
+// process dispatched. Found by schedule 4601.
+func TestGrantToAFormerProcessIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	s, out := permit.New("holder", 2), &event.Effects{}
+	g.Expect(s.ReceiveGrant(start, "owner", &message.PermitGrant{Attempt: attempt(1), SentAt: start, Upstream: "u"}, out)).To(BeFalse())
+	g.Expect(out.List()).To(BeEmpty())
+}
+
 // Guards against a slot that stays in use until the deadline because one
 // release message was lost.
 func TestReleaseIsRepeatedUntilAcknowledged(t *testing.T) {
@@ -71,7 +80,7 @@
 // Guards against a repeated request that takes a second slot.
 func TestRepeatedRequestGetsTheSameGrant(t *testing.T) {
 	g := NewWithT(t)
-	s := permit.New("owner")
+	s := permit.New("owner", 1)
 	out := &event.Effects{}
 	m := s.Own(permit.Account{Upstream: "u", Service: "tabview", Slots: 3, GrantUntil: permit.Never})
 	r := &message.PermitRequest{Attempt: attempt(1), Service: "tabview", Remaining: time.Second}
@@ -87,7 +96,7 @@
 // Guards against a slot that two owners count as free after a handover.
 func TestHandoverCarriesEveryPermit(t *testing.T) {
 	g := NewWithT(t)
-	former, next := permit.New("former"), permit.New("next")
+	former, next := permit.New("former", 1), permit.New("next", 1)
 	out := &event.Effects{}
 	former.Own(permit.Account{Upstream: "u", Slots: 2, GrantUntil: permit.Never})
 	former.Grant(start, "u", attempt(1), start.Add(time.Second), out)
--- a/pkg/permit/shares_test.go
+++ b/pkg/permit/shares_test.go
@@ -35,7 +35,7 @@
 }
 
 func sharing(limit int) *permit.State {
-	s := permit.New("i")
+	s := permit.New("i", 1)
 	s.Start(start)
 	s.Own(permit.Account{Upstream: "u", Service: "tabview", Slots: 1000, GrantUntil: permit.Never})
 	list := shiftShare(limit)
--- a/pkg/permit/state.go
+++ b/pkg/permit/state.go
@@ -39,7 +39,9 @@
 type State struct {
 	Faults Faults
 
-	self     model.InstanceID
+	self        model.InstanceID
+	incarnation model.Incarnation
+
 	accounts map[model.UpstreamID]*account
 	permits  map[model.AttemptID]*permit
 	expiry   permitHeap
@@ -64,18 +66,19 @@
 }
 
 // New returns an empty state.
-func New(self model.InstanceID) *State {
+func New(self model.InstanceID, incarnation model.Incarnation) *State {
 	return &State{
-		self:      self,
-		accounts:  map[model.UpstreamID]*account{},
-		permits:   map[model.AttemptID]*permit{},
-		asks:      map[model.AttemptID]*ask{},
-		askQueues: map[model.ServiceName]*askQueue{},
-		held:      map[model.AttemptID]*held{},
-		hints:     map[model.ServiceName][]*Hint{},
-		peers:     map[model.InstanceID]*peerHints{},
-		shares:    newShares(),
-		farUsed:   map[model.ServiceName]int{},
+		self:        self,
+		incarnation: incarnation,
+		accounts:    map[model.UpstreamID]*account{},
+		permits:     map[model.AttemptID]*permit{},
+		asks:        map[model.AttemptID]*ask{},
+		askQueues:   map[model.ServiceName]*askQueue{},
+		held:        map[model.AttemptID]*held{},
+		hints:       map[model.ServiceName][]*Hint{},
+		peers:       map[model.InstanceID]*peerHints{},
+		shares:      newShares(),
+		farUsed:     map[model.ServiceName]int{},
 	}
 }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -62,7 +62,7 @@
 func New(identity Identity) *State {
 	s := &State{
 		identity: identity,
-		permits:  permit.New(identity.ID),
+		permits:  permit.New(identity.ID, identity.Incarnation),
 		ledger:   &localLedger{},
 		peers:    map[model.InstanceID]view.Instance{},
 		rng:      rand.New(rand.NewPCG(identity.Seed, 3)),
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -35,7 +35,7 @@
 
 // newRig registers upstreams and lets their slow start end.
 func newRig(count, slots int) *rig {
-	r := &rig{permits: permit.New("i"), at: model.Time(time.Hour)}
+	r := &rig{permits: permit.New("i", 1), at: model.Time(time.Hour)}
 	r.State = upstream.New(r.permits, r, 1, 1)
 	for i := range count {
 		r.announce(name(i), slots, true, model.Serving, 0)
