--- a/pkg/message/permit.go
+++ b/pkg/message/permit.go
@@ -33,6 +33,8 @@
 	Slots int
 	// Free counts those that could be granted now.
 	Free int
+	// Far counts those that could be granted to another region now.
+	Far int
 	// Waiting counts the requests that wait for a slot at this instance.
 	Waiting int
 	// Draining counts the upstreams that take no new work.
@@ -90,6 +92,17 @@
 // repeated until PermitReleased arrives.
 type PermitRelease struct {
 	Attempt model.AttemptID
+	Use     Use
+}
+
+// Use is what an attempt showed of its upstream.
+type Use struct {
+	// Latency is the time to the response headers, 0 if none came.
+	Latency model.Duration
+	// Hold is the time to the end of the response, 0 if it was not whole.
+	Hold model.Duration
+	// Unreachable says that no connection could be made.
+	Unreachable bool
 }
 
 // PermitReleased acknowledges a PermitRelease.
@@ -111,6 +124,8 @@
 	Holder  model.InstanceID
 	// Left is the time until the permit expires.
 	Left model.Duration
+	// Far permits are held by an instance of another region than the owner's.
+	Far bool
 }
 
 // Handover passes on the count of an upstream. The sender no longer owns it.
--- a/pkg/permit/accounts.go
+++ b/pkg/permit/accounts.go
@@ -27,6 +27,8 @@
 type account struct {
 	Account
 	used int
+	// oldest is when the oldest permit was granted, as of MeasureAges.
+	oldest model.Time
 }
 
 type permit struct {
@@ -43,6 +45,9 @@
 	// release from this instance.
 	newOwner model.InstanceID
 	share    *share
+	// far permits are held by an instance of another region. Their age says
+	// nothing of the upstream.
+	far bool
 }
 
 // Never is a time that does not come.
@@ -54,6 +59,9 @@
 	Free(at model.Time) int
 	// Used returns the number of slots with a permit.
 	Used() int
+	// Oldest returns when the oldest permit was granted, as of the last
+	// MeasureAges. It is Never if there was none.
+	Oldest() model.Time
 }
 
 // Own starts the accounting of an upstream. Permits of an account that is still
@@ -64,7 +72,7 @@
 		a.Assumed = 0
 		a.GrantFrom = 0
 	}
-	acc := &account{Account: a}
+	acc := &account{Account: a, oldest: Never}
 	if old := s.accounts[a.Upstream]; old != nil && old.used > 0 {
 		for _, p := range s.expiry {
 			if p.account == old {
@@ -122,6 +130,34 @@
 // Used implements Meter.
 func (a *account) Used() int { return a.used }
 
+// Oldest implements Meter.
+func (a *account) Oldest() model.Time { return a.oldest }
+
+// MeasureAges brings the ages of the oldest permits up to date.
+func (s *State) MeasureAges() {
+	for _, a := range s.accounts {
+		a.oldest = Never
+	}
+	for _, p := range s.expiry {
+		if !p.far {
+			p.account.oldest = min(p.account.oldest, p.granted)
+		}
+	}
+}
+
+// FarUsed returns the number of permits of the service that instances of other
+// regions hold.
+func (s *State) FarUsed(service model.ServiceName) int { return s.farUsed[service] }
+
+// UpstreamOf returns the upstream of a permit that this instance granted, "" if
+// there is none.
+func (s *State) UpstreamOf(attempt model.AttemptID) model.UpstreamID {
+	if p := s.permits[attempt]; p != nil {
+		return p.account.Upstream
+	}
+	return ""
+}
+
 func (a *account) assumedAt(at model.Time) int {
 	if at >= a.AssumedUntil {
 		return 0
@@ -137,12 +173,15 @@
 
 func (s *State) grant(at model.Time, p *permit, out *event.Effects) {
 	a := p.account
-	if s.Faults.ForgetOnExpiry {
-		p.expires = min(p.expires, at.Add(Validity))
+	if s.Faults.ExpireEarly {
+		p.expires = min(p.expires, at.Add(Validity/10))
 	}
 	a.used++
 	s.permits[p.attempt] = p
 	heap.Push(&s.expiry, p)
+	if p.far {
+		s.farUsed[a.Service]++
+	}
 	if a.used+a.assumedAt(at) > a.Slots {
 		out.Add(event.InvariantFailed{Name: "slot_bound", Detail: fmt.Sprintf("upstream %s: %d of %d slots granted", a.Upstream, a.used, a.Slots)})
 	}
@@ -176,6 +215,9 @@
 	if p.share != nil {
 		p.share.used--
 	}
+	if p.far {
+		s.farUsed[p.account.Service]--
+	}
 }
 
 // Held reports whether the attempt holds a permit that this instance granted.
@@ -196,7 +238,7 @@
 	for _, p := range s.expiry {
 		if p.account == a {
 			p.newOwner = to
-			permits = append(permits, message.HeldPermit{Attempt: p.attempt, Holder: p.holder, Left: p.expires.Sub(at)})
+			permits = append(permits, message.HeldPermit{Attempt: p.attempt, Holder: p.holder, Left: p.expires.Sub(at), Far: p.far})
 		}
 	}
 	sort.Slice(permits, func(i, j int) bool { return lessAttempt(permits[i].Attempt, permits[j].Attempt) })
@@ -234,7 +276,10 @@
 			}
 			continue
 		}
-		p := &permit{attempt: h.Attempt, holder: h.Holder, account: a, granted: at, expires: at.Add(h.Left)}
+		p := &permit{attempt: h.Attempt, holder: h.Holder, account: a, granted: at, expires: at.Add(h.Left), far: h.Far}
+		if p.far {
+			s.farUsed[a.Service]++
+		}
 		a.used++
 		s.permits[h.Attempt] = p
 		heap.Push(&s.expiry, p)
@@ -242,6 +287,23 @@
 	s.gain(a.gain())
 }
 
+// Unsettled returns the number of permits that other instances hold and of
+// releases that are not acknowledged.
+func (s *State) Unsettled() int {
+	n := 0
+	for _, p := range s.expiry {
+		if p.holder != s.self {
+			n++
+		}
+	}
+	for _, h := range s.held {
+		if h.phase == releasing {
+			n++
+		}
+	}
+	return n
+}
+
 // permitHeap orders permits by expiry, then by attempt.
 type permitHeap []*permit
 
--- a/pkg/permit/state.go
+++ b/pkg/permit/state.go
@@ -26,9 +26,8 @@
 	FreeOnTakeover bool
 	// NoValidity lets permits be dispatched however old their grant is.
 	NoValidity bool
-	// ForgetOnExpiry ends permits at their grant's validity instead of the
-	// deadline.
-	ForgetOnExpiry bool
+	// ExpireEarly ends permits after 100 ms instead of at the deadline.
+	ExpireEarly bool
 	// IgnoreShare grants shifted work beyond the share.
 	IgnoreShare bool
 	// NoForward loses releases of permits that were handed over, and their
@@ -40,7 +39,9 @@
 type State struct {
 	Faults Faults
 
-	self     model.InstanceID
+	self        model.InstanceID
+	incarnation model.Incarnation
+
 	accounts map[model.UpstreamID]*account
 	permits  map[model.AttemptID]*permit
 	expiry   permitHeap
@@ -60,20 +61,24 @@
 	hints  map[model.ServiceName][]*Hint
 	peers  map[model.InstanceID]*peerHints
 	shares shares
+	// farUsed counts the permits of each service that other regions hold.
+	farUsed map[model.ServiceName]int
 }
 
 // New returns an empty state.
-func New(self model.InstanceID) *State {
+func New(self model.InstanceID, incarnation model.Incarnation) *State {
 	return &State{
-		self:      self,
-		accounts:  map[model.UpstreamID]*account{},
-		permits:   map[model.AttemptID]*permit{},
-		asks:      map[model.AttemptID]*ask{},
-		askQueues: map[model.ServiceName]*askQueue{},
-		held:      map[model.AttemptID]*held{},
-		hints:     map[model.ServiceName][]*Hint{},
-		peers:     map[model.InstanceID]*peerHints{},
-		shares:    newShares(),
+		self:        self,
+		incarnation: incarnation,
+		accounts:    map[model.UpstreamID]*account{},
+		permits:     map[model.AttemptID]*permit{},
+		asks:        map[model.AttemptID]*ask{},
+		askQueues:   map[model.ServiceName]*askQueue{},
+		held:        map[model.AttemptID]*held{},
+		hints:       map[model.ServiceName][]*Hint{},
+		peers:       map[model.InstanceID]*peerHints{},
+		shares:      newShares(),
+		farUsed:     map[model.ServiceName]int{},
 	}
 }
 
@@ -97,7 +102,7 @@
 }
 
 // Wake ends expired permits and asks, and repeats unanswered messages.
-func (s *State) Wake(at model.Time, out *event.Effects) {
+func (s *State) Wake(at model.Time, latencies Latencies, out *event.Effects) {
 	for len(s.expiry) > 0 && s.expiry[0].expires <= at {
 		s.end(at, s.expiry[0])
 	}
@@ -116,7 +121,7 @@
 		s.endAsk(attempt, at)
 	}
 	s.resend(at, out)
-	s.wakeShares(at)
+	s.wakeShares(at, latencies)
 }
 
 // Gain says that a service may have gained a free slot, at an upstream or, if
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
@@ -16,11 +17,15 @@
 	}
 	r.relayed = ev.Attempt
 	r.mayHaveRun = true
+	s.withdraw(at, r, out)
 	out.Add(event.Relay{Request: ev.Request, Attempt: ev.Attempt})
-	for _, id := range r.attempts {
-		if id != ev.Attempt {
-			out.Add(event.CancelAttempt{Request: ev.Request, Attempt: id})
+	for _, a := range r.attempts {
+		if a.id != ev.Attempt {
+			out.Add(event.CancelAttempt{Request: ev.Request, Attempt: a.id})
+			continue
 		}
+		s.service(at, r.arrived.Service).answers.add(at.Sub(a.sentAt))
+		s.slots.Observe(at, a.id, message.Use{Latency: at.Sub(a.sentAt)})
 	}
 }
 
@@ -28,16 +33,25 @@
 // to be free; otherwise the upstream is asked to confirm, and the permit runs
 // until that or until the deadline.
 func (s *State) Ended(at model.Time, ev *event.AttemptEnded, out *event.Effects) {
+	s.observeEnd(at, ev)
 	if isSlotFree(ev.Result) {
 		s.slots.Release(at, ev.Attempt, out)
 	} else if ev.Result != event.Canceled {
 		out.Add(event.CancelAttempt{Request: ev.Request, Attempt: ev.Attempt})
 	}
 	r := s.open[ev.Request]
-	if r == nil || !r.dropAttempt(ev.Attempt) {
+	if r == nil {
+		out.Add(event.Count{Counter: event.LateAnswers, Add: 1})
+		return
+	}
+	a, ok := r.dropAttempt(ev.Attempt)
+	if !ok {
 		out.Add(event.Count{Counter: event.LateAnswers, Add: 1})
 		return
 	}
+	if ev.Result == event.Completed {
+		s.service(at, r.arrived.Service).held(r.arrived.Tenant, at.Sub(a.sentAt))
+	}
 	if r.relayed == ev.Attempt {
 		s.endRelayed(at, r, ev, out)
 		return
@@ -48,6 +62,24 @@
 	s.afterFailure(at, r, ev.Result, out)
 }
 
+// observeEnd passes on what the end of an attempt shows of its upstream.
+func (s *State) observeEnd(at model.Time, ev *event.AttemptEnded) {
+	switch ev.Result {
+	case event.ConnectFailed:
+		s.slots.Observe(at, ev.Attempt, message.Use{Unreachable: true})
+	case event.Completed:
+		r := s.open[ev.Request]
+		if r == nil {
+			return
+		}
+		for _, a := range r.attempts {
+			if a.id == ev.Attempt {
+				s.slots.Observe(at, a.id, message.Use{Hold: at.Sub(a.sentAt)})
+			}
+		}
+	}
+}
+
 // isSlotFree reports whether the result proves that the upstream's slot is free.
 func isSlotFree(res event.AttemptResult) bool {
 	switch res {
@@ -57,15 +89,30 @@
 	return false
 }
 
-// endRelayed ends a request whose answer went to the caller. The traffic side
-// has ended the caller's response accordingly.
+// endRelayed ends a request whose answer went to the caller, or has the rest of
+// a truncated answer sent by another attempt.
 func (s *State) endRelayed(at model.Time, r *request, ev *event.AttemptEnded, out *event.Effects) {
+	if ev.Result == event.Truncated {
+		if s.mayResume(at, r, ev) {
+			r.relayed = model.AttemptID{}
+			s.admit(at, r, out)
+			return
+		}
+		out.Add(event.Finish{Request: r.arrived.ID, Code: result.UpstreamLost})
+	}
 	delete(s.open, r.arrived.ID)
 	if r.claimed() {
 		s.ledger.Record(at, r.arrived.ID, ev.Answer, out)
 	}
 }
 
+// mayResume reports whether another attempt may send what is missing of a
+// truncated answer: all of it, or the rest if the upstream can send that.
+func (s *State) mayResume(at model.Time, r *request, ev *event.AttemptEnded) bool {
+	return r.idempotent && (ev.Relayed == 0 || ev.Resumable) && at < r.deadline &&
+		s.mayRepeat(r, result.UpstreamLost) && s.service(at, r.arrived.Service).budget.take(at)
+}
+
 // afterFailure repeats the request where its profile allows it, or ends it.
 func (s *State) afterFailure(at model.Time, r *request, res event.AttemptResult, out *event.Effects) {
 	code := failureCode(res)
@@ -77,7 +124,8 @@
 	if len(r.attempts) > 0 {
 		return
 	}
-	if at < r.deadline && s.mayRepeat(r, code) {
+	s.withdraw(at, r, out)
+	if at < r.deadline && s.mayRepeat(r, code) && s.service(at, r.arrived.Service).budget.take(at) {
 		s.admit(at, r, out)
 		return
 	}
@@ -87,9 +135,12 @@
 // mayRepeat reports whether the profile allows another attempt after one that
 // ended with the code.
 func (s *State) mayRepeat(r *request, code result.Code) bool {
-	if !r.arrived.Replayable || r.dispatched >= r.profile.MaxAttempts {
+	if r.canceled || !r.arrived.Replayable || r.dispatched >= r.profile.MaxAttempts {
 		return false
 	}
+	if s.Faults.RepeatUnknown {
+		return true
+	}
 	switch r.profile.Repeat {
 	case model.RepeatNever:
 		return false
@@ -129,7 +180,11 @@
 	if r == nil {
 		return
 	}
+	r.canceled = true
 	switch r.phase {
+	case shifting:
+		s.withdraw(at, r, out)
+		s.finish(at, r, result.CanceledByCaller, out)
 	case queued:
 		s.leaveQueue(at, r, out)
 		s.finish(at, r, result.CanceledByCaller, out)
@@ -138,26 +193,26 @@
 			return
 		}
 		for _, a := range r.attempts {
-			out.Add(event.CancelAttempt{Request: id, Attempt: a})
+			out.Add(event.CancelAttempt{Request: id, Attempt: a.id})
 		}
 	}
 }
 
 func (r *request) hasAttempt(id model.AttemptID) bool {
 	for _, a := range r.attempts {
-		if a == id {
+		if a.id == id {
 			return true
 		}
 	}
 	return false
 }
 
-func (r *request) dropAttempt(id model.AttemptID) bool {
+func (r *request) dropAttempt(id model.AttemptID) (openAttempt, bool) {
 	for i, a := range r.attempts {
-		if a == id {
+		if a.id == id {
 			r.attempts = append(r.attempts[:i], r.attempts[i+1:]...)
-			return true
+			return a, true
 		}
 	}
-	return false
+	return openAttempt{}, false
 }
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -27,18 +27,31 @@
 // Acquire implements request.Slots. A slot of another instance that is nearer
 // goes before one of this instance.
 func (l *slots) Acquire(at model.Time, r request.SlotRequest, out *event.Effects) (request.SlotGrant, bool) {
-	s := l.s
+	u := l.s.choose(at, r, false)
+	if u == nil {
+		u = l.s.choose(at, r, true)
+	}
+	if u == nil {
+		return request.SlotGrant{}, false
+	}
+	l.s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
+	return grantOf(u), true
+}
+
+// choose returns the nearest upstream of this instance with a free slot, nil if
+// there is none or another instance has one nearer. Suspect upstreams count only
+// as spare.
+func (s *State) choose(at model.Time, r request.SlotRequest, spare bool) *upstream.Upstream {
 	for distance := 0; distance <= reach(r.Spill); distance++ {
-		u := s.upstreams.Choose(at, upstream.Query{Service: r.Service, Distance: distance, Avoid: r.Avoid})
-		if u != nil {
-			s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
-			return grantOf(u), true
+		q := upstream.Query{Service: r.Service, Distance: distance, Avoid: r.Avoid, Spare: spare}
+		if u := s.upstreams.Choose(at, q); u != nil {
+			return u
 		}
 		if s.freeHint(at, r.Service, distance) != nil {
-			break
+			return nil
 		}
 	}
-	return request.SlotGrant{}, false
+	return nil
 }
 
 func grantOf(u *upstream.Upstream) request.SlotGrant {
@@ -51,10 +64,31 @@
 func (s *State) freeHint(at model.Time, service model.ServiceName, distance int) *permit.Hint {
 	var best *permit.Hint
 	for _, h := range s.permits.Hints(service) {
-		if h.Free <= 0 || at > h.At.Add(permit.HintAge) || s.distance(h.Zone) != distance {
+		if free(h, distance) <= 0 || at > h.At.Add(permit.HintAge) || s.distance(h.Zone) != distance {
 			continue
 		}
-		if best == nil || h.Free > best.Free {
+		if best == nil || free(h, distance) > free(best, distance) {
+			best = h
+		}
+	}
+	return best
+}
+
+// free returns the slots that an owner at the distance has for this instance.
+func free(h *permit.Hint, distance int) int {
+	if distance == 2 {
+		return h.Far
+	}
+	return h.Free
+}
+
+// shiftHint returns the hint of the instance with the most free slots in the
+// target region of a shift.
+func (s *State) shiftHint(at model.Time, service model.ServiceName, shift string) *permit.Hint {
+	region := s.shiftTarget(shift)
+	var best *permit.Hint
+	for _, h := range s.permits.Hints(service) {
+		if h.Far > 0 && at <= h.At.Add(permit.HintAge) && s.config.RegionOf(h.Zone) == region && (best == nil || h.Far > best.Far) {
 			best = h
 		}
 	}
@@ -83,11 +117,13 @@
 func (l *slots) Ask(at model.Time, r request.SlotRequest, out *event.Effects) bool {
 	s := l.s
 	var h *permit.Hint
-	for distance := 0; distance <= reach(r.Spill) && h == nil; distance++ {
+	if r.Shift != "" {
+		h = s.shiftHint(at, r.Service, r.Shift)
+	}
+	for distance := 0; r.Shift == "" && distance <= reach(r.Spill) && h == nil; distance++ {
 		h = s.freeHint(at, r.Service, distance)
 	}
-	asked := r.Asked.Seq != 0
-	if asked && (h == nil || h.Instance == s.permits.AskedOf(r.Asked)) {
+	if r.FreeOnly && (h == nil || h.Instance == s.permits.AskedOf(r.Asked)) {
 		return false
 	}
 	if h == nil && !s.upstreams.Serves(r.Service) {
@@ -97,9 +133,10 @@
 		return false
 	}
 	h.Free--
+	h.Far--
 	h.Waiting++
 	s.permits.AskFor(at, h.Instance, message.PermitRequest{
-		Attempt: r.Attempt, Service: r.Service, Zone: s.identity.Zone, Avoid: r.Avoid}, r.Deadline, out)
+		Attempt: r.Attempt, Service: r.Service, Zone: s.identity.Zone, Avoid: r.Avoid, Shift: r.Shift}, r.Deadline, out)
 	return true
 }
 
@@ -108,6 +145,20 @@
 	return l.s.permits.Release(at, attempt, out)
 }
 
+// Observe implements request.Slots.
+func (l *slots) Observe(at model.Time, attempt model.AttemptID, use message.Use) {
+	if l.s.permits.Note(attempt, use) {
+		return
+	}
+	l.s.observe(at, l.s.permits.UpstreamOf(attempt), use)
+}
+
+func (s *State) observe(at model.Time, id model.UpstreamID, use message.Use) {
+	if use != (message.Use{}) {
+		s.upstreams.Observe(at, id, use)
+	}
+}
+
 // Serves implements request.Slots.
 func (l *slots) Serves(service model.ServiceName) bool {
 	if l.s.upstreams.Serves(service) {
@@ -155,8 +206,13 @@
 	if a == nil {
 		return false
 	}
-	for distance := range upstream.Distances {
-		u := s.upstreams.Choose(at, upstream.Query{Service: service, Distance: distance, Avoid: a.Avoid})
+	if limited := s.isLimited(at, a); limited {
+		s.permits.RefuseAsk(a.Attempt, limited, &s.out)
+		return true
+	}
+	for k := range 2 * upstream.Distances {
+		q := upstream.Query{Service: service, Distance: k % upstream.Distances, Region: s.shiftTarget(a.Shift), Avoid: a.Avoid, Spare: k >= upstream.Distances}
+		u := s.upstreams.Choose(at, q)
 		if u == nil {
 			continue
 		}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"math/rand/v2"
 	"sort"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -21,6 +22,8 @@
 	Address string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
+	// Policy names the selection policy for benches, "" for the usual one.
+	Policy string
 }
 
 // State is the whole control state of an instance.
@@ -46,23 +49,28 @@
 
 	stopping bool
 	// stopAt is when callers' cached look-ups have run out.
-	stopAt   model.Time
-	stopped  bool
-	timerAt  model.Time
-	viewDone bool
+	stopAt  model.Time
+	stopped bool
+	// handingOver is set once ownership moves to other instances.
+	handingOver bool
+	timerAt     model.Time
+	rng         *rand.Rand
+	viewDone    bool
 }
 
 // New returns the state of an instance that has seen no event.
 func New(identity Identity) *State {
 	s := &State{
 		identity: identity,
-		permits:  permit.New(identity.ID),
+		permits:  permit.New(identity.ID, identity.Incarnation),
 		ledger:   &localLedger{},
 		peers:    map[model.InstanceID]view.Instance{},
+		rng:      rand.New(rand.NewPCG(identity.Seed, 3)),
 		longest:  map[model.ServiceName]model.Duration{},
 		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
 	s.upstreams = upstream.New(s.permits, s, identity.Incarnation, identity.Seed)
+	s.upstreams.Policy = upstream.NewPolicy(identity.Policy)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
 	return s
 }
@@ -71,10 +79,11 @@
 // valid until the next call.
 func (s *State) Step(ev event.Event) []event.Effect {
 	s.out.Reset()
+	s.advanceStop(ev.At)
 	s.route(ev.At, ev.Body)
 	s.decideClaims(ev.At)
 	s.pump(ev.At)
-	s.sendHints(ev.At)
+	s.tick(ev.At)
 	s.checkStopped(ev.At)
 	s.publish()
 	s.setTimer()
@@ -112,6 +121,7 @@
 		s.timerAt = 0
 		s.wake(at)
 	case event.Started:
+		s.permits.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
@@ -131,9 +141,11 @@
 	if s.config != nil && c.Version <= s.config.Version {
 		return
 	}
+	before := s.config
 	s.config = c
 	s.measureDistances()
 	s.requests.Configure(c)
+	s.permits.Configure(at, s.ownShares(before), s.requests)
 	s.upstreams.Reconfigure()
 	s.viewDone = false
 	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
@@ -145,7 +157,7 @@
 // wake handles everything that is due.
 func (s *State) wake(at model.Time) {
 	s.upstreams.Wake(at, &s.out)
-	s.permits.Wake(at, &s.out)
+	s.permits.Wake(at, s.requests, &s.out)
 	s.requests.Wake(at, &s.out)
 }
 
@@ -156,27 +168,6 @@
 	}
 }
 
-// stop begins a graceful stop: look-ups stop naming this instance, and callers
-// with a cached answer are served until it has run out.
-func (s *State) stop(at model.Time) {
-	if s.stopping {
-		return
-	}
-	s.stopping = true
-	s.stopAt = at.Add(view.LookupTTL)
-	s.viewDone = false
-	s.out.Add(event.Log{Code: logevent.ProcessStopping})
-}
-
-func (s *State) checkStopped(at model.Time) {
-	if !s.stopping || s.stopped || at < s.stopAt || s.requests.Open() > 0 {
-		return
-	}
-	s.stopped = true
-	s.out.Add(event.Log{Code: logevent.ProcessStopped})
-	s.out.Add(event.Stopped{})
-}
-
 // publish makes a new view if anything it shows has changed.
 func (s *State) publish() {
 	if s.viewDone {
@@ -186,7 +177,10 @@
 	self := view.Instance{ID: s.identity.ID, Address: s.identity.Address, Zone: s.identity.Zone}
 	self.Region = s.config.RegionOf(self.Zone)
 	v := &view.View{Self: self, Config: s.config, Stopping: s.stopping}
-	for _, p := range s.peers {
+	for id, p := range s.peers {
+		if s.hinting.stopping[id] {
+			continue
+		}
 		p.Region = s.config.RegionOf(p.Zone)
 		v.Instances = append(v.Instances, p)
 	}
@@ -199,10 +193,7 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextHint())
-	if s.stopping && !s.stopped {
-		next = earliest(next, s.stopAt)
-	}
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick(), s.nextStop())
 	if next == 0 || next == s.timerAt {
 		return
 	}
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -96,12 +96,25 @@
 	// readyIndex is the position among the ready upstreams of the pool, -1 if it
 	// is not there.
 	readyIndex int
+	pool       *pool
 	health     health
 }
 
+// Faults switch off one rule each. Tests use them to show that their checks
+// notice a broken rule.
+type Faults struct {
+	// IgnoreDrain goes on to use draining upstreams.
+	IgnoreDrain bool
+	// AnyTenure takes a handover without comparing the tenure.
+	AnyTenure bool
+	// KeepAfterHandover goes on to grant slots that were handed over.
+	KeepAfterHandover bool
+}
+
 // State holds the upstreams that this instance owns.
 type State struct {
 	Policy Policy
+	Faults Faults
 
 	slots      Slots
 	deployment Deployment
@@ -115,6 +128,11 @@
 	handovers alarm.Queue[*Upstream]
 	handed    map[model.UpstreamID]*handedOver
 	redirects map[model.UpstreamID]*redirect
+
+	// Buffers of Choose and Sweep.
+	candidates []*Upstream
+	scratch    []float64
+	raised     []model.ServiceName
 }
 
 // pool holds the owned upstreams of one service.
@@ -124,6 +142,12 @@
 	// ready lists, for each distance, those that may have a free slot.
 	ready   [Distances][]*Upstream
 	serving int
+	// slots counts the slots of the serving members.
+	slots int
+	// suspects counts the suspect members. median is that of their latencies, 0
+	// if unknown.
+	suspects int
+	median   float64
 }
 
 // New returns an empty state that accounts for slots in slots.
@@ -157,16 +181,18 @@
 	p.members = append(p.members, nil)
 	copy(p.members[i+1:], p.members[i:])
 	p.members[i] = u
+	u.pool = p
 	p.count()
 	return u
 }
 
 // count brings the number of serving members up to date.
 func (p *pool) count() {
-	p.serving = 0
+	p.serving, p.slots = 0, 0
 	for _, m := range p.members {
 		if m.takesWork() {
 			p.serving++
+			p.slots += m.Announcement.Slots
 		}
 	}
 }
@@ -188,6 +214,9 @@
 	delete(s.owned, a.Upstream)
 	p := s.pools[a.Service]
 	p.unready(u)
+	if u.health.suspect {
+		p.suspects--
+	}
 	for i, m := range p.members {
 		if m == u {
 			p.members = append(p.members[:i], p.members[i+1:]...)
@@ -286,18 +315,31 @@
 	return p != nil && p.serving > 0
 }
 
+// Slots returns the number of slots of the owned serving upstreams.
+func (s *State) Slots(service model.ServiceName) int {
+	if p := s.pools[service]; p != nil {
+		return p.slots
+	}
+	return 0
+}
+
 // Offers sums up the owned upstreams by service and zone, in that order.
 func (s *State) Offers(at model.Time) []message.Offer {
+	var offers []message.Offer
+	for _, name := range s.services() {
+		offers = append(offers, s.pools[name].offers(at, name)...)
+	}
+	return offers
+}
+
+// services lists the services of owned upstreams in name order.
+func (s *State) services() []model.ServiceName {
 	names := make([]model.ServiceName, 0, len(s.pools))
 	for name := range s.pools {
 		names = append(names, name)
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	var offers []message.Offer
-	for _, name := range names {
-		offers = append(offers, s.pools[name].offers(at, name)...)
-	}
-	return offers
+	return names
 }
 
 func (p *pool) offers(at model.Time, name model.ServiceName) []message.Offer {
--- /dev/null
+++ b/resume_test.go
@@ -0,0 +1,100 @@
+package anvilcrank_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank"
+	"github.com/anvilcrank/anvilcrank/pkg/proxy"
+)
+
+// startWithUpstream runs an instance with an upstream of the service "reads"
+// that answers by handler.
+func startWithUpstream(t *testing.T, handler http.HandlerFunc) *anvilcrank.Instance {
+	upstream := httptest.NewServer(handler)
+	t.Cleanup(upstream.Close)
+	i, _ := startInstance(t)
+	announce(t, i, "reads", upstream)
+	return i
+}
+
+// breakingHandler breaks the first response off after some bytes.
+func breakingHandler(content []byte, breakAt int, etag func(n int32) string) http.HandlerFunc {
+	var calls atomic.Int32
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == proxy.CancelPath {
+			_, _ = io.WriteString(w, `{"state":"stopped"}`)
+			return
+		}
+		n := calls.Add(1)
+		w.Header().Set("Etag", etag(n))
+		if n > 1 {
+			http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
+			return
+		}
+		w.Header().Set("Accept-Ranges", "bytes")
+		w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write(content[:breakAt])
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func content() []byte {
+	var b bytes.Buffer
+	for n := 0; b.Len() < 200_000; n++ {
+		fmt.Fprintln(&b, n)
+	}
+	return b.Bytes()
+}
+
+func getItem(t *testing.T, i *anvilcrank.Instance) (*http.Response, string, error) {
+	return get(t, "http://"+i.Address()+"/s/reads/item")
+}
+
+func sameTag(int32) string { return `"tag"` }
+
+// Guards against a download that breaks off although the rest can be fetched.
+func TestTruncatedReadIsResumed(t *testing.T) {
+	g := NewWithT(t)
+	want := content()
+	_, body, err := getItem(t, startWithUpstream(t, breakingHandler(want, 70_000, sameTag)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body == string(want)).To(BeTrue())
+}
+
+// Guards against a read that fails although no byte of it was sent on.
+func TestReadThatBreaksBeforeItsBodyIsRetried(t *testing.T) {
+	g := NewWithT(t)
+	want := content()
+	resp, body, err := getItem(t, startWithUpstream(t, breakingHandler(want, 0, func(n int32) string { return fmt.Sprintf(`"%d"`, n) })))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Header.Get("Etag")).To(Equal(`"2"`))
+	g.Expect(body == string(want)).To(BeTrue())
+}
+
+// Guards against a body that is put together from two versions, or ends as if
+// it were whole.
+func TestChangedContentIsNotResumed(t *testing.T) {
+	g := NewWithT(t)
+	_, _, err := getItem(t, startWithUpstream(t, breakingHandler(content(), 70_000, func(n int32) string { return fmt.Sprintf(`"%d"`, n) })))
+	g.Expect(err).To(HaveOccurred())
+}
+
+// Guards against a weak tag, which does not say that the bytes are the same,
+// being used to resume.
+func TestWeakTagIsNotResumed(t *testing.T) {
+	g := NewWithT(t)
+	_, _, err := getItem(t, startWithUpstream(t, breakingHandler(content(), 70_000, func(int32) string { return `W/"tag"` })))
+	g.Expect(err).To(HaveOccurred())
+}
