Add the state machine of configuration changes

Cause: operators race with equal expected versions and resend changes after a lost answer. Version 1 is left to bootstrap settings, which are not agreed on. Conclusion: the table tests of each rule pass.

--- /dev/null
+++ b/pkg/change/change.go
@@ -0,0 +1,236 @@
+package change
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// Bounds of a change. Larger values are malformed.
+const (
+	// MinIDLength makes accidental reuse of a change id unlikely.
+	MinIDLength     = 8
+	MaxReasonLength = 1024
+)
+
+// Change is one change that an operator asks for.
+type Change struct {
+	// ID names the change; a resent change has the same one.
+	ID string `json:"change_id"`
+	// Expected is the version that the change replaces.
+	Expected  model.Version `json:"expected_version"`
+	Author    string        `json:"author"`
+	Time      model.Time    `json:"time"`
+	Reason    string        `json:"reason"`
+	Operation Operation     `json:"operation"`
+}
+
+// Kind names an operation.
+type Kind string
+
+// Operations.
+const (
+	// Bootstrap sets the first configuration of a new deployment.
+	Bootstrap     Kind = "bootstrap"
+	SetProfile    Kind = "set_profile"
+	DeleteProfile Kind = "delete_profile"
+	BindService   Kind = "bind_service"
+	SetShift      Kind = "set_shift"
+	DeleteShift   Kind = "delete_shift"
+	AddDrain      Kind = "add_drain"
+	RemoveDrain   Kind = "remove_drain"
+	SetRoster     Kind = "set_roster"
+	SetLinks      Kind = "set_links"
+	// RollBack brings back the content of an earlier version as a new version.
+	RollBack Kind = "roll_back"
+)
+
+// Operation is what a change does. Only the fields of its kind are set.
+type Operation struct {
+	Kind Kind `json:"kind"`
+	// Config belongs to Bootstrap.
+	Config *model.Config `json:"config,omitempty"`
+	// Profile belongs to SetProfile.
+	Profile *model.Profile `json:"profile,omitempty"`
+	// Service belongs to BindService.
+	Service *model.Service `json:"service,omitempty"`
+	// Shift belongs to SetShift.
+	Shift *model.Shift `json:"shift,omitempty"`
+	// Drain belongs to AddDrain and RemoveDrain.
+	Drain *model.Drain `json:"drain,omitempty"`
+	// Name is the profile or shift to delete.
+	Name string `json:"name,omitempty"`
+	// Zones and Roster belong to SetRoster.
+	Zones  []model.ZoneInfo    `json:"zones,omitempty"`
+	Roster []model.RosterEntry `json:"roster,omitempty"`
+	// Links belongs to SetLinks; none removes all budgets.
+	Links []model.Link `json:"links,omitempty"`
+	// Version is the version to roll back to.
+	Version model.Version `json:"version,omitempty"`
+}
+
+// Summary names a change that took effect.
+type Summary struct {
+	Version model.Version `json:"version"`
+	ID      string        `json:"change_id"`
+	Author  string        `json:"author"`
+}
+
+// Result is the outcome of a change.
+type Result struct {
+	Code result.Code `json:"code"`
+	// Version is the version that an accepted change made.
+	Version model.Version `json:"version,omitempty"`
+	// Winner is the change that took effect instead; set with VersionConflict.
+	Winner Summary `json:"winner"`
+	Detail string  `json:"detail,omitempty"`
+}
+
+// Entry is one accepted change in the history.
+type Entry struct {
+	Summary
+	// Replaced is the version before.
+	Replaced model.Version `json:"replaced"`
+	Time     model.Time    `json:"time"`
+	Reason   string        `json:"reason"`
+	Kind     Kind          `json:"kind"`
+	// Target is what the change was about.
+	Target string `json:"target"`
+}
+
+// Validate reports the first missing or impossible field. It does not look at
+// any configuration.
+func (c *Change) Validate() error {
+	switch {
+	case len(c.ID) < MinIDLength || len(c.ID) > model.MaxNameLength:
+		return fmt.Errorf("change_id must have %d to %d characters", MinIDLength, model.MaxNameLength)
+	case c.Author == "" || len(c.Author) > model.MaxNameLength:
+		return fmt.Errorf("author must have 1 to %d characters", model.MaxNameLength)
+	case len(c.Reason) > MaxReasonLength:
+		return fmt.Errorf("reason is longer than %d characters", MaxReasonLength)
+	}
+	return c.Operation.validate()
+}
+
+// fields lists the fields that an operation sets, in the order of its type.
+func (o *Operation) fields() []string {
+	var set []string
+	for _, f := range []struct {
+		name string
+		set  bool
+	}{
+		{"config", o.Config != nil}, {"profile", o.Profile != nil}, {"service", o.Service != nil},
+		{"shift", o.Shift != nil}, {"drain", o.Drain != nil}, {"name", o.Name != ""},
+		{"zones", len(o.Zones) > 0}, {"roster", len(o.Roster) > 0}, {"links", len(o.Links) > 0},
+		{"version", o.Version != 0},
+	} {
+		if f.set {
+			set = append(set, f.name)
+		}
+	}
+	return set
+}
+
+// needs lists the fields that each operation must have, and may have.
+var needs = map[Kind][]string{
+	Bootstrap:     {"config"},
+	SetProfile:    {"profile"},
+	DeleteProfile: {"name"},
+	BindService:   {"service"},
+	SetShift:      {"shift"},
+	DeleteShift:   {"name"},
+	AddDrain:      {"drain"},
+	RemoveDrain:   {"drain"},
+	SetRoster:     {"zones", "roster"},
+	SetLinks:      {"links"},
+	RollBack:      {"version"},
+}
+
+func (o *Operation) validate() error {
+	want, ok := needs[o.Kind]
+	if !ok {
+		return fmt.Errorf("operation kind %q is unknown", o.Kind)
+	}
+	set := o.fields()
+	if o.Kind == SetLinks && len(set) == 0 {
+		return nil
+	}
+	if fmt.Sprint(set) != fmt.Sprint(want) {
+		return fmt.Errorf("operation %s needs the fields %v, not %v", o.Kind, want, set)
+	}
+	return nil
+}
+
+// Target names what the operation is about, for history and logs.
+func (o *Operation) Target() string {
+	switch o.Kind {
+	case SetProfile:
+		return o.Profile.Name
+	case BindService:
+		return string(o.Service.Name)
+	case SetShift:
+		return o.Shift.ID
+	case AddDrain, RemoveDrain:
+		return o.Drain.Kind + " " + o.Drain.Target
+	case DeleteProfile, DeleteShift:
+		return o.Name
+	case RollBack:
+		return fmt.Sprintf("version %d", o.Version)
+	}
+	return ""
+}
+
+// Digest identifies the body of a change.
+type Digest [sha256.Size]byte
+
+// digest covers everything but the time, which the accepting instance sets anew
+// when a change is resent.
+func (c *Change) digest() Digest {
+	h := sha256.New()
+	o := &c.Operation
+	fmt.Fprintf(h, "%q %d %q %q %q", c.ID, c.Expected, c.Author, c.Reason, o.Kind)
+	if o.Config != nil {
+		fmt.Fprintf(h, " config %#v", normalized(o.Config))
+	}
+	if o.Profile != nil {
+		fmt.Fprintf(h, " profile %#v", normalizedProfile(*o.Profile))
+	}
+	if o.Service != nil {
+		fmt.Fprintf(h, " service %q", []string{string(o.Service.Name), o.Service.Profile})
+	}
+	if o.Shift != nil {
+		fmt.Fprintf(h, " shift %#v", *o.Shift)
+	}
+	if o.Drain != nil {
+		fmt.Fprintf(h, " drain %#v", *o.Drain)
+	}
+	fmt.Fprintf(h, " %q %d %d %#v %d %#v %d %#v", o.Name, o.Version,
+		len(o.Zones), append([]model.ZoneInfo{}, o.Zones...),
+		len(o.Roster), append([]model.RosterEntry{}, o.Roster...),
+		len(o.Links), append([]model.Link{}, o.Links...))
+	return Digest(h.Sum(nil))
+}
+
+// normalized returns the configuration with empty lists in place of absent
+// ones, since an encoding does not keep the difference.
+func normalized(c *model.Config) model.Config {
+	n := *c
+	n.Zones = append([]model.ZoneInfo{}, c.Zones...)
+	n.Roster = append([]model.RosterEntry{}, c.Roster...)
+	n.Profiles = append([]model.Profile{}, c.Profiles...)
+	for i := range n.Profiles {
+		n.Profiles[i] = normalizedProfile(n.Profiles[i])
+	}
+	n.Services = append([]model.Service{}, c.Services...)
+	n.Shifts = append([]model.Shift{}, c.Shifts...)
+	n.Drains = append([]model.Drain{}, c.Drains...)
+	n.Links = append([]model.Link{}, c.Links...)
+	return n
+}
+
+func normalizedProfile(p model.Profile) model.Profile {
+	p.IdempotentMethods = append([]string{}, p.IdempotentMethods...)
+	return p
+}
--- /dev/null
+++ b/pkg/change/state.go
@@ -0,0 +1,223 @@
+package change
+
+import (
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+const (
+	// MaxResults is how many change ids are remembered with their results. A
+	// resent change that is older is refused by its expected version.
+	MaxResults = 4096
+	// MaxHistory bounds the history.
+	MaxHistory = 1024
+	// MaxKept is how many versions are kept whole, to roll back to. It bounds
+	// the snapshot, which holds all of them.
+	MaxKept = 64
+	// firstVersion is the lowest version that a change makes. Version 1 is that
+	// of bootstrap settings, which are not agreed on.
+	firstVersion = 2
+)
+
+// Remembered is the first result of a change id.
+type Remembered struct {
+	ID     string
+	Digest Digest
+	Result Result
+}
+
+// Snapshot is the whole replicated state.
+type Snapshot struct {
+	Position uint64
+	Config   *model.Config
+	Kept     []*model.Config
+	History  []Entry
+	Results  []Remembered
+}
+
+// State is the replicated state. The zero value is not usable; call New.
+type State struct {
+	// position is the log position applied last.
+	position uint64
+	// config is nil until the first change.
+	config *model.Config
+	// kept holds the latest versions, the present one included, oldest first.
+	kept    []*model.Config
+	history []Entry
+	// results is a ring of the last MaxResults change ids in order of their
+	// first application; next is where the oldest one is.
+	results []Remembered
+	next    int
+	byID    map[string]int
+}
+
+// New returns the state before the first entry.
+func New() *State { return &State{byID: map[string]int{}} }
+
+// Position returns the log position applied last.
+func (s *State) Position() uint64 { return s.position }
+
+// Config returns the present configuration, nil before the first change. It
+// must not be changed.
+func (s *State) Config() *model.Config { return s.config }
+
+// Version returns the present version, 0 before the first change.
+func (s *State) Version() model.Version {
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Version
+}
+
+// History returns the latest accepted changes, newest first, at most limit.
+func (s *State) History(limit int) []Entry {
+	n := min(limit, len(s.history))
+	list := make([]Entry, 0, n)
+	for i := range n {
+		list = append(list, s.history[len(s.history)-1-i])
+	}
+	return list
+}
+
+// Apply applies the committed change at a log position and returns its result.
+// Positions must rise; an entry that was applied before gets its remembered
+// result.
+func (s *State) Apply(position uint64, c *Change) Result {
+	digest := c.digest()
+	if r, ok := s.recall(c.ID, digest); ok {
+		s.position = max(s.position, position)
+		return r
+	}
+	if position <= s.position {
+		return Result{Code: result.ChangeUnknown, Detail: "the entry was applied before and its result is forgotten"}
+	}
+	s.position = position
+	r, next := s.evaluate(c)
+	if r.Code == result.Answered {
+		next.Version = max(firstVersion, s.Version()+1, model.Version(position))
+		r.Version = next.Version
+		s.accept(c, next)
+	}
+	s.remember(Remembered{ID: c.ID, Digest: digest, Result: r})
+	return r
+}
+
+// DryRun returns the result that the change would have now and the
+// configuration it would make, nil if it would be refused. Nothing changes.
+func (s *State) DryRun(c *Change) (Result, *model.Config) {
+	if r, ok := s.recall(c.ID, c.digest()); ok {
+		return r, nil
+	}
+	return s.evaluate(c)
+}
+
+// evaluate decides on a change without its effect on the state.
+func (s *State) evaluate(c *Change) (Result, *model.Config) {
+	if err := c.Validate(); err != nil {
+		return Result{Code: result.MalformedChange, Detail: err.Error()}, nil
+	}
+	if c.Expected != s.Version() {
+		return Result{Code: result.VersionConflict, Winner: s.winner(c.Expected)}, nil
+	}
+	if s.config == nil && c.Operation.Kind != Bootstrap {
+		return Result{Code: result.InvalidChange, Detail: "there is no configuration yet"}, nil
+	}
+	if s.config != nil && c.Operation.Kind == Bootstrap {
+		return Result{Code: result.InvalidChange, Detail: "the deployment has a configuration already"}, nil
+	}
+	next, err := s.apply(&c.Operation)
+	if err != nil {
+		return Result{Code: result.InvalidChange, Detail: err.Error()}, nil
+	}
+	return Result{Code: result.Answered}, next
+}
+
+// winner returns the change that replaced the expected version, or the latest
+// one if that is no longer in the history.
+func (s *State) winner(expected model.Version) Summary {
+	for i := len(s.history) - 1; i >= 0; i-- {
+		if s.history[i].Replaced == expected {
+			return s.history[i].Summary
+		}
+	}
+	if len(s.history) == 0 {
+		return Summary{Version: s.Version()}
+	}
+	return s.history[len(s.history)-1].Summary
+}
+
+func (s *State) accept(c *Change, next *model.Config) {
+	s.history = appendBounded(s.history, MaxHistory, Entry{
+		Summary:  Summary{Version: next.Version, ID: c.ID, Author: c.Author},
+		Replaced: s.Version(),
+		Time:     c.Time,
+		Reason:   c.Reason,
+		Kind:     c.Operation.Kind,
+		Target:   c.Operation.Target(),
+	})
+	s.config = next
+	s.kept = appendBounded(s.kept, MaxKept, next)
+}
+
+// appendBounded appends an item and drops the oldest ones above the bound.
+func appendBounded[T any](list []T, bound int, item T) []T {
+	list = append(list, item)
+	if drop := len(list) - bound; drop > 0 {
+		copy(list, list[drop:])
+		clear(list[bound:])
+		list = list[:bound]
+	}
+	return list
+}
+
+// recall returns the first result of a change id, or ChangeIDReused if that
+// belongs to another change.
+func (s *State) recall(id string, digest Digest) (Result, bool) {
+	i, ok := s.byID[id]
+	if !ok {
+		return Result{}, false
+	}
+	if s.results[i].Digest != digest {
+		return Result{Code: result.ChangeIDReused}, true
+	}
+	return s.results[i].Result, true
+}
+
+func (s *State) remember(r Remembered) {
+	if len(s.results) < MaxResults {
+		s.byID[r.ID] = len(s.results)
+		s.results = append(s.results, r)
+		return
+	}
+	delete(s.byID, s.results[s.next].ID)
+	s.results[s.next] = r
+	s.byID[r.ID] = s.next
+	s.next = (s.next + 1) % MaxResults
+}
+
+// Snapshot returns the whole state. It shares the configurations, which are
+// never written, with the state.
+func (s *State) Snapshot() Snapshot {
+	snap := Snapshot{
+		Position: s.position,
+		Config:   s.config,
+		Kept:     append([]*model.Config(nil), s.kept...),
+		History:  append([]Entry(nil), s.history...),
+	}
+	snap.Results = append(snap.Results, s.results[s.next:]...)
+	snap.Results = append(snap.Results, s.results[:s.next]...)
+	return snap
+}
+
+// Restore returns the state that a snapshot was taken of.
+func Restore(snap Snapshot) *State {
+	s := New()
+	s.position = snap.Position
+	s.config = snap.Config
+	s.kept = append(s.kept, snap.Kept...)
+	s.history = append(s.history, snap.History...)
+	for _, r := range snap.Results {
+		s.remember(r)
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/change/state_test.go
@@ -0,0 +1,183 @@
+package change_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/change"
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+func profile(name string) *model.Profile {
+	return &model.Profile{Name: name, Class: "short", Repeat: model.RepeatNever, MaxAttempts: 1,
+		DeadlineMs: 1000, QueueLimit: 10, Spill: model.SpillZone}
+}
+
+func first() *model.Config {
+	return &model.Config{
+		Zones:    []model.ZoneInfo{{Zone: "a", Region: "r"}, {Zone: "b", Region: "q"}},
+		Roster:   []model.RosterEntry{{ID: "a-1", Zone: "a"}},
+		Profiles: []model.Profile{*profile("p")},
+		Services: []model.Service{{Name: "s", Profile: "p"}},
+	}
+}
+
+func newChange(id string, expected model.Version, o change.Operation) *change.Change {
+	return &change.Change{ID: "change-" + id, Expected: expected, Author: "ada", Time: 7, Reason: "test", Operation: o}
+}
+
+// started returns a state at version 2 with the configuration of first.
+func started() *change.State {
+	s := change.New()
+	s.Apply(1, newChange("boot", 0, change.Operation{Kind: change.Bootstrap, Config: first()}))
+	return s
+}
+
+func addProfile(id string, expected model.Version) *change.Change {
+	return newChange(id, expected, change.Operation{Kind: change.SetProfile, Profile: profile(id)})
+}
+
+// Each row guards against the failure in its name.
+func TestResultOfOneChange(t *testing.T) {
+	shift := &model.Shift{ID: "x", Service: "s", From: "r", To: "q", Percent: 10, Cap: 4}
+	badShift := &model.Shift{ID: "x", Service: "s", From: "r", To: "nowhere", Percent: 10, Cap: 4}
+	for name, tc := range map[string]struct {
+		expected  model.Version
+		operation change.Operation
+		code      result.Code
+	}{
+		"profile not set":              {2, change.Operation{Kind: change.SetProfile, Profile: profile("n")}, result.Answered},
+		"used profile deleted":         {2, change.Operation{Kind: change.DeleteProfile, Name: "p"}, result.InvalidChange},
+		"unknown profile deleted":      {2, change.Operation{Kind: change.DeleteProfile, Name: "n"}, result.InvalidChange},
+		"service bound to nothing":     {2, change.Operation{Kind: change.BindService, Service: &model.Service{Name: "s", Profile: "n"}}, result.InvalidChange},
+		"service not bound":            {2, change.Operation{Kind: change.BindService, Service: &model.Service{Name: "t", Profile: "p"}}, result.Answered},
+		"shift not set":                {2, change.Operation{Kind: change.SetShift, Shift: shift}, result.Answered},
+		"shift to an unknown region":   {2, change.Operation{Kind: change.SetShift, Shift: badShift}, result.InvalidChange},
+		"unknown shift deleted":        {2, change.Operation{Kind: change.DeleteShift, Name: "x"}, result.InvalidChange},
+		"upstream not drained":         {2, change.Operation{Kind: change.AddDrain, Drain: &model.Drain{Kind: model.DrainUpstream, Target: "u"}}, result.Answered},
+		"zone not drained":             {2, change.Operation{Kind: change.AddDrain, Drain: &model.Drain{Kind: model.DrainZone, Target: "a"}}, result.Answered},
+		"misspelled zone drained":      {2, change.Operation{Kind: change.AddDrain, Drain: &model.Drain{Kind: model.DrainZone, Target: "aa"}}, result.InvalidChange},
+		"misspelled region drained":    {2, change.Operation{Kind: change.AddDrain, Drain: &model.Drain{Kind: model.DrainRegion, Target: "rr"}}, result.InvalidChange},
+		"misspelled instance drained":  {2, change.Operation{Kind: change.AddDrain, Drain: &model.Drain{Kind: model.DrainInstance, Target: "a-9"}}, result.InvalidChange},
+		"missing drain removed":        {2, change.Operation{Kind: change.RemoveDrain, Drain: &model.Drain{Kind: model.DrainZone, Target: "a"}}, result.InvalidChange},
+		"roster in an unknown zone":    {2, change.Operation{Kind: change.SetRoster, Zones: first().Zones, Roster: []model.RosterEntry{{ID: "c", Zone: "c"}}}, result.InvalidChange},
+		"link without a rate":          {2, change.Operation{Kind: change.SetLinks, Links: []model.Link{{A: "r", B: "q"}}}, result.InvalidChange},
+		"links not removed":            {2, change.Operation{Kind: change.SetLinks}, result.Answered},
+		"roll back to nothing":         {2, change.Operation{Kind: change.RollBack, Version: 9}, result.InvalidChange},
+		"second bootstrap":             {2, change.Operation{Kind: change.Bootstrap, Config: first()}, result.InvalidChange},
+		"older version expected":       {1, change.Operation{Kind: change.SetProfile, Profile: profile("n")}, result.VersionConflict},
+		"future version expected":      {3, change.Operation{Kind: change.SetProfile, Profile: profile("n")}, result.VersionConflict},
+		"unknown operation":            {2, change.Operation{Kind: "explode"}, result.MalformedChange},
+		"operation without its field":  {2, change.Operation{Kind: change.SetShift}, result.MalformedChange},
+		"operation with another field": {2, change.Operation{Kind: change.SetProfile, Profile: profile("n"), Name: "n"}, result.MalformedChange},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := started()
+			c := newChange("tested", tc.expected, tc.operation)
+			dry, _ := s.DryRun(c)
+			g.Expect(dry.Code).To(Equal(tc.code), dry.Detail)
+			g.Expect(s.Version()).To(BeEquivalentTo(2), "a dry run changed the state")
+			r := s.Apply(2, c)
+			g.Expect(r.Code).To(Equal(tc.code), r.Detail)
+			g.Expect(s.Version() == 3).To(Equal(tc.code == result.Answered))
+		})
+	}
+}
+
+// Guards against two winners of a race, and against a loser that is not told
+// who won after still more changes.
+func TestLoserIsToldTheWinner(t *testing.T) {
+	g := NewWithT(t)
+	s := started()
+	g.Expect(s.Apply(5, addProfile("winner", 2)).Version).To(BeEquivalentTo(5))
+	g.Expect(s.Apply(6, addProfile("later", 5)).Version).To(BeEquivalentTo(6))
+	r := s.Apply(7, addProfile("loser", 2))
+	g.Expect(r.Code).To(Equal(result.VersionConflict))
+	g.Expect(r.Winner).To(Equal(change.Summary{Version: 5, ID: "change-winner", Author: "ada"}))
+}
+
+// Guards against a resent change that is applied twice, that gets another
+// result the second time, or that hides another change under its id.
+func TestChangeIDIsIdempotent(t *testing.T) {
+	g := NewWithT(t)
+	s := started()
+	c := addProfile("same", 2)
+	want := s.Apply(2, c)
+	s.Apply(3, addProfile("other", 3))
+	again := *c
+	again.Time = 99
+	g.Expect(s.Apply(4, &again)).To(Equal(want))
+	other := *c
+	other.Operation.Profile = profile("different")
+	g.Expect(s.Apply(5, &other).Code).To(Equal(result.ChangeIDReused))
+	g.Expect(s.History(10)).To(HaveLen(3))
+}
+
+// Guards against growth without bound, and against forgetting an id too early.
+func TestBoundsOfMemory(t *testing.T) {
+	g := NewWithT(t)
+	s := started()
+	for i := range change.MaxResults {
+		r := s.Apply(uint64(i+2), newChange(fmt.Sprint(i), s.Version(), change.Operation{Kind: change.SetLinks}))
+		g.Expect(r.Code).To(Equal(result.Answered))
+	}
+	snap := s.Snapshot()
+	g.Expect(snap.Results).To(HaveLen(change.MaxResults))
+	g.Expect(snap.Results[0].ID).To(Equal("change-0"))
+	g.Expect(snap.History).To(HaveLen(change.MaxHistory))
+	g.Expect(snap.Kept).To(HaveLen(change.MaxKept))
+}
+
+// Guards against a roll back that reuses the old version number, or that does
+// not bring back the content.
+func TestRollBackIsANewVersion(t *testing.T) {
+	g := NewWithT(t)
+	s := started()
+	s.Apply(2, addProfile("extra", 2))
+	r := s.Apply(3, newChange("back", 3, change.Operation{Kind: change.RollBack, Version: 2}))
+	g.Expect(r.Code).To(Equal(result.Answered), r.Detail)
+	g.Expect(r.Version).To(BeEquivalentTo(4))
+	g.Expect(s.Config().Profiles).To(Equal(first().Profiles))
+}
+
+// Guards against a member that differs from the others after it was restored
+// from encoded bytes.
+func TestRestoredStateContinuesEqually(t *testing.T) {
+	g := NewWithT(t)
+	s := started()
+	s.Apply(2, addProfile("one", 2))
+	snap := s.Snapshot()
+	data, err := codec.EncodeSnapshot(&snap)
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded, err := codec.DecodeSnapshot(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	restored := change.Restore(*decoded)
+	for i, c := range []*change.Change{addProfile("one", 2), addProfile("two", 3), addProfile("late", 2),
+		newChange("back", 4, change.Operation{Kind: change.RollBack, Version: 2})} {
+		entry, err := codec.EncodeChange(c)
+		g.Expect(err).NotTo(HaveOccurred())
+		c2, err := codec.DecodeChange(entry)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(restored.Apply(uint64(i+3), c2)).To(Equal(s.Apply(uint64(i+3), c)))
+	}
+	g.Expect(restored.Config().Profiles).To(Equal(s.Config().Profiles))
+	g.Expect(restored.History(10)).To(Equal(s.History(10)))
+}
+
+// Guards against damage to an earlier version that shares its lists with later
+// ones.
+func TestEarlierVersionsStayUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	s := started()
+	before := s.Config()
+	changed := profile("p")
+	changed.QueueLimit = 99
+	s.Apply(2, newChange("edit", 2, change.Operation{Kind: change.SetProfile, Profile: changed}))
+	g.Expect(before.Profiles[0].QueueLimit).To(Equal(10))
+	g.Expect(s.Config().Profiles[0].QueueLimit).To(Equal(99))
+}
--- /dev/null
+++ b/pkg/codec/change.go
@@ -0,0 +1,39 @@
+package codec
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/anvilcrank/anvilcrank/pkg/change"
+)
+
+// EncodeChange encodes a change for the replicated log.
+func EncodeChange(c *change.Change) ([]byte, error) { return encode("change", c) }
+
+// DecodeChange decodes what EncodeChange made.
+func DecodeChange(data []byte) (*change.Change, error) { return decode[change.Change]("change", data) }
+
+// EncodeSnapshot encodes the replicated state.
+func EncodeSnapshot(s *change.Snapshot) ([]byte, error) { return encode("snapshot", s) }
+
+// DecodeSnapshot decodes what EncodeSnapshot made.
+func DecodeSnapshot(data []byte) (*change.Snapshot, error) {
+	return decode[change.Snapshot]("snapshot", data)
+}
+
+func encode(what string, v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", what, err)
+	}
+	return data, nil
+}
+
+func decode[T any](what string, data []byte) (*T, error) {
+	v := new(T)
+	if err := decMode.Unmarshal(data, v); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", what, err)
+	}
+	return v, nil
+}
