Bring committed configurations to all instances

Cause: an accepted configuration must be in force everywhere within seconds and never revert; instances put their own bootstrap settings in force at once. Change: pkg/distribution pushes along a tree (fan-out 8), compares versions with a random peer each second, collects acknowledged versions, saves before a version comes into force where there is a disk, and takes operators' requests to the leader. An instance without a configuration asks its peers first. The bootstrap settings become the first change of the control group. Until the replicated log is wired in, the first instance of the roster commits at once.

--- a/instance.go
+++ b/instance.go
@@ -24,6 +24,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
 	"github.com/anvilcrank/anvilcrank/pkg/state"
+	"github.com/anvilcrank/anvilcrank/pkg/storage"
 	"github.com/anvilcrank/anvilcrank/pkg/telemetry"
 )
 
@@ -52,6 +53,8 @@
 	proxy     *proxy.Proxy
 	peers     *peer.Manager
 	api       *api.API
+	// configWriter is nil without a data folder.
+	configWriter *storage.ConfigWriter
 
 	listener     net.Listener
 	peerListener net.Listener
@@ -74,6 +77,7 @@
 		Zone:        s.Zone,
 		Address:     i.Address(),
 		Seed:        o.Seed,
+		Disk:        s.Data != "",
 	}
 	if identity.Seed == 0 {
 		identity.Seed = uint64(identity.Incarnation)
@@ -89,12 +93,17 @@
 		Address:     i.Address(),
 		PeerAddress: i.PeerAddress(),
 	}, links, i.telemetry, peer.Options{Network: o.Network})
-	i.loop = control.NewLoop(state.New(identity), clock, i.recorder, control.Handlers{
+	handlers := control.Handlers{
 		Traffic:         i.proxy,
 		Peers:           i.peers,
 		Telemetry:       i.telemetry,
 		InvariantFailed: i.invariantFailed,
-	})
+	}
+	if identity.Disk {
+		i.configWriter = storage.NewConfigWriter(s.Data, links.Report)
+		handlers.Config = i.configWriter
+	}
+	i.loop = control.NewLoop(state.New(identity), clock, i.recorder, handlers)
 	links.loop = i.loop
 	i.proxy.SetControl(i.loop)
 	i.api = api.New(i.loop, i.proxy, i.telemetry)
@@ -144,8 +153,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, i.peers)
 	i.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}, i.peerListener)
-	if i.settings.Bootstrap != nil {
-		i.loop.Report(event.ConfigLoaded{Config: i.settings.Bootstrap.Config()})
+	if err := i.loadConfig(ctx, &g); err != nil {
+		return err
 	}
 	err := g.Run()
 	i.proxy.Close()
--- /dev/null
+++ b/instanceconfig.go
@@ -0,0 +1,50 @@
+package anvilcrank
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/oklog/run"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/storage"
+)
+
+// loadConfig hands in the saved configuration and the bootstrap settings, and
+// adds the writer of configurations to the group.
+func (i *Instance) loadConfig(ctx context.Context, g *run.Group) error {
+	if i.configWriter != nil {
+		if err := i.loadSaved(); err != nil {
+			return err
+		}
+		writer, cancel := context.WithCancel(ctx)
+		g.Add(func() error { return i.configWriter.Run(writer) }, func(error) { cancel() })
+	}
+	if b := i.settings.Bootstrap; b != nil {
+		i.loop.Report(event.BootstrapOffered{Config: b.Config(), Alone: len(i.settings.Peers) == 0})
+	}
+	return nil
+}
+
+// loadSaved hands in the saved configuration. A damaged file is reported and
+// not used: the peers are asked as if there were no disk.
+func (i *Instance) loadSaved() error {
+	if err := os.MkdirAll(i.settings.Data, 0o700); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	saved, err := storage.LoadConfig(i.settings.Data)
+	if errors.Is(err, storage.ErrDamaged) {
+		i.telemetry.Log(event.Log{Code: logevent.ConfigFileBroken, Fields: []logevent.Field{logevent.F("error", err.Error())}})
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if saved != nil {
+		i.loop.Report(event.ConfigLoaded{Config: *saved})
+	}
+	return nil
+}
--- a/pkg/change/change.go
+++ b/pkg/change/change.go
@@ -182,12 +182,12 @@
 	return ""
 }
 
-// Digest identifies the body of a change.
-type Digest [sha256.Size]byte
+// BodyDigest identifies the body of a change.
+type BodyDigest [sha256.Size]byte
 
-// digest covers everything but the time, which the accepting instance sets anew
+// Digest covers everything but the time, which the accepting instance sets anew
 // when a change is resent.
-func (c *Change) digest() Digest {
+func (c *Change) Digest() BodyDigest {
 	h := sha256.New()
 	o := &c.Operation
 	fmt.Fprintf(h, "%q %d %q %q %q", c.ID, c.Expected, c.Author, c.Reason, o.Kind)
@@ -210,7 +210,7 @@
 		len(o.Zones), append([]model.ZoneInfo{}, o.Zones...),
 		len(o.Roster), append([]model.RosterEntry{}, o.Roster...),
 		len(o.Links), append([]model.Link{}, o.Links...))
-	return Digest(h.Sum(nil))
+	return BodyDigest(h.Sum(nil))
 }
 
 // normalized returns the configuration with empty lists in place of absent
--- a/pkg/change/state.go
+++ b/pkg/change/state.go
@@ -22,7 +22,7 @@
 // Remembered is the first result of a change id.
 type Remembered struct {
 	ID     string
-	Digest Digest
+	Digest BodyDigest
 	Result Result
 }
 
@@ -83,7 +83,7 @@
 // Positions must rise; an entry that was applied before gets its remembered
 // result.
 func (s *State) Apply(position uint64, c *Change) Result {
-	digest := c.digest()
+	digest := c.Digest()
 	if r, ok := s.recall(c.ID, digest); ok {
 		s.position = max(s.position, position)
 		return r
@@ -94,7 +94,8 @@
 	s.position = position
 	r, next := s.evaluate(c)
 	if r.Code == result.Answered {
-		next.Version = max(firstVersion, s.Version()+1, model.Version(position))
+		// A bootstrap from a configuration that was in force stays above it.
+		next.Version = max(firstVersion, s.Version()+1, model.Version(position), bootstrapFloor(&c.Operation))
 		r.Version = next.Version
 		s.accept(c, next)
 	}
@@ -105,7 +106,7 @@
 // DryRun returns the result that the change would have now and the
 // configuration it would make, nil if it would be refused. Nothing changes.
 func (s *State) DryRun(c *Change) (Result, *model.Config) {
-	if r, ok := s.recall(c.ID, c.digest()); ok {
+	if r, ok := s.recall(c.ID, c.Digest()); ok {
 		return r, nil
 	}
 	return s.evaluate(c)
@@ -132,6 +133,13 @@
 	return Result{Code: result.Answered}, next
 }
 
+func bootstrapFloor(o *Operation) model.Version {
+	if o.Kind == Bootstrap {
+		return o.Config.Version + 1
+	}
+	return 0
+}
+
 // winner returns the change that replaced the expected version, or the latest
 // one if that is no longer in the history.
 func (s *State) winner(expected model.Version) Summary {
@@ -172,7 +180,7 @@
 
 // recall returns the first result of a change id, or ChangeIDReused if that
 // belongs to another change.
-func (s *State) recall(id string, digest Digest) (Result, bool) {
+func (s *State) recall(id string, digest BodyDigest) (Result, bool) {
 	i, ok := s.byID[id]
 	if !ok {
 		return Result{}, false
--- a/pkg/codec/change.go
+++ b/pkg/codec/change.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/anvilcrank/anvilcrank/pkg/change"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
 // EncodeChange encodes a change for the replicated log.
@@ -37,3 +38,11 @@
 	}
 	return v, nil
 }
+
+// EncodeConfig encodes a configuration for its file.
+func EncodeConfig(c *model.Config) ([]byte, error) { return encode("configuration", c) }
+
+// DecodeConfig decodes what EncodeConfig made.
+func DecodeConfig(data []byte) (*model.Config, error) {
+	return decode[model.Config]("configuration", data)
+}
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -49,11 +49,18 @@
 	Count(event.Count)
 }
 
+// ConfigStore saves configurations. Save must not block.
+type ConfigStore interface {
+	Save(event.SaveConfig)
+}
+
 // Handlers carry out effects.
 type Handlers struct {
 	Traffic   Traffic
 	Peers     Peers
 	Telemetry Telemetry
+	// Config is nil at instances without a data folder.
+	Config ConfigStore
 	// InvariantFailed is called when an invariant of the reducer fails.
 	InvariantFailed func(event.InvariantFailed)
 }
@@ -221,6 +228,8 @@
 		l.handlers.Telemetry.Log(e)
 	case event.Count:
 		l.handlers.Telemetry.Count(e)
+	case event.SaveConfig:
+		l.handlers.Config.Save(e)
 	case event.InvariantFailed:
 		l.handlers.InvariantFailed(e)
 	case event.Stopped:
--- /dev/null
+++ b/pkg/distribution/state.go
@@ -0,0 +1,226 @@
+package distribution
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/change"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+const (
+	// FanOut is the number of peers that one instance pushes an update to.
+	FanOut = 8
+	// CompareInterval is how often versions are compared with a random peer.
+	CompareInterval = time.Second
+	// ackDelay is how long acknowledgements of others wait, so that those of
+	// one subtree travel in one message.
+	ackDelay = 20 * time.Millisecond
+	// joinWindow is how long an instance without a configuration waits for
+	// further answers after the first one: a peer that lags must not decide.
+	joinWindow = 250 * time.Millisecond
+	// askWindow is how long a deployment without any configuration looks for one
+	// before it counts as new. It leaves time for links to be dialed.
+	askWindow = 500 * time.Millisecond
+	// maxSample bounds what one digest says of other instances.
+	maxSample = 32
+	// maxRecent is how many versions are kept to make deltas from.
+	maxRecent = 8
+	// maxRepairs bounds the updates that the leader sends to lagging peers at
+	// each comparison.
+	maxRepairs = 8
+)
+
+// Identity is what the reducer knows of its own instance.
+type Identity struct {
+	ID          model.InstanceID
+	Incarnation model.Incarnation
+	Zone        model.Zone
+	// Disk is true if configurations are saved in a data folder.
+	Disk bool
+	Seed uint64
+}
+
+// Installer puts configurations in force.
+type Installer interface {
+	Install(at model.Time, c *model.Config, out *event.Effects)
+}
+
+// ControlStatus is the state of the control group as one instance sees it.
+type ControlStatus struct {
+	// Member is true at members of the control group. The other fields mean
+	// nothing at other instances.
+	Member bool
+	// Leading is true at the leader, Current while it holds its lease.
+	Leading bool
+	Current bool
+	Leader  model.InstanceID
+	Term    uint64
+	Members []model.InstanceID
+}
+
+// Control is the replicated log of the control group. Committed changes come
+// back through State.Decided, at every member and in log order.
+type Control interface {
+	Status(at model.Time) ControlStatus
+	// Propose appends a change to the log. Any code but Answered means that the
+	// change was certainly not appended.
+	Propose(at model.Time, c *change.Change, out *event.Effects) result.Code
+}
+
+// Machine is the replicated state that queries are answered from.
+type Machine interface {
+	DryRun(c *change.Change) (change.Result, *model.Config)
+	History(limit int) []change.Entry
+}
+
+// State is the distribution state of one instance.
+type State struct {
+	identity  Identity
+	control   Control
+	machine   Machine
+	installer Installer
+	rng       *rand.Rand
+
+	// peers are the live peers in identifier order.
+	peers []model.InstanceID
+	// known holds the versions in force elsewhere and here.
+	known map[model.InstanceID]message.ConfigHeld
+	hint  message.LeaderHint
+
+	inForce inForce
+	spread  spread
+	calls   calls
+	// compareAt is when versions are compared next.
+	compareAt model.Time
+	startedAt model.Time
+}
+
+// New returns the state of an instance without a configuration.
+func New(id Identity, control Control, machine Machine, installer Installer) *State {
+	s := &State{
+		identity:  id,
+		control:   control,
+		machine:   machine,
+		installer: installer,
+		rng:       rand.New(rand.NewPCG(id.Seed, uint64(id.Incarnation))),
+		known:     map[model.InstanceID]message.ConfigHeld{},
+	}
+	s.inForce.answered = map[model.InstanceID]bool{}
+	s.spread.acks = map[model.InstanceID]message.ConfigHeld{}
+	s.calls.pending = map[message.RequestID]*pending{}
+	s.calls.handled = map[model.InstanceID]message.RequestID{}
+	s.known[id.ID] = s.held()
+	return s
+}
+
+// held says which version is in force here.
+func (s *State) held() message.ConfigHeld {
+	return message.ConfigHeld{Instance: s.identity.ID, Incarnation: s.identity.Incarnation,
+		Zone: s.identity.Zone, Version: s.Version()}
+}
+
+// Start begins the comparisons. Their phase is random, so that instances that
+// start together do not compare together.
+func (s *State) Start(at model.Time) {
+	s.startedAt = at
+	s.compareAt = at.Add(model.Duration(s.rng.Int64N(int64(CompareInterval))) + 1)
+}
+
+// Connected notes a live peer and compares versions with it.
+func (s *State) Connected(at model.Time, peer model.InstanceID, incarnation model.Incarnation, zone model.Zone, out *event.Effects) {
+	if i, found := slices.BinarySearch(s.peers, peer); !found {
+		s.peers = slices.Insert(s.peers, i, peer)
+	}
+	s.learn(at, message.ConfigHeld{Instance: peer, Incarnation: incarnation, Zone: zone}, out)
+	if s.inForce.config == nil {
+		delete(s.inForce.answered, peer)
+		s.send(peer, &message.ConfigFetch{}, out)
+		return
+	}
+	s.compareWith(at, peer, false, out)
+}
+
+// Lost notes that a peer is no longer linked.
+func (s *State) Lost(at model.Time, peer model.InstanceID, out *event.Effects) {
+	if i, found := slices.BinarySearch(s.peers, peer); found {
+		s.peers = slices.Delete(s.peers, i, i+1)
+	}
+	delete(s.inForce.answered, peer)
+	s.failVia(at, peer, out)
+	s.checkJoin(at, out)
+}
+
+func (s *State) isLive(peer model.InstanceID) bool {
+	_, found := slices.BinarySearch(s.peers, peer)
+	return found
+}
+
+func (s *State) send(to model.InstanceID, m message.Message, out *event.Effects) {
+	out.Add(event.Send{To: to, Message: m})
+}
+
+// Receive handles a message of a peer. It reports whether the message belongs
+// to this package.
+func (s *State) Receive(at model.Time, from model.InstanceID, m message.Message, out *event.Effects) bool {
+	switch m := m.(type) {
+	case *message.ConfigUpdate:
+		s.updated(at, from, m, out)
+	case *message.ConfigAck:
+		s.acknowledged(at, m, out)
+	case *message.ConfigDigest:
+		s.compared(at, from, m, out)
+	case *message.ConfigFetch:
+		s.sendUpdate(from, m.Have, nil, out)
+	case *message.ControlRequest:
+		s.requested(at, from, m, out)
+	case *message.ControlAnswer:
+		s.answered(at, m, out)
+	default:
+		return false
+	}
+	return true
+}
+
+// learn takes in which version is in force at an instance. Messages may
+// overtake each other, so older knowledge never replaces newer.
+func (s *State) learn(at model.Time, h message.ConfigHeld, out *event.Effects) bool {
+	if h.Instance == s.identity.ID {
+		return false
+	}
+	k, ok := s.known[h.Instance]
+	if ok && (h.Incarnation < k.Incarnation || h.Incarnation == k.Incarnation && h.Version <= k.Version) {
+		return false
+	}
+	s.known[h.Instance] = h
+	s.checkWaiting(at, out)
+	return true
+}
+
+// NextWake returns when Wake is due, 0 if never.
+func (s *State) NextWake() model.Time {
+	next := s.compareAt
+	for _, t := range []model.Time{s.inForce.joinUntil, s.spread.ackAt, s.calls.nextDeadline()} {
+		if t != 0 && (next == 0 || t < next) {
+			next = t
+		}
+	}
+	return next
+}
+
+// Wake handles everything that is due.
+func (s *State) Wake(at model.Time, out *event.Effects) {
+	s.checkJoin(at, out)
+	if s.spread.ackAt != 0 && s.spread.ackAt <= at {
+		s.flushAcks(out)
+	}
+	if s.compareAt != 0 && s.compareAt <= at {
+		s.compareAt = at.Add(CompareInterval)
+		s.compare(at, out)
+	}
+	s.expire(at, out)
+}
--- /dev/null
+++ b/pkg/distribution/status.go
@@ -0,0 +1,106 @@
+package distribution
+
+import (
+	"slices"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// leaderHint returns what this instance knows of the control group.
+func (s *State) leaderHint(at model.Time) message.LeaderHint {
+	if status := s.control.Status(at); status.Member {
+		return message.LeaderHint{Leader: status.Leader, Term: status.Term, Members: status.Members}
+	}
+	return s.hint
+}
+
+// takeHint keeps the hint of the highest term.
+func (s *State) takeHint(h message.LeaderHint) {
+	if h.Term > s.hint.Term || h.Term == s.hint.Term && h.Leader != "" {
+		s.hint = h
+	}
+}
+
+// status describes the versions in force as this instance knows them.
+func (s *State) status(at model.Time) message.Status {
+	control := s.control.Status(at)
+	hint := s.leaderHint(at)
+	st := message.Status{
+		From:    s.identity.ID,
+		Current: control.Member && control.Leading && control.Current,
+		Leader:  hint.Leader,
+		Term:    hint.Term,
+		Version: s.Version(),
+		Members: hint.Members,
+	}
+	roster := s.roster()
+	ids := s.knownIDs()
+	for id := range roster {
+		if _, known := s.known[id]; !known {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		zone, inRoster := roster[id]
+		i := message.InstanceStatus{ConfigHeld: s.known[id], InRoster: inRoster,
+			Connected: id == s.identity.ID || s.isLive(id)}
+		i.Instance = id
+		if i.Zone == "" {
+			i.Zone = zone
+		}
+		if i.InRoster || i.Connected {
+			st.Instances = append(st.Instances, i)
+		}
+	}
+	return st
+}
+
+func (s *State) roster() map[model.InstanceID]model.Zone {
+	roster := map[model.InstanceID]model.Zone{}
+	if c := s.inForce.config; c != nil {
+		for _, r := range c.Roster {
+			roster[r.ID] = r.Zone
+		}
+	}
+	return roster
+}
+
+// isEverywhere reports whether the version is in force at every instance of
+// the roster and at every live peer.
+func (s *State) isEverywhere(v model.Version) bool {
+	if s.Version() < v {
+		return false
+	}
+	for _, r := range s.inForce.config.Roster {
+		if s.known[r.ID].Version < v {
+			return false
+		}
+	}
+	for _, p := range s.peers {
+		if s.known[p].Version < v {
+			return false
+		}
+	}
+	return true
+}
+
+// checkWaiting answers the status requests whose version is in force
+// everywhere, and those that wait for none.
+func (s *State) checkWaiting(at model.Time, out *event.Effects) {
+	for _, p := range slices.Clone(s.calls.order) {
+		if p.request.Request != message.RequestStatus || p.via != "" {
+			continue
+		}
+		if p.request.Version == 0 || p.request.Wait == 0 || s.isEverywhere(p.request.Version) {
+			s.done(p)
+			s.replyStatus(at, p, out)
+		}
+	}
+}
+
+func (s *State) replyStatus(at model.Time, p *pending, out *event.Effects) {
+	s.reply(p, &message.ControlAnswer{ID: p.request.ID, Status: s.status(at)}, out)
+}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -41,5 +41,6 @@
 	RequestArrived{}, RequestCanceled{}, AttemptAnswered{}, AttemptEnded{}, CancelConfirmed{},
 	UpstreamAnnounced{},
 	PeerReceived{}, PeerConnected{}, PeerLost{},
-	ConfigLoaded{},
+	ConfigLoaded{}, BootstrapOffered{}, ConfigSaved{},
+	ChangeProposed{}, StatusRequested{}, HistoryRequested{},
 }
--- a/pkg/event/process.go
+++ b/pkg/event/process.go
@@ -16,7 +16,7 @@
 type StopRequested struct{}
 
 // ConfigLoaded brings a configuration that is known to be committed: from the
-// bootstrap settings, the data folder or a peer.
+// data folder or a peer.
 type ConfigLoaded struct {
 	Config model.Config
 }
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -49,7 +49,10 @@
 	PeerBadMessage Code = 403
 	PeerQueueFull  Code = 404
 
-	ConfigInForce Code = 501
+	ConfigInForce    Code = 501
+	ConfigSaveFailed Code = 502
+	ConfigFileBroken Code = 503
+	OperatorChange   Code = 504
 )
 
 // Info describes an event for the catalogue.
@@ -78,6 +81,9 @@
 	{PeerBadMessage, "peer_bad_message", LevelWarn, "a message of another instance could not be decoded"},
 	{PeerQueueFull, "peer_queue_full", LevelWarn, "a message to another instance was dropped because its queue is full"},
 	{ConfigInForce, "config_in_force", LevelInfo, "a configuration came into force"},
+	{ConfigSaveFailed, "config_save_failed", LevelError, "a configuration could not be saved; it is in force all the same"},
+	{ConfigFileBroken, "config_file_broken", LevelError, "the saved configuration is damaged and was not used; peers are asked instead"},
+	{OperatorChange, "operator_change", LevelInfo, "an operator's change got its result"},
 }
 
 var byCode = func() map[Code]*Info {
--- /dev/null
+++ b/pkg/state/config.go
@@ -0,0 +1,174 @@
+package state
+
+import (
+	"github.com/anvilcrank/anvilcrank/pkg/change"
+	"github.com/anvilcrank/anvilcrank/pkg/distribution"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// bootstrapID is the change id of the first change of every deployment. Two
+// leaders may both propose it; the second one gets the first result.
+const bootstrapID = "bootstrap"
+
+// controlLog is the replicated log of the control group.
+type controlLog interface {
+	distribution.Control
+	// Take returns what was committed since the last call, in log order.
+	Take() []committed
+}
+
+// committed is a committed change, or the state that replaces all that was
+// applied before.
+type committed struct {
+	position uint64
+	change   *change.Change
+	restored *change.State
+}
+
+// configuration joins the replicated log, the state machine it feeds and the
+// distribution of the result.
+type configuration struct {
+	log          controlLog
+	machine      *change.State
+	distribution *distribution.State
+	// bootstrap is the first configuration of a new deployment, nil if the
+	// settings have none.
+	bootstrap *event.BootstrapOffered
+	// proposedIn is the term in which the bootstrap was proposed.
+	proposedIn uint64
+}
+
+func newConfiguration(s *State, log controlLog) *configuration {
+	c := &configuration{log: log, machine: change.New()}
+	c.distribution = distribution.New(distribution.Identity{
+		ID:          s.identity.ID,
+		Incarnation: s.identity.Incarnation,
+		Zone:        s.identity.Zone,
+		Disk:        s.identity.Disk,
+		Seed:        s.identity.Seed,
+	}, log, c, installer{s})
+	return c
+}
+
+// DryRun implements distribution.Machine.
+func (c *configuration) DryRun(x *change.Change) (change.Result, *model.Config) {
+	return c.machine.DryRun(x)
+}
+
+// History implements distribution.Machine.
+func (c *configuration) History(limit int) []change.Entry { return c.machine.History(limit) }
+
+// routeConfig handles the events of configuration changes.
+func (s *State) routeConfig(at model.Time, body event.Body) {
+	d, out := s.configuration.distribution, &s.out
+	switch b := body.(type) {
+	case event.ConfigLoaded:
+		d.Load(at, &b.Config, out)
+	case event.BootstrapOffered:
+		s.configuration.offerBootstrap(&b)
+	case event.ConfigSaved:
+		d.Saved(at, b, out)
+	case event.ChangeProposed:
+		d.Propose(at, &b, out)
+	case event.StatusRequested:
+		d.QueryStatus(at, b, out)
+	case event.HistoryRequested:
+		d.QueryHistory(at, b, out)
+	}
+}
+
+func (c *configuration) offerBootstrap(b *event.BootstrapOffered) {
+	c.bootstrap = b
+	if l, ok := c.log.(*localLog); ok && len(b.Config.Roster) > 0 {
+		l.leader = b.Config.Roster[0].ID
+	}
+}
+
+// applyCommitted applies what the log has committed in this step.
+func (s *State) applyCommitted(at model.Time) {
+	c := s.configuration
+	c.proposeBootstrap(at, &s.out)
+	for _, e := range c.log.Take() {
+		if e.restored != nil {
+			c.machine = e.restored
+			c.distribution.Restored(at, c.machine.Config(), &s.out)
+			continue
+		}
+		r := c.machine.Apply(e.position, e.change)
+		c.distribution.Decided(at, e.change, r, c.machine.Config(), &s.out)
+	}
+}
+
+// proposeBootstrap proposes the first configuration once this instance leads a
+// control group without one. A group that was founded anew, after all its disks
+// were lost, starts from the configuration that is still in force.
+func (c *configuration) proposeBootstrap(at model.Time, out *event.Effects) {
+	if c.machine.Config() != nil {
+		return
+	}
+	status := c.log.Status(at)
+	if !status.Leading || !status.Current || c.proposedIn == status.Term {
+		return
+	}
+	first := c.distribution.Config()
+	if first == nil && c.bootstrap != nil && (c.bootstrap.Alone || c.distribution.FoundNone(at)) {
+		first = &c.bootstrap.Config
+	}
+	if first == nil {
+		return
+	}
+	c.proposedIn = status.Term
+	c.log.Propose(at, &change.Change{
+		ID: bootstrapID, Author: "settings", Time: at, Reason: "first configuration of the deployment",
+		Operation: change.Operation{Kind: change.Bootstrap, Config: first},
+	}, out)
+}
+
+// installer implements distribution.Installer.
+type installer struct{ s *State }
+
+// Install puts a configuration in force.
+func (i installer) Install(at model.Time, c *model.Config, out *event.Effects) {
+	s := i.s
+	s.config = c
+	s.requests.Configure(c)
+	s.viewDone = false
+	out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
+	s.requests.PumpAll(at, out)
+}
+
+// localLog stands in for the replicated log at a deployment without a control
+// group: the first instance of the roster leads and commits at once. Nothing is
+// replicated or saved, so it is for demonstrations and tests.
+type localLog struct {
+	self, leader model.InstanceID
+	position     uint64
+	entries      []committed
+}
+
+// Status implements distribution.Control.
+func (l *localLog) Status(model.Time) distribution.ControlStatus {
+	if l.leader == "" {
+		return distribution.ControlStatus{}
+	}
+	leads := l.leader == l.self
+	return distribution.ControlStatus{Member: true, Leading: leads, Current: leads,
+		Leader: l.leader, Term: 1, Members: []model.InstanceID{l.leader}}
+}
+
+// Propose implements distribution.Control.
+func (l *localLog) Propose(_ model.Time, c *change.Change, _ *event.Effects) result.Code {
+	l.position++
+	l.entries = append(l.entries, committed{position: l.position, change: c})
+	return result.Answered
+}
+
+// Take implements controlLog.
+func (l *localLog) Take() []committed {
+	entries := l.entries
+	l.entries = nil
+	return entries
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -21,6 +21,8 @@
 	Address string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
+	// Disk is true if the instance has a data folder.
+	Disk bool
 }
 
 // State is the whole control state of an instance.
@@ -34,6 +36,8 @@
 	permits   *permit.State
 	ledger    *localLedger
 
+	configuration *configuration
+
 	// peers are the instances with a standing link.
 	peers    map[model.InstanceID]view.Instance
 	stopping bool
@@ -54,6 +58,7 @@
 	}
 	s.upstreams = upstream.New(s.permits)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
+	s.configuration = newConfiguration(s, &localLog{self: identity.ID})
 	return s
 }
 
@@ -62,6 +67,7 @@
 func (s *State) Step(ev event.Event) []event.Effect {
 	s.out.Reset()
 	s.route(ev.At, ev.Body)
+	s.applyCommitted(ev.At)
 	s.decideClaims(ev.At)
 	s.checkStopped(ev.At)
 	s.publish()
@@ -90,21 +96,24 @@
 	case event.PeerConnected:
 		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
 		s.viewDone = false
+		s.configuration.distribution.Connected(at, b.Peer, b.Incarnation, b.Zone, out)
 	case event.PeerLost:
 		delete(s.peers, b.Peer)
+		s.configuration.distribution.Lost(at, b.Peer, out)
 		s.viewDone = false
 	case event.PeerReceived:
 		s.receive(at, b)
-	case event.ConfigLoaded:
-		s.configure(at, &b.Config)
 	case event.TimerFired:
 		s.timerAt = 0
 		s.wake(at)
 	case event.Started:
+		s.configuration.distribution.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
 		s.stop(at)
+	default:
+		s.routeConfig(at, body)
 	}
 }
 
@@ -120,25 +129,14 @@
 
 // receive routes a message of another instance.
 func (s *State) receive(at model.Time, b event.PeerReceived) {
-	_, _ = at, b
-}
-
-// configure puts a configuration in force unless a newer one is.
-func (s *State) configure(at model.Time, c *model.Config) {
-	if s.config != nil && c.Version <= s.config.Version {
-		return
-	}
-	s.config = c
-	s.requests.Configure(c)
-	s.viewDone = false
-	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
-	s.requests.PumpAll(at, &s.out)
+	s.configuration.distribution.Receive(at, b.From, b.Message, &s.out)
 }
 
 // wake handles everything that is due.
 func (s *State) wake(at model.Time) {
 	s.upstreams.Wake(at, &s.out)
 	s.permits.Wake(at)
+	s.configuration.distribution.Wake(at, &s.out)
 	s.requests.PumpAll(at, &s.out)
 }
 
@@ -192,7 +190,8 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake())
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(),
+		s.configuration.distribution.NextWake())
 	if s.stopping && !s.stopped {
 		next = earliest(next, s.stopAt)
 	}
--- /dev/null
+++ b/pkg/storage/configfile.go
@@ -0,0 +1,112 @@
+package storage
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// ErrDamaged reports a configuration file that is torn, cut short or changed.
+var ErrDamaged = errors.New("configuration file is damaged")
+
+// The configuration file is a magic number, the size and the checksum of the
+// body, and the body.
+const (
+	configName   = "config.cbor"
+	configMagic  = "avc1"
+	configHeader = len(configMagic) + 4 + 8
+	// maxConfigFile bounds what is read into memory.
+	maxConfigFile = 64 << 20
+)
+
+// SaveConfig replaces the saved configuration. When it returns nil, the file is
+// synced; before that, the former one stays whole.
+func SaveConfig(dir string, c *model.Config) error {
+	body, err := codec.EncodeConfig(c)
+	if err != nil {
+		return err
+	}
+	data := append([]byte(configMagic), make([]byte, 0, configHeader+len(body))...)
+	data = binary.BigEndian.AppendUint32(data, uint32(len(body)))
+	data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(body))
+	data = append(data, body...)
+	if err := replaceFile(dir, configName, data); err != nil {
+		return fmt.Errorf("save configuration: %w", err)
+	}
+	return nil
+}
+
+// replaceFile writes a file under a temporary name, syncs it, renames it and
+// syncs the folder.
+func replaceFile(dir, name string, data []byte) error {
+	path := filepath.Join(dir, name)
+	f, err := os.OpenFile(path+".tmp", os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		return err
+	}
+	return syncFolder(dir)
+}
+
+func syncFolder(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// LoadConfig returns the saved configuration, nil if none was saved, or
+// ErrDamaged if the file is not what SaveConfig wrote.
+func LoadConfig(dir string) (*model.Config, error) {
+	path := filepath.Join(dir, configName)
+	info, err := os.Stat(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("load configuration: %w", err)
+	}
+	if info.Size() < int64(configHeader) || info.Size() > maxConfigFile {
+		return nil, fmt.Errorf("load configuration: %d bytes: %w", info.Size(), ErrDamaged)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("load configuration: %w", err)
+	}
+	return decodeConfigFile(data)
+}
+
+func decodeConfigFile(data []byte) (*model.Config, error) {
+	if len(data) < configHeader || string(data[:len(configMagic)]) != configMagic {
+		return nil, fmt.Errorf("load configuration: header: %w", ErrDamaged)
+	}
+	size := binary.BigEndian.Uint32(data[len(configMagic):])
+	sum := binary.BigEndian.Uint64(data[len(configMagic)+4:])
+	body := data[configHeader:]
+	if uint32(len(body)) != size || xxhash.Sum64(body) != sum {
+		return nil, fmt.Errorf("load configuration: checksum: %w", ErrDamaged)
+	}
+	return codec.DecodeConfig(body)
+}
--- /dev/null
+++ b/pkg/storage/configwriter.go
@@ -0,0 +1,41 @@
+package storage
+
+import (
+	"context"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+)
+
+// ConfigWriter saves configurations on a goroutine of its own, since a sync may
+// take long.
+type ConfigWriter struct {
+	dir    string
+	report func(event.Body)
+	// queue holds the one save that the reducer has outstanding.
+	queue chan event.SaveConfig
+}
+
+// NewConfigWriter returns a writer for the folder that reports results.
+func NewConfigWriter(dir string, report func(event.Body)) *ConfigWriter {
+	return &ConfigWriter{dir: dir, report: report, queue: make(chan event.SaveConfig, 1)}
+}
+
+// Save queues a configuration. The reducer must not ask for another one before
+// the ConfigSaved event.
+func (w *ConfigWriter) Save(e event.SaveConfig) { w.queue <- e }
+
+// Run saves what is queued until the context ends.
+func (w *ConfigWriter) Run(ctx context.Context) error {
+	for {
+		select {
+		case e := <-w.queue:
+			saved := event.ConfigSaved{Version: e.Config.Version}
+			if err := SaveConfig(w.dir, &e.Config); err != nil {
+				saved.Error = err.Error()
+			}
+			w.report(saved)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
