--- /dev/null
+++ b/pkg/agreement/election.go
@@ -0,0 +1,159 @@
+package agreement
+
+import (
+	"fmt"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// preCampaign asks whether an election could succeed. Neither the own term nor
+// that of others changes, so a member that returns from a partition does not
+// depose a working leader.
+func (s *State) preCampaign(at model.Time, out *event.Effects) {
+	s.role = PreCandidate
+	s.askForVotes(at, s.term+1, out)
+}
+
+// campaign begins an election. The own vote counts once it is synced.
+func (s *State) campaign(at model.Time, out *event.Effects) {
+	s.role = Candidate
+	s.term++
+	s.vote = s.self
+	s.persistHard(out)
+	s.askForVotes(at, s.term, out)
+}
+
+func (s *State) askForVotes(at model.Time, term uint64, out *event.Effects) {
+	s.leader = model.MemberID{}
+	s.votes = map[model.MemberID]bool{}
+	s.resetElection(at)
+	for _, id := range s.voters() {
+		if id == s.self {
+			continue
+		}
+		m := &message.AgreementVote{
+			AgreementHeader: s.header(id), Pre: s.role == PreCandidate,
+			LastIndex: s.log.last(), LastTerm: s.log.lastTerm(),
+		}
+		m.Term = term
+		s.send(0, id.Instance, m, out)
+	}
+	s.countVotes(at, out)
+}
+
+// countVotes moves on when a majority has granted the vote.
+func (s *State) countVotes(at model.Time, out *event.Effects) {
+	granted := 0
+	for _, id := range s.voters() {
+		if id == s.self && (s.role == PreCandidate || s.outbox.hardSeq <= s.outbox.done) || s.votes[id] {
+			granted++
+		}
+	}
+	if granted < s.majority() {
+		return
+	}
+	switch s.role {
+	case PreCandidate:
+		s.campaign(at, out)
+	case Candidate:
+		s.lead(at, out)
+	}
+}
+
+// hearsLeader reports whether the member is bound not to vote, because a leader
+// may hold a lease that depends on it.
+func (s *State) hearsLeader(at model.Time) bool {
+	if s.role == Leader {
+		return true
+	}
+	return at < s.quietUntil || s.heard != 0 && at < s.heard.Add(MinElection)
+}
+
+func (s *State) receiveVote(at model.Time, m *message.AgreementVote, out *event.Effects) {
+	if s.hearsLeader(at) {
+		return
+	}
+	if !m.Pre && m.Term > s.term {
+		s.follow(at, m.Term, out)
+	}
+	r := &message.AgreementVoteReply{AgreementHeader: s.header(m.From), Pre: m.Pre}
+	switch {
+	case m.Pre:
+		r.Granted = m.Term > s.term && s.isUpToDate(m)
+		if r.Granted {
+			r.Term = m.Term
+		}
+	case m.Term == s.term && s.mayVoteFor(m.From) && s.isUpToDate(m):
+		r.Granted = true
+		if s.vote != m.From {
+			s.vote = m.From
+			s.persistHard(out)
+		}
+		s.resetElection(at)
+	}
+	s.send(0, m.From.Instance, r, out)
+}
+
+func (s *State) mayVoteFor(id model.MemberID) bool {
+	return s.vote == id || s.vote == (model.MemberID{}) || s.faults.voteTwice
+}
+
+// isUpToDate reports whether the candidate's log holds at least what this one
+// holds.
+func (s *State) isUpToDate(m *message.AgreementVote) bool {
+	if s.faults.ignoreLastEntry {
+		return true
+	}
+	if m.LastTerm != s.log.lastTerm() {
+		return m.LastTerm > s.log.lastTerm()
+	}
+	return m.LastIndex >= s.log.last()
+}
+
+func (s *State) receiveVoteReply(at model.Time, m *message.AgreementVoteReply, out *event.Effects) {
+	if !m.Granted {
+		if m.Term > s.term {
+			s.follow(at, m.Term, out)
+		}
+		return
+	}
+	if m.Pre && s.role == PreCandidate && m.Term == s.term+1 || !m.Pre && s.role == Candidate && m.Term == s.term {
+		s.votes[m.From] = true
+		s.countVotes(at, out)
+	}
+}
+
+// follow gives up any other role and takes over a term.
+func (s *State) follow(at model.Time, term uint64, out *event.Effects) {
+	if s.role == Leader {
+		out.Add(event.Log{Code: logevent.AgreementSteppedDown, Fields: []logevent.Field{logevent.F("term", s.term)}})
+	}
+	s.role = Follower
+	s.leader = model.MemberID{}
+	s.progress = nil
+	s.resetElection(at)
+	if term > s.term {
+		s.term = term
+		s.vote = model.MemberID{}
+		s.persistHard(out)
+	}
+}
+
+// lead begins to lead the term.
+func (s *State) lead(at model.Time, out *event.Effects) {
+	if !s.require(s.role == Candidate && s.vote == s.self, "agreement-leader-voted",
+		fmt.Sprintf("term %d led without own vote", s.term), out) {
+		return
+	}
+	s.role = Leader
+	s.leader = s.self
+	s.electedAt = at
+	s.progress = map[model.MemberID]*progress{}
+	s.updateMembers(at)
+	out.Add(event.Log{Code: logevent.AgreementLeader, Fields: []logevent.Field{logevent.F("term", s.term)}})
+	s.appendOwn(at, message.Entry{Kind: message.EntryEmpty}, out)
+	s.heartbeat(at, out)
+}
--- /dev/null
+++ b/pkg/agreement/lease.go
@@ -0,0 +1,41 @@
+package agreement
+
+import (
+	"slices"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// leaseUntil returns when the lease of a leader ends: Lease after it sent the
+// latest message that a majority has answered. Those members vote for nobody
+// else for MinElection after they received it, which is later than it was sent.
+func (s *State) leaseUntil(at model.Time) model.Time {
+	var acked []model.Time
+	for _, id := range s.voters() {
+		switch pr := s.progress[id]; {
+		case id == s.self:
+			acked = append(acked, at)
+		case pr != nil:
+			acked = append(acked, pr.acked)
+		}
+	}
+	slices.Sort(acked)
+	if n := len(acked) - s.majority(); n >= 0 && acked[n] != 0 {
+		return acked[n].Add(Lease)
+	}
+	return 0
+}
+
+// stepDownAt returns when the leader gives up unless a majority answers. A new
+// leader has one lease to collect the first answers.
+func (s *State) stepDownAt(at model.Time) model.Time {
+	return max(s.leaseUntil(at), s.electedAt.Add(Lease))
+}
+
+// checkLease makes a leader without a majority step down.
+func (s *State) checkLease(at model.Time, out *event.Effects) {
+	if s.role == Leader && at >= s.stepDownAt(at) {
+		s.follow(at, s.term, out)
+	}
+}
--- /dev/null
+++ b/pkg/agreement/log.go
@@ -0,0 +1,98 @@
+package agreement
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+)
+
+// entryLog is a snapshot and the entries after it. Slices of entries are shared
+// with effects and messages, so an element is never overwritten.
+type entryLog struct {
+	snapshot message.Snapshot
+	entries  []message.Entry
+}
+
+// last returns the index of the last entry.
+func (l *entryLog) last() uint64 { return l.snapshot.Index + uint64(len(l.entries)) }
+
+// lastTerm returns the term of the last entry.
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// entry returns an entry that the log holds.
+func (l *entryLog) entry(index uint64) *message.Entry {
+	return &l.entries[index-l.snapshot.Index-1]
+}
+
+// term returns the term at an index, if the log knows it.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index < l.snapshot.Index || index > l.last():
+		return 0, false
+	case index == l.snapshot.Index:
+		return l.snapshot.Term, true
+	}
+	return l.entry(index).Term, true
+}
+
+// slice returns the entries from first to last, both included.
+func (l *entryLog) slice(first, last uint64) []message.Entry {
+	i, j := first-l.snapshot.Index-1, last-l.snapshot.Index
+	return l.entries[i:j:j]
+}
+
+// append adds entries, of which the first follows the last one of the log.
+func (l *entryLog) append(entries ...message.Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from an index on. The capacity is cut as well, so
+// that the next append copies.
+func (l *entryLog) truncate(from uint64) {
+	n := from - l.snapshot.Index - 1
+	l.entries = l.entries[:n:n]
+}
+
+// compact replaces the log up to the snapshot's index.
+func (l *entryLog) compact(s message.Snapshot) {
+	l.entries = slices.Clone(l.entries[s.Index-l.snapshot.Index:])
+	l.snapshot = s
+}
+
+// membersAt returns the member list in force after the entry at index.
+func (l *entryLog) membersAt(index uint64) []message.GroupMember {
+	list, _ := l.lastMembers(index)
+	return list
+}
+
+// lastMembers returns the last member list up to an index and its index.
+func (l *entryLog) lastMembers(index uint64) ([]message.GroupMember, uint64) {
+	for i := index; i > l.snapshot.Index; i-- {
+		if e := l.entry(i); e.Kind == message.EntryMembers {
+			return e.Members, i
+		}
+	}
+	return l.snapshot.Members, l.snapshot.Index
+}
+
+// sameEntry compares entries of the same index and term.
+func sameEntry(a, b *message.Entry) bool {
+	return a.Kind == b.Kind && bytes.Equal(a.Data, b.Data) && slices.Equal(a.Members, b.Members)
+}
+
+// consecutive reports whether the entries follow the index without a gap and
+// with terms that do not fall and do not exceed the sender's.
+func consecutive(prevIndex, prevTerm, term uint64, entries []message.Entry) bool {
+	for i := range entries {
+		e := &entries[i]
+		if e.Index != prevIndex+uint64(i)+1 || e.Term < prevTerm || e.Term > term {
+			return false
+		}
+		prevTerm = e.Term
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/agreement/membership.go
@@ -0,0 +1,202 @@
+package agreement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+const (
+	// joinInterval is how often a member without entries asks to join.
+	joinInterval = 500 * time.Millisecond
+	// joinAfter is when a learner that hears from no leader asks to join again.
+	joinAfter = 1500 * time.Millisecond
+	// aliveFor is how long a member counts as alive after it answered. A stale
+	// request of a former disk does not replace a member that is alive.
+	aliveFor = 2 * time.Second
+)
+
+// voters returns the members that count in majorities, in order.
+func (s *State) voters() []model.MemberID {
+	list := make([]model.MemberID, 0, len(s.members))
+	for _, m := range s.members {
+		if !m.Learner || s.faults.countLearners {
+			list = append(list, m.ID)
+		}
+	}
+	return list
+}
+
+func (s *State) majority() int { return len(s.voters())/2 + 1 }
+
+func (s *State) isVoter(id model.MemberID) bool {
+	return slices.Contains(s.members, message.GroupMember{ID: id}) || s.faults.countLearners && s.isMember(id)
+}
+
+func (s *State) isMember(id model.MemberID) bool {
+	return slices.ContainsFunc(s.members, func(m message.GroupMember) bool { return m.ID == id })
+}
+
+// updateMembers takes the latest member list of the log, which is in force as
+// soon as it is appended.
+func (s *State) updateMembers(at model.Time) {
+	s.members, s.membersIndex = s.log.lastMembers(s.log.last())
+	if s.role != Leader {
+		return
+	}
+	for _, m := range s.members {
+		if m.ID != s.self && s.progress[m.ID] == nil {
+			s.progress[m.ID] = &progress{next: s.log.last() + 1}
+			s.heartbeatAt = at
+		}
+	}
+}
+
+// ownTermCommitted reports whether the leader has committed an entry of its
+// term.
+func (s *State) ownTermCommitted() bool {
+	term, ok := s.log.term(s.commit)
+	return ok && s.commit > 0 && term == s.term
+}
+
+// mayChangeMembers reports whether no change is in progress. A leader that has
+// committed nothing in its term may not know of a change by its predecessor.
+func (s *State) mayChangeMembers() bool {
+	return s.role == Leader && s.ownTermCommitted() && s.membersIndex <= s.commit
+}
+
+func (s *State) proposeMembers(at model.Time, list []message.GroupMember, out *event.Effects) {
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b message.GroupMember) int {
+		if a.ID.Less(b.ID) {
+			return -1
+		}
+		return 1
+	})
+	s.appendOwn(at, message.Entry{Kind: message.EntryMembers, Members: list}, out)
+	out.Add(event.Log{Code: logevent.AgreementMembers, Fields: []logevent.Field{logevent.F("members", list)}})
+}
+
+func without(list []message.GroupMember, id model.MemberID) []message.GroupMember {
+	return slices.DeleteFunc(slices.Clone(list), func(m message.GroupMember) bool { return m.ID == id })
+}
+
+// isAlive reports whether a member answered lately.
+func (s *State) isAlive(at model.Time, id model.MemberID) bool {
+	pr := s.progress[id]
+	return id == s.self || pr != nil && pr.acked != 0 && at < pr.acked.Add(aliveFor)
+}
+
+// reviewMembers takes the next step for a learner that has caught up. The former
+// identity of its instance is removed first: were the learner promoted first,
+// the loss of its disk at that moment would leave two dead voters in the list.
+func (s *State) reviewMembers(at model.Time, out *event.Effects) {
+	if !s.mayChangeMembers() {
+		return
+	}
+	for _, m := range s.members {
+		if !m.Learner || !s.isAlive(at, m.ID) || s.progress[m.ID].match < s.commit {
+			continue
+		}
+		if old, ok := s.voterOf(m.ID.Instance); ok {
+			if s.isAlive(at, old) || len(s.voters()) == 1 {
+				continue
+			}
+			s.proposeMembers(at, without(s.members, old), out)
+			return
+		}
+		list := append(without(s.members, m.ID), message.GroupMember{ID: m.ID})
+		s.proposeMembers(at, list, out)
+		return
+	}
+}
+
+// voterOf returns the voter of an instance.
+func (s *State) voterOf(instance model.InstanceID) (model.MemberID, bool) {
+	for _, id := range s.voters() {
+		if id.Instance == instance {
+			return id, true
+		}
+	}
+	return model.MemberID{}, false
+}
+
+// join asks the instances of the group for admission.
+func (s *State) join(at model.Time, out *event.Effects) {
+	s.joinAt = at.Add(joinInterval)
+	for _, id := range s.config.Group {
+		if id != s.config.Instance {
+			out.Add(event.Send{To: id, Message: &message.AgreementJoin{Member: s.self}})
+		}
+	}
+	s.found(at, out)
+}
+
+// isBlank reports whether the member holds no entries. It has acknowledged
+// nothing, so no commit depends on it.
+func (s *State) isBlank() bool { return s.log.last() == 0 }
+
+// wantsToJoin reports whether the member should ask for admission when it hears
+// from no leader. A voter that was removed does not return by itself.
+func (s *State) wantsToJoin() bool {
+	return s.isBlank() || s.isMember(s.self) && !s.isVoter(s.self)
+}
+
+// receiveJoin answers a member without a group. A leader adds it as a learner in
+// place of a learner of the same instance.
+func (s *State) receiveJoin(at model.Time, from model.InstanceID, m *message.AgreementJoin, out *event.Effects) {
+	if m.Member.Instance != from || from == s.config.Instance || !slices.Contains(s.config.Group, from) {
+		return
+	}
+	out.Add(event.Send{To: from, Message: &message.AgreementJoinReply{
+		Asker: m.Member, Member: s.self, Blank: s.isBlank()}})
+	if !s.mayChangeMembers() || s.isMember(m.Member) {
+		return
+	}
+	list := slices.Clone(s.members)
+	for _, other := range s.members {
+		if other.ID.Instance != from {
+			continue
+		}
+		if s.isAlive(at, other.ID) {
+			return
+		}
+		if other.Learner {
+			list = without(list, other.ID)
+		}
+	}
+	s.proposeMembers(at, append(list, message.GroupMember{ID: m.Member, Learner: true}), out)
+}
+
+// receiveJoinReply collects the members without a group.
+func (s *State) receiveJoinReply(at model.Time, from model.InstanceID, m *message.AgreementJoinReply, out *event.Effects) {
+	if m.Asker != s.self || m.Member.Instance != from || !m.Blank || !slices.Contains(s.config.Group, from) {
+		return
+	}
+	s.blank[from] = m.Member
+	s.found(at, out)
+}
+
+// found begins a new group if this is its first instance and every other one
+// has reported an empty disk to it. A first instance that lost its disk finds
+// the others in a group and joins them instead.
+func (s *State) found(at model.Time, out *event.Effects) {
+	if !s.isBlank() || s.config.Group[0] != s.config.Instance || len(s.blank) != len(s.config.Group)-1 {
+		return
+	}
+	list := []message.GroupMember{{ID: s.self}}
+	for _, id := range s.config.Group[1:] {
+		list = append(list, message.GroupMember{ID: s.blank[id]})
+	}
+	s.group = s.self.Disk
+	s.term++
+	s.vote = s.self
+	s.appendOwn(at, message.Entry{Kind: message.EntryMembers, Members: list}, out)
+	s.outbox.hardSeq = s.outbox.seq
+	out.Add(event.Log{Code: logevent.AgreementFounded, Fields: []logevent.Field{logevent.F("members", list)}})
+	s.preCampaign(at, out)
+}
--- /dev/null
+++ b/pkg/agreement/state.go
@@ -0,0 +1,333 @@
+package agreement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+const (
+	// Lease is how long a leader may act after a majority last heard from it.
+	Lease = 500 * time.Millisecond
+	// Heartbeat is the interval of a leader's messages to each member.
+	Heartbeat = 100 * time.Millisecond
+	// MinElection and MaxElection bound the randomized election timeout. Members
+	// refuse votes for MinElection after hearing from a leader; the 100 ms above
+	// Lease allow for clocks that run at different speeds.
+	MinElection = 600 * time.Millisecond
+	MaxElection = 1200 * time.Millisecond
+	// MaxEntry is the largest data of one proposal, in bytes.
+	MaxEntry = 1 << 20
+	// MaxSnapshot is the largest snapshot in bytes.
+	MaxSnapshot = 64 << 20
+	// maxUncommitted bounds the entries that wait for a majority.
+	maxUncommitted = 4096
+)
+
+// Role is the role of a member in its term.
+type Role uint8
+
+// Roles.
+const (
+	Follower Role = iota
+	// PreCandidate members ask whether an election could succeed.
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Config is what a member knows before it has read its storage.
+type Config struct {
+	Instance model.InstanceID
+	// Group lists the instances of the control group.
+	Group []model.InstanceID
+	// Seed starts the generator of election timeouts.
+	Seed uint64
+}
+
+// Position is the place of an entry in the log. Index and Term together
+// identify it: a committed entry with the same index and another term means that
+// the proposal was lost.
+type Position struct {
+	Index uint64
+	Term  uint64
+}
+
+// Committed is a committed entry, or a snapshot that replaces everything the
+// caller has applied so far.
+type Committed struct {
+	Position
+	Snapshot bool
+	Data     []byte
+}
+
+// Status describes a member.
+type Status struct {
+	Self   model.MemberID
+	Role   Role
+	Term   uint64
+	Leader model.MemberID
+	// Current is true on a leader whose lease is valid and which has committed an
+	// entry of its own term: what it has applied is the latest state.
+	Current bool
+	// LeaseUntil is when the lease ends unless it is renewed, 0 on other members.
+	LeaseUntil model.Time
+	Members    []message.GroupMember
+	Commit     uint64
+	Last       uint64
+	// Snapshot is the index of the snapshot that begins the log.
+	Snapshot uint64
+	// Failure says why the member has stopped voting, "" if it has not.
+	Failure string
+}
+
+// State is the state of one member.
+type State struct {
+	config Config
+	rng    *rand.Rand
+	self   model.MemberID
+	loaded bool
+	// failure is why storage cannot be used, "" if it can.
+	failure string
+	// stopped is set when an invariant failed; the member takes no further part.
+	stopped bool
+
+	group  model.DiskID
+	term   uint64
+	vote   model.MemberID
+	role   Role
+	leader model.MemberID
+	votes  map[model.MemberID]bool
+
+	log     entryLog
+	commit  uint64
+	applied uint64
+	// snapshotDue says that the caller must be given the snapshot.
+	snapshotDue bool
+	// members is the latest member list of the log, committed or not.
+	members      []message.GroupMember
+	membersIndex uint64
+
+	outbox outbox
+
+	// heard is when a leader was last heard of.
+	heard model.Time
+	// quietUntil keeps a restarted member from voting while a lease that it has
+	// forgotten may be valid.
+	quietUntil model.Time
+	electionAt model.Time
+	joinAt     model.Time
+	// blank holds the other members known to be blank, for founding.
+	blank map[model.InstanceID]model.MemberID
+
+	electedAt   model.Time
+	heartbeatAt model.Time
+	progress    map[model.MemberID]*progress
+	incoming    incoming
+
+	faults faults
+}
+
+// faults breaks single rules, so that tests show that the checks notice it. No
+// code outside the tests sets a field.
+type faults struct {
+	sendBeforeSync        bool
+	commitWithoutMajority bool
+	countLearners         bool
+	voteTwice             bool
+	ignoreLastEntry       bool
+}
+
+// New returns a member that takes no part until Restore.
+func New(c Config) *State {
+	c.Group = slices.Clone(c.Group)
+	slices.Sort(c.Group)
+	return &State{
+		config: c,
+		rng:    rand.New(rand.NewPCG(c.Seed, 0)),
+		blank:  map[model.InstanceID]model.MemberID{},
+	}
+}
+
+// Restore takes what storage holds. Committed entries follow from Take.
+func (s *State) Restore(at model.Time, l event.StorageLoaded, out *event.Effects) {
+	if s.loaded {
+		return
+	}
+	s.loaded = true
+	s.self = model.MemberID{Instance: s.config.Instance, Disk: l.Disk}
+	if l.Failure != "" {
+		s.fail(l.Failure, out)
+		return
+	}
+	s.group, s.term, s.vote = l.Hard.Group, l.Hard.Term, l.Hard.Vote
+	s.log = entryLog{snapshot: l.Snapshot, entries: slices.Clip(l.Entries)}
+	s.outbox.synced = s.log.last()
+	s.commit = max(l.Snapshot.Index, min(l.Hard.Commit, s.log.last()))
+	s.applied = l.Snapshot.Index
+	s.snapshotDue = l.Snapshot.Index > 0
+	s.updateMembers(at)
+	if s.group != "" {
+		s.quietUntil = at.Add(MinElection)
+	}
+	s.resetElection(at)
+	s.joinAt = at
+}
+
+// Propose appends data to the log of a leader. The code is result.Answered if
+// the entry was appended: it may then still be lost, which shows as another
+// entry at its index in Take or as a later term in Status. Any other code means
+// that nothing was appended.
+func (s *State) Propose(at model.Time, data []byte, out *event.Effects) (Position, result.Code) {
+	s.checkLease(at, out)
+	switch {
+	case s.role != Leader:
+		return Position{}, result.NotLeader
+	case len(data) > MaxEntry:
+		return Position{}, result.MalformedChange
+	case s.log.last()-s.commit >= maxUncommitted:
+		return Position{}, result.ControlQueueFull
+	}
+	s.appendOwn(at, message.Entry{Kind: message.EntryData, Data: data}, out)
+	return Position{Index: s.log.last(), Term: s.term}, result.Answered
+}
+
+// Remove proposes to remove a member from the group, as the only change in
+// progress.
+func (s *State) Remove(at model.Time, id model.MemberID, out *event.Effects) (Position, result.Code) {
+	s.checkLease(at, out)
+	switch {
+	case s.role != Leader:
+		return Position{}, result.NotLeader
+	case !s.mayChangeMembers():
+		return Position{}, result.MembershipBusy
+	case !s.isMember(id):
+		return Position{}, result.NotFound
+	case len(s.voters()) == 1 && s.isVoter(id):
+		return Position{}, result.InvalidChange
+	}
+	s.proposeMembers(at, without(s.members, id), out)
+	return Position{Index: s.log.last(), Term: s.term}, result.Answered
+}
+
+// Take returns the committed entries since the last call, in log order. Entries
+// that only the log itself needs are left out, so indexes may have gaps. An
+// entry is returned only when it is synced here too: a restart does not take it
+// back.
+func (s *State) Take() []Committed {
+	var list []Committed
+	if s.snapshotDue && s.outbox.synced < s.log.snapshot.Index {
+		return nil
+	}
+	if s.snapshotDue {
+		s.snapshotDue = false
+		snap := &s.log.snapshot
+		list = append(list, Committed{Position{snap.Index, snap.Term}, true, snap.Data})
+	}
+	for s.applied < min(s.commit, s.outbox.synced) {
+		s.applied++
+		if e := s.log.entry(s.applied); e.Kind == message.EntryData {
+			list = append(list, Committed{Position{e.Index, e.Term}, false, e.Data})
+		}
+	}
+	return list
+}
+
+// Compact replaces the log up to index by a snapshot of the caller's state after
+// the entry at index. The index must have been taken; otherwise nothing is done.
+func (s *State) Compact(index uint64, data []byte, out *event.Effects) {
+	term, ok := s.log.term(index)
+	if !ok || index > s.applied || index <= s.log.snapshot.Index || len(data) > MaxSnapshot || !s.active() {
+		return
+	}
+	snap := message.Snapshot{Index: index, Term: term, Members: s.log.membersAt(index), Data: data}
+	s.log.compact(snap)
+	s.persist(event.Persist{Snapshot: snap, KeepTail: true}, out)
+}
+
+// Status describes the member at the given time.
+func (s *State) Status(at model.Time) Status {
+	st := Status{
+		Self: s.self, Role: s.role, Term: s.term, Leader: s.leader, Members: slices.Clone(s.members),
+		Commit: s.commit, Last: s.log.last(), Snapshot: s.log.snapshot.Index, Failure: s.failure,
+	}
+	if s.role == Leader {
+		st.LeaseUntil = s.leaseUntil(at)
+		st.Current = at < st.LeaseUntil && s.ownTermCommitted()
+	}
+	return st
+}
+
+// NextWake returns when Wake must be called, 0 for never.
+func (s *State) NextWake() model.Time {
+	switch {
+	case !s.active():
+		return 0
+	case s.role == Leader:
+		return min(s.heartbeatAt, s.stepDownAt(s.heartbeatAt))
+	}
+	switch {
+	case s.isVoter(s.self):
+		return s.electionAt
+	case s.wantsToJoin():
+		return s.joinAt
+	}
+	return 0
+}
+
+// Wake handles everything that is due.
+func (s *State) Wake(at model.Time, out *event.Effects) {
+	if !s.active() {
+		return
+	}
+	s.checkLease(at, out)
+	switch {
+	case s.role == Leader:
+		if at >= s.heartbeatAt {
+			s.heartbeat(at, out)
+		}
+	case s.isVoter(s.self):
+		if at >= s.electionAt {
+			s.preCampaign(at, out)
+		}
+	case s.wantsToJoin() && at >= s.joinAt:
+		s.join(at, out)
+	}
+}
+
+// active reports whether the member takes part.
+func (s *State) active() bool { return s.loaded && s.failure == "" && !s.stopped }
+
+// fail ends the member's part: without storage it can keep no promise.
+func (s *State) fail(detail string, out *event.Effects) {
+	if s.failure != "" {
+		return
+	}
+	s.failure = detail
+	s.role = Follower
+	s.leader = model.MemberID{}
+	s.outbox.waiting = nil
+	out.Add(event.Log{Code: logevent.AgreementStorageFailed, Fields: []logevent.Field{logevent.F("error", detail)}})
+}
+
+// require reports a failed invariant and ends the member's part, so that it
+// spreads nothing that may be wrong.
+func (s *State) require(ok bool, name, detail string, out *event.Effects) bool {
+	if !ok {
+		s.stopped = true
+		s.role = Follower
+		s.leader = model.MemberID{}
+		out.Add(event.InvariantFailed{Name: name, Detail: detail})
+	}
+	return ok
+}
+
+func (s *State) resetElection(at model.Time) {
+	s.electionAt = at.Add(MinElection + model.Duration(s.rng.Int64N(int64(MaxElection-MinElection))))
+}
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -47,6 +47,12 @@
 	PeerQueueFull  Code = 404
 
 	ConfigInForce Code = 501
+
+	AgreementStorageFailed Code = 601
+	AgreementLeader        Code = 602
+	AgreementSteppedDown   Code = 603
+	AgreementFounded       Code = 604
+	AgreementMembers       Code = 605
 )
 
 // Info describes an event for the catalogue.
@@ -75,6 +81,11 @@
 	{PeerBadMessage, "peer_bad_message", LevelWarn, "a message of another instance could not be decoded"},
 	{PeerQueueFull, "peer_queue_full", LevelWarn, "a message to another instance was dropped because its queue is full"},
 	{ConfigInForce, "config_in_force", LevelInfo, "a configuration came into force"},
+	{AgreementStorageFailed, "agreement_storage_failed", LevelError, "the data folder cannot be used; this member of the control group no longer votes"},
+	{AgreementLeader, "agreement_leader", LevelInfo, "this instance leads the control group"},
+	{AgreementSteppedDown, "agreement_stepped_down", LevelWarn, "this instance no longer leads the control group"},
+	{AgreementFounded, "agreement_founded", LevelInfo, "this instance founded the control group"},
+	{AgreementMembers, "agreement_members", LevelInfo, "the member list of the control group changed"},
 }
 
 var byCode = func() map[Code]*Info {
