Check the replicated log with random schedules

Each schedule runs 3 or 5 members in virtual time with loss, delay, reordering, duplicates, partitions in one or both directions, crashes that lose unsynced writes, freezes, lost disks and changes of the member list, then heals and requires a whole group. Six test-only switches break one rule each, and every one is noticed. Take now waits for the synced commit index, so that a restart on the same disk takes nothing back.

--- a/pkg/agreement/election.go
+++ b/pkg/agreement/election.go
@@ -30,7 +30,7 @@
 	s.leader = model.MemberID{}
 	s.votes = map[model.MemberID]bool{}
 	s.resetElection(at)
-	for _, id := range s.voters() {
+	for _, id := range s.counted() {
 		if id == s.self {
 			continue
 		}
@@ -47,7 +47,7 @@
 // countVotes moves on when a majority has granted the vote.
 func (s *State) countVotes(at model.Time, out *event.Effects) {
 	granted := 0
-	for _, id := range s.voters() {
+	for _, id := range s.counted() {
 		if id == s.self && (s.role == PreCandidate || s.outbox.hardSeq <= s.outbox.done) || s.votes[id] {
 			granted++
 		}
--- a/pkg/agreement/lease.go
+++ b/pkg/agreement/lease.go
@@ -11,8 +11,8 @@
 // latest message that a majority has answered. Those members vote for nobody
 // else for MinElection after they received it, which is later than it was sent.
 func (s *State) leaseUntil(at model.Time) model.Time {
-	var acked []model.Time
-	for _, id := range s.voters() {
+	acked := make([]model.Time, 0, 8)
+	for _, id := range s.counted() {
 		switch pr := s.progress[id]; {
 		case id == s.self:
 			acked = append(acked, at)
--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -20,23 +21,25 @@
 	aliveFor = 2 * time.Second
 )
 
-// voters returns the members that count in majorities, in order.
-func (s *State) voters() []model.MemberID {
-	list := make([]model.MemberID, 0, len(s.members))
+func (s *State) majority() int { return len(s.voters)/2 + 1 }
+
+func (s *State) isVoter(id model.MemberID) bool {
+	return slices.Contains(s.members, message.GroupMember{ID: id})
+}
+
+// counted returns the members whose answers count towards a majority: the
+// voters.
+func (s *State) counted() []model.MemberID {
+	if !s.faults.countLearners {
+		return s.voters
+	}
+	var list []model.MemberID
 	for _, m := range s.members {
-		if !m.Learner || s.faults.countLearners {
-			list = append(list, m.ID)
-		}
+		list = append(list, m.ID)
 	}
 	return list
 }
 
-func (s *State) majority() int { return len(s.voters())/2 + 1 }
-
-func (s *State) isVoter(id model.MemberID) bool {
-	return slices.Contains(s.members, message.GroupMember{ID: id}) || s.faults.countLearners && s.isMember(id)
-}
-
 func (s *State) isMember(id model.MemberID) bool {
 	return slices.ContainsFunc(s.members, func(m message.GroupMember) bool { return m.ID == id })
 }
@@ -45,6 +48,12 @@
 // soon as it is appended.
 func (s *State) updateMembers(at model.Time) {
 	s.members, s.membersIndex = s.log.lastMembers(s.log.last())
+	s.voters = nil
+	for _, m := range s.members {
+		if !m.Learner {
+			s.voters = append(s.voters, m.ID)
+		}
+	}
 	if s.role != Leader {
 		return
 	}
@@ -78,7 +87,7 @@
 		return 1
 	})
 	s.appendOwn(at, message.Entry{Kind: message.EntryMembers, Members: list}, out)
-	out.Add(event.Log{Code: logevent.AgreementMembers, Fields: []logevent.Field{logevent.F("members", list)}})
+	out.Add(event.Log{Code: logevent.AgreementMembers, Fields: []logevent.Field{logevent.F("members", fmt.Sprint(list))}})
 }
 
 func without(list []message.GroupMember, id model.MemberID) []message.GroupMember {
@@ -99,11 +108,11 @@
 		return
 	}
 	for _, m := range s.members {
-		if !m.Learner || !s.isAlive(at, m.ID) || s.progress[m.ID].match < s.commit {
+		if !m.Learner || !s.hasCaughtUp(at, m.ID) {
 			continue
 		}
 		if old, ok := s.voterOf(m.ID.Instance); ok {
-			if s.isAlive(at, old) || len(s.voters()) == 1 {
+			if s.isAlive(at, old) || len(s.voters) == 1 {
 				continue
 			}
 			s.proposeMembers(at, without(s.members, old), out)
@@ -115,9 +124,14 @@
 	}
 }
 
+// hasCaughtUp reports whether a learner has synced everything committed.
+func (s *State) hasCaughtUp(at model.Time, id model.MemberID) bool {
+	return s.faults.promoteEarly || s.isAlive(at, id) && s.progress[id].match >= s.commit
+}
+
 // voterOf returns the voter of an instance.
 func (s *State) voterOf(instance model.InstanceID) (model.MemberID, bool) {
-	for _, id := range s.voters() {
+	for _, id := range s.voters {
 		if id.Instance == instance {
 			return id, true
 		}
@@ -197,6 +211,6 @@
 	s.vote = s.self
 	s.appendOwn(at, message.Entry{Kind: message.EntryMembers, Members: list}, out)
 	s.outbox.hardSeq = s.outbox.seq
-	out.Add(event.Log{Code: logevent.AgreementFounded, Fields: []logevent.Field{logevent.F("members", list)}})
+	out.Add(event.Log{Code: logevent.AgreementFounded, Fields: []logevent.Field{logevent.F("members", fmt.Sprint(list))}})
 	s.preCampaign(at, out)
 }
--- a/pkg/agreement/outbox.go
+++ b/pkg/agreement/outbox.go
@@ -16,8 +16,9 @@
 	seq, done uint64
 	// hardSeq is the last one that changed term, vote or group.
 	hardSeq uint64
-	// synced is the last synced index of the log.
+	// synced is the last synced index of the log, commit the synced commit index.
 	synced  uint64
+	commit  uint64
 	writes  []write
 	waiting []waiting
 }
@@ -27,6 +28,8 @@
 	seq uint64
 	// last is the last index that is synced once the write is.
 	last uint64
+	// commit is the commit index that the write holds.
+	commit uint64
 }
 
 // waiting is a message that waits for a write.
@@ -42,7 +45,7 @@
 	o.seq++
 	p.Seq = o.seq
 	p.Hard = event.HardState{Group: s.group, Term: s.term, Vote: s.vote, Commit: s.commit}
-	o.writes = append(o.writes, write{seq: o.seq, last: s.log.last()})
+	o.writes = append(o.writes, write{seq: o.seq, last: s.log.last(), commit: s.commit})
 	out.Add(p)
 }
 
@@ -89,6 +92,7 @@
 	o.done = max(o.done, min(seq, o.seq))
 	for len(o.writes) > 0 && o.writes[0].seq <= o.done {
 		o.synced = max(o.synced, o.writes[0].last)
+		o.commit = max(o.commit, o.writes[0].commit)
 		o.writes = o.writes[1:]
 	}
 	kept := o.waiting[:0]
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -158,7 +158,7 @@
 // still replace them.
 func (s *State) advanceCommit(at model.Time, out *event.Effects) {
 	var synced []uint64
-	for _, id := range s.voters() {
+	for _, id := range s.counted() {
 		switch pr := s.progress[id]; {
 		case id == s.self:
 			synced = append(synced, s.outbox.synced)
--- /dev/null
+++ b/pkg/agreement/schedule_test.go
@@ -0,0 +1,102 @@
+package agreement
+
+import (
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// schedules is the number of random runs in CI; the environment variable
+// ANVILCRANK_SCHEDULES sets another one and ANVILCRANK_SEED the first seed.
+const schedules = 2000
+
+func setting(name string, otherwise uint64) uint64 {
+	if v, err := strconv.ParseUint(os.Getenv(name), 10, 64); err == nil {
+		return v
+	}
+	return otherwise
+}
+
+// each runs do for consecutive seeds on eight goroutines until it returns false.
+func each(first, count uint64, do func(seed uint64) bool) {
+	var wg sync.WaitGroup
+	var next atomic.Uint64
+	for range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for k := next.Add(1) - 1; k < count; k = next.Add(1) - 1 {
+				if !do(first + k) {
+					next.Store(count)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Guards against two leaders in a term, logs that differ, committed entries that
+// are lost or change, and a group that does not recover, under loss, delay,
+// reordering, duplicates, partitions, crashes, freezes, lost disks and changes of
+// the member list.
+func TestRandomSchedules(t *testing.T) {
+	count := setting("ANVILCRANK_SCHEDULES", schedules)
+	if testing.Short() {
+		count = min(count, schedules/10)
+	}
+	var accepted, committed atomic.Int64
+	each(setting("ANVILCRANK_SEED", 1), count, func(seed uint64) bool {
+		s := newSim(seed, faults{})
+		s.schedule()
+		accepted.Add(int64(s.accepted))
+		committed.Add(int64(len(s.committed)))
+		if len(s.failures) > 0 {
+			t.Errorf("seed %d: %s", seed, s.failures[0])
+		}
+		return len(s.failures) == 0
+	})
+	t.Logf("%d schedules, %d proposals accepted, %d entries committed", count, accepted.Load(), committed.Load())
+}
+
+// Guards against a decision that depends on anything but the events and the
+// seed.
+func TestSameSeedSameTrace(t *testing.T) {
+	for seed := range uint64(20) {
+		a, b := newSim(seed, faults{}), newSim(seed, faults{})
+		a.schedule()
+		b.schedule()
+		if a.trace != b.trace || a.now != b.now {
+			t.Fatalf("seed %d gave two traces", seed)
+		}
+	}
+}
+
+// Guards against checks that pass whatever the members do: each broken rule must
+// be noticed.
+func TestBrokenRulesAreNoticed(t *testing.T) {
+	for name, f := range map[string]faults{
+		"messages sent before the sync":      {sendBeforeSync: true},
+		"commit without a majority":          {commitWithoutMajority: true},
+		"learners counted in majorities":     {countLearners: true},
+		"learners promoted before caught up": {promoteEarly: true},
+		"two votes in a term":                {voteTwice: true},
+		"votes for logs that lack an entry":  {ignoreLastEntry: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var found atomic.Uint64
+			each(1, schedules, func(seed uint64) bool {
+				s := newSim(seed, f)
+				s.schedule()
+				if len(s.failures) > 0 && found.CompareAndSwap(0, seed) {
+					t.Logf("seed %d: %s", seed, s.failures[0])
+				}
+				return found.Load() == 0
+			})
+			if found.Load() == 0 {
+				t.Error("no schedule noticed the fault")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/agreement/sim_test.go
@@ -0,0 +1,470 @@
+package agreement
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+	"github.com/anvilcrank/anvilcrank/pkg/storage"
+)
+
+// sim runs a control group in virtual time with faults drawn from a seed.
+type sim struct {
+	rng    *rand.Rand
+	now    model.Time
+	queue  actions
+	seq    int
+	nodes  []*node
+	faults faults
+	// failures holds the violations found; a run stops at the first.
+	failures []string
+	trace    uint64
+	// loss and cut describe the network; cut holds directed pairs.
+	loss      float64
+	cut       map[[2]int]bool
+	committed []message.Entry // by index, from 1
+	members   []message.GroupMember
+	digests   map[uint64]uint64 // digest of the applied state by index
+	leaders   map[uint64]model.MemberID
+	pad       int
+	// disks holds all disks, lost ones included: what a lost one had synced when
+	// it acknowledged still counts.
+	disks    map[model.DiskID]*event.StorageLoaded
+	accepted int
+}
+
+type node struct {
+	k           int
+	st          *State
+	up          bool
+	life        int
+	frozen      model.Time
+	disk        *event.StorageLoaded
+	writes      []event.Persist
+	timer       model.Time
+	wroteAt     model.Time
+	checked     uint64
+	listIndex   uint64
+	list        []message.GroupMember
+	digest      uint64
+	taken       uint64
+	takenOnDisk uint64
+}
+
+type action struct {
+	at  model.Time
+	seq int
+	do  func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	x := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return x
+}
+
+func newSim(seed uint64, f faults) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), now: 1, faults: f, cut: map[[2]int]bool{},
+		disks: map[model.DiskID]*event.StorageLoaded{}, digests: map[uint64]uint64{}, leaders: map[uint64]model.MemberID{}}
+	n := 3 + 2*s.rng.IntN(2)
+	if s.rng.IntN(10) == 0 {
+		s.pad = 700 << 10 // snapshots of several chunks
+	}
+	for k := range n {
+		s.nodes = append(s.nodes, &node{k: k})
+	}
+	for _, n := range s.nodes {
+		s.wipe(n)
+		s.start(n)
+	}
+	return s
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.failures = append(s.failures, fmt.Sprintf("%v: ", time.Duration(s.now))+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) after(d model.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, action{s.now.Add(d), s.seq, do})
+}
+
+// run handles actions until the time or the first failure.
+func (s *sim) run(d model.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && s.queue[0].at <= end && len(s.failures) == 0 {
+		a := heap.Pop(&s.queue).(action)
+		s.now = a.at
+		a.do()
+	}
+	s.now = end
+}
+
+func (s *sim) id(k int) model.InstanceID { return model.InstanceID(rune('a' + k)) }
+
+func (s *sim) wipe(n *node) {
+	n.disk = &event.StorageLoaded{Disk: model.DiskID(fmt.Sprint("d", len(s.disks)+1))}
+	s.disks[n.disk.Disk] = n.disk
+	n.takenOnDisk = 0
+}
+
+func (s *sim) start(n *node) {
+	n.up, n.writes, n.timer, n.wroteAt, n.checked, n.listIndex, n.list, n.digest, n.taken = true, nil, 0, 0, 0, 0, nil, 0, 0
+	n.life++
+	c := Config{Instance: s.id(n.k), Seed: s.rng.Uint64()}
+	for k := range s.nodes {
+		c.Group = append(c.Group, s.id(k))
+	}
+	n.st = New(c)
+	n.st.faults = s.faults
+	life := n.life
+	s.after(0, func() {
+		if n.life != life {
+			return
+		}
+		s.step(n, func(out *event.Effects) { n.st.Restore(s.now, *n.disk, out) })
+		if last := max(n.taken, n.disk.Snapshot.Index); last < n.takenOnDisk {
+			s.fail("%c took back entries from %d to %d by a restart", 'a'+n.k, n.takenOnDisk, last)
+		}
+	})
+}
+
+// crash ends the process. Writes on their way are synced up to some point.
+func (s *sim) crash(n *node) {
+	n.up = false
+	n.life++
+	for range s.rng.IntN(len(n.writes) + 1) {
+		s.write(n)
+	}
+}
+
+func (s *sim) write(n *node) uint64 {
+	p := n.writes[0]
+	n.writes = n.writes[1:]
+	if err := storage.Apply(n.disk, p); err != nil {
+		s.fail("%c: %v", 'a'+n.k, err)
+	}
+	return p.Seq
+}
+
+// in runs do in the process of a node, when it is not frozen.
+func (s *sim) in(n *node, life int, do func(out *event.Effects)) {
+	switch {
+	case !n.up || n.life != life:
+	case s.now < n.frozen:
+		s.after(n.frozen.Sub(s.now), func() { s.in(n, life, do) })
+	default:
+		s.step(n, do)
+	}
+}
+
+func (s *sim) step(n *node, do func(out *event.Effects)) {
+	var out event.Effects
+	do(&out)
+	for _, c := range n.st.Take() {
+		s.apply(n, c)
+	}
+	if n.st.applied > n.st.log.snapshot.Index+15 && n.st.applied == n.taken {
+		data := make([]byte, 16+s.pad)
+		binary.BigEndian.PutUint64(data, n.digest)
+		n.st.Compact(n.taken, data, &out)
+	}
+	for _, e := range out.List() {
+		s.carryOut(n, e)
+	}
+	s.check(n)
+	life := n.life
+	if next := n.st.NextWake(); next != 0 && next != n.timer {
+		n.timer = next
+		s.after(max(0, next.Sub(s.now)), func() {
+			if n.life == life && n.timer == next {
+				n.timer = 0
+				s.in(n, life, func(out *event.Effects) { n.st.Wake(s.now, out) })
+			}
+		})
+	}
+}
+
+func (s *sim) carryOut(n *node, e event.Effect) {
+	life := n.life
+	switch e := e.(type) {
+	case event.Send:
+		s.transmit(n.k, int(e.To[0]-'a'), e.Message)
+	case event.Persist:
+		n.writes = append(n.writes, e)
+		d := time.Duration(s.rng.IntN(8)) * time.Millisecond
+		if s.rng.IntN(50) == 0 {
+			d = 300 * time.Millisecond
+		}
+		n.wroteAt = max(n.wroteAt, s.now.Add(d))
+		s.after(n.wroteAt.Sub(s.now), func() {
+			if n.up && n.life == life {
+				seq := s.write(n)
+				s.in(n, life, func(out *event.Effects) { n.st.Persisted(s.now, seq, out) })
+			}
+		})
+	case event.InvariantFailed:
+		s.fail("%c: invariant %s: %s", 'a'+n.k, e.Name, e.Detail)
+	}
+}
+
+func (s *sim) transmit(from, to int, m message.Message) {
+	for _, v := range []uint64{uint64(s.now), uint64(from), uint64(to), uint64(m.Kind())} {
+		s.trace = (s.trace ^ v) * 1099511628211 // FNV-1a over words
+	}
+	for range 1 + s.rng.IntN(20)/19 { // one in 20 is duplicated
+		if s.cut[[2]int{from, to}] || s.rng.Float64() < s.loss {
+			continue
+		}
+		d := time.Duration(1+s.rng.IntN(30)) * time.Millisecond
+		if s.rng.IntN(40) == 0 {
+			d = time.Duration(s.rng.IntN(3000)) * time.Millisecond
+		}
+		s.after(d, func() {
+			n := s.nodes[to]
+			s.in(n, n.life, func(out *event.Effects) { n.st.Receive(s.now, s.id(from), m, out) })
+		})
+	}
+}
+
+// apply takes a committed entry into the state of a node: a digest of
+// everything applied, which must be the same everywhere.
+func (s *sim) apply(n *node, c Committed) {
+	if c.Index <= n.taken {
+		s.fail("%c took %d after %d", 'a'+n.k, c.Index, n.taken)
+	}
+	n.taken = c.Index
+	n.takenOnDisk = max(n.takenOnDisk, c.Index)
+	if c.Snapshot {
+		n.digest = binary.BigEndian.Uint64(c.Data)
+	} else {
+		h := fnv.New64a()
+		fmt.Fprint(h, n.digest, c.Index, c.Term, string(c.Data))
+		n.digest = h.Sum64()
+	}
+	if d, ok := s.digests[c.Index]; ok && d != n.digest {
+		s.fail("%c has another state after %d", 'a'+n.k, c.Index)
+	}
+	s.digests[c.Index] = n.digest
+}
+
+// check compares a node with everything seen before.
+func (s *sim) check(n *node) {
+	st := n.st
+	status := st.Status(s.now)
+	if st.role == Leader {
+		if id, ok := s.leaders[st.term]; ok && id != st.self {
+			s.fail("%v and %v led term %d", id, st.self, st.term)
+		}
+		s.leaders[st.term] = st.self
+	}
+	s.checkPromotion(n)
+	for i := max(n.checked, st.log.snapshot.Index) + 1; i <= st.commit; i++ {
+		e := st.log.entry(i)
+		if i > uint64(len(s.committed)) {
+			s.checkBacked(n, i)
+			s.committed = append(s.committed, *e)
+			if e.Kind == message.EntryMembers {
+				s.members = e.Members
+			}
+		} else if c := &s.committed[i-1]; c.Term != e.Term || !sameEntry(c, e) {
+			s.fail("%c committed another entry %d", 'a'+n.k, i)
+		}
+	}
+	n.checked = max(n.checked, st.commit)
+	if status.Current && st.commit < uint64(len(s.committed)) {
+		s.fail("%c counts as current at %d of %d", 'a'+n.k, st.commit, len(s.committed))
+	}
+}
+
+// checkBacked requires that a majority of the voters has synced a new commit.
+func (s *sim) checkBacked(n *node, index uint64) {
+	synced := 0
+	for _, id := range n.st.voters {
+		d := s.disks[id.Disk]
+		if i := index - d.Snapshot.Index; index <= d.Snapshot.Index ||
+			i <= uint64(len(d.Entries)) && d.Entries[i-1].Term == n.st.log.entry(index).Term {
+			synced++
+		}
+	}
+	if synced < n.st.majority() {
+		s.fail("%c committed %d, synced by %d of %v", 'a'+n.k, index, synced, n.st.members)
+	}
+}
+
+// checkPromotion requires that a voter has synced what was committed when a
+// leader promotes it.
+func (s *sim) checkPromotion(n *node) {
+	if n.st.membersIndex == n.listIndex {
+		return
+	}
+	t, _ := n.st.log.term(n.st.membersIndex)
+	for _, m := range n.st.members {
+		if n.st.role != Leader || t != n.st.term {
+			break
+		}
+		d := s.disks[m.ID.Disk]
+		if was := (message.GroupMember{ID: m.ID, Learner: true}); !m.Learner && slices.Contains(n.list, was) &&
+			d.Snapshot.Index+uint64(len(d.Entries)) < n.st.commit {
+			s.fail("%c promoted %v before it caught up", 'a'+n.k, m.ID)
+		}
+	}
+	n.listIndex, n.list = n.st.membersIndex, n.st.members
+}
+
+// checkMatching requires that logs that agree at an index agree before it.
+func (s *sim) checkMatching() {
+	for i, a := range s.nodes {
+		for _, b := range s.nodes[:i] {
+			la, lb := &a.st.log, &b.st.log
+			agree := false
+			for k := min(la.last(), lb.last()); k > max(la.snapshot.Index, lb.snapshot.Index) && a.st.group == b.st.group; k-- {
+				x, y := la.entry(k), lb.entry(k)
+				if same := x.Term == y.Term && sameEntry(x, y); agree && !same || x.Term == y.Term && !same {
+					s.fail("logs of %v and %v differ at %d", a.st.self, b.st.self, k)
+				}
+				agree = agree || x.Term == y.Term
+			}
+		}
+	}
+}
+
+func (s *sim) propose() {
+	data := binary.BigEndian.AppendUint64(nil, s.rng.Uint64())
+	for _, n := range s.nodes {
+		s.in(n, n.life, func(out *event.Effects) {
+			if _, code := n.st.Propose(s.now, data, out); code == result.Answered {
+				s.accepted++
+			}
+		})
+	}
+}
+
+// mayLose reports whether the group is whole, so that it must survive the loss
+// of one disk.
+func (s *sim) mayLose() bool {
+	for _, n := range s.nodes {
+		if n.st.membersIndex > uint64(len(s.committed)) {
+			return false
+		}
+	}
+	for _, m := range s.members {
+		if m.Learner || s.nodes[m.ID.Instance[0]-'a'].disk.Disk != m.ID.Disk {
+			return false
+		}
+	}
+	return len(s.members) == len(s.nodes)
+}
+
+// isCommittedVoter reports whether a node's disk counts in the committed list.
+func (s *sim) isCommittedVoter(n *node) bool {
+	return slices.Contains(s.members, message.GroupMember{ID: model.MemberID{Instance: s.id(n.k), Disk: n.disk.Disk}})
+}
+
+// disturb does one random thing.
+func (s *sim) disturb() {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	o := s.nodes[s.rng.IntN(len(s.nodes))]
+	switch s.rng.IntN(12) {
+	case 0:
+		s.loss = s.rng.Float64() * 0.4
+	case 1, 2:
+		s.cut[[2]int{n.k, o.k}] = true
+	case 3:
+		for k := range s.nodes {
+			s.cut[[2]int{n.k, k}], s.cut[[2]int{k, n.k}] = true, true
+		}
+	case 4, 5:
+		clear(s.cut)
+		s.loss = 0
+	case 6:
+		s.crash(n)
+	case 7, 8:
+		if s.mayLose() || len(s.committed) > 0 && !s.isCommittedVoter(n) && !s.pendingVoter(n) {
+			s.crash(n)
+			s.wipe(n)
+			s.start(n)
+		}
+	case 9:
+		n.frozen = s.now.Add(time.Duration(s.rng.IntN(2500)) * time.Millisecond)
+	case 10:
+		if s.mayLose() {
+			id := model.MemberID{Instance: s.id(o.k), Disk: o.disk.Disk}
+			s.in(n, n.life, func(out *event.Effects) { n.st.Remove(s.now, id, out) })
+		}
+	}
+	for _, n := range s.nodes {
+		if !n.up && s.rng.IntN(2) == 0 {
+			s.start(n)
+		}
+	}
+	s.checkMatching()
+}
+
+// pendingVoter reports whether another node's list counts a node's disk.
+func (s *sim) pendingVoter(n *node) bool {
+	for _, o := range s.nodes {
+		if o != n && o.st.isVoter(model.MemberID{Instance: s.id(n.k), Disk: n.disk.Disk}) {
+			return true
+		}
+	}
+	return false
+}
+
+// schedule runs faults for a while, then heals everything and requires that the
+// group is whole again and commits.
+func (s *sim) schedule() {
+	s.run(4 * time.Second)
+	for range 20 {
+		s.disturb()
+		for range s.rng.IntN(4) {
+			s.propose()
+			s.run(time.Duration(s.rng.IntN(250)) * time.Millisecond)
+		}
+		s.run(time.Duration(s.rng.IntN(600)) * time.Millisecond)
+	}
+	clear(s.cut)
+	s.loss = 0
+	for _, n := range s.nodes {
+		n.frozen = 0
+		if !n.up {
+			s.start(n)
+		}
+	}
+	s.run(5 * time.Second)
+	for _, n := range s.nodes { // a removed member returns with an empty disk
+		if len(s.committed) > 0 && !s.isCommittedVoter(n) && !s.pendingVoter(n) {
+			s.crash(n)
+			s.wipe(n)
+			s.start(n)
+		}
+	}
+	s.run(10 * time.Second)
+	before := len(s.committed)
+	for _, n := range s.nodes {
+		s.in(n, n.life, func(out *event.Effects) { n.st.Propose(s.now, []byte("last"), out) })
+	}
+	s.run(3 * time.Second)
+	s.checkMatching()
+	for _, n := range s.nodes {
+		if len(s.failures) == 0 && (n.st.commit <= uint64(before) || n.taken != s.nodes[0].taken || !n.st.isVoter(n.st.self)) {
+			s.fail("%v did not recover: role %d commit %d of %d, members %v", n.st.self, n.st.role, n.st.commit, len(s.committed), n.st.members)
+		}
+	}
+}
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -113,6 +113,8 @@
 	// members is the latest member list of the log, committed or not.
 	members      []message.GroupMember
 	membersIndex uint64
+	// voters are the members that count in majorities, in the order of members.
+	voters []model.MemberID
 
 	outbox outbox
 
@@ -140,6 +142,7 @@
 	sendBeforeSync        bool
 	commitWithoutMajority bool
 	countLearners         bool
+	promoteEarly          bool
 	voteTwice             bool
 	ignoreLastEntry       bool
 }
@@ -170,6 +173,7 @@
 	s.log = entryLog{snapshot: l.Snapshot, entries: slices.Clip(l.Entries)}
 	s.outbox.synced = s.log.last()
 	s.commit = max(l.Snapshot.Index, min(l.Hard.Commit, s.log.last()))
+	s.outbox.commit = s.commit
 	s.applied = l.Snapshot.Index
 	s.snapshotDue = l.Snapshot.Index > 0
 	s.updateMembers(at)
@@ -209,7 +213,7 @@
 		return Position{}, result.MembershipBusy
 	case !s.isMember(id):
 		return Position{}, result.NotFound
-	case len(s.voters()) == 1 && s.isVoter(id):
+	case len(s.voters) == 1 && s.isVoter(id):
 		return Position{}, result.InvalidChange
 	}
 	s.proposeMembers(at, without(s.members, id), out)
@@ -218,11 +222,12 @@
 
 // Take returns the committed entries since the last call, in log order. Entries
 // that only the log itself needs are left out, so indexes may have gaps. An
-// entry is returned only when it is synced here too: a restart does not take it
-// back.
+// entry is returned only when it and the commit index are synced here too: after
+// a restart on the same disk Take returns at least as much as before.
 func (s *State) Take() []Committed {
 	var list []Committed
-	if s.snapshotDue && s.outbox.synced < s.log.snapshot.Index {
+	synced := min(s.outbox.commit, s.outbox.synced)
+	if s.snapshotDue && synced < s.log.snapshot.Index {
 		return nil
 	}
 	if s.snapshotDue {
@@ -230,7 +235,7 @@
 		snap := &s.log.snapshot
 		list = append(list, Committed{Position{snap.Index, snap.Term}, true, snap.Data})
 	}
-	for s.applied < min(s.commit, s.outbox.synced) {
+	for s.applied < synced {
 		s.applied++
 		if e := s.log.entry(s.applied); e.Kind == message.EntryData {
 			list = append(list, Committed{Position{e.Index, e.Term}, false, e.Data})
