--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -118,12 +118,20 @@
 			s.proposeMembers(at, without(s.members, old), out)
 			return
 		}
-		list := append(without(s.members, m.ID), message.GroupMember{ID: m.ID})
-		s.proposeMembers(at, list, out)
+		s.promote(at, m.ID, out)
 		return
 	}
 }
 
+// promote makes a learner count in majorities.
+func (s *State) promote(at model.Time, id model.MemberID, out *event.Effects) {
+	if match := s.progress[id].match; !s.require(match >= s.commit, "agreement-voter-caught-up",
+		fmt.Sprintf("%v counts with %d of %d entries", id, match, s.commit), out) {
+		return
+	}
+	s.proposeMembers(at, append(without(s.members, id), message.GroupMember{ID: id}), out)
+}
+
 // hasCaughtUp reports whether a learner has synced everything committed.
 func (s *State) hasCaughtUp(at model.Time, id model.MemberID) bool {
 	return s.faults.promoteEarly || s.isAlive(at, id) && s.progress[id].match >= s.commit
--- a/pkg/agreement/outbox.go
+++ b/pkg/agreement/outbox.go
@@ -75,6 +75,7 @@
 	o := &s.outbox
 	seq = max(seq, o.hardSeq)
 	switch {
+	case s.stopped:
 	case seq <= o.done || s.faults.sendBeforeSync:
 		out.Add(event.Send{To: to, Message: m})
 	case len(o.waiting) < maxWaiting:
