--- a/instance.go
+++ b/instance.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"github.com/apex/log"
@@ -15,6 +16,7 @@
 	"github.com/oklog/run"
 
 	"github.com/anvilcrank/anvilcrank/pkg/api"
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
 	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
@@ -55,6 +57,8 @@
 	api       *api.API
 	// configWriter is nil without a data folder.
 	configWriter *storage.ConfigWriter
+	// storage is nil on instances outside the control group.
+	storage *control.Storer
 
 	listener     net.Listener
 	peerListener net.Listener
@@ -67,17 +71,22 @@
 		o.Logger = newLogger(s.LogLevel)
 	}
 	i := &Instance{settings: *s, options: o}
+	if err := i.openStorage(); err != nil {
+		return nil, err
+	}
 	if err := i.listen(); err != nil {
+		i.closeStorage()
 		return nil, err
 	}
 	clock := control.NewClock()
 	identity := state.Identity{
-		ID:          s.Instance,
-		Incarnation: model.Incarnation(clock.Now()),
-		Zone:        s.Zone,
-		Address:     i.Address(),
-		Seed:        o.Seed,
-		Disk:        s.Data != "",
+		ID:           s.Instance,
+		Incarnation:  model.Incarnation(clock.Now()),
+		Zone:         s.Zone,
+		Address:      i.Address(),
+		Seed:         o.Seed,
+		ControlGroup: s.ControlGroup,
+		Disk:         s.Data != "",
 	}
 	if identity.Seed == 0 {
 		identity.Seed = uint64(identity.Incarnation)
@@ -103,7 +112,10 @@
 		i.configWriter = storage.NewConfigWriter(s.Data, links.Report)
 		handlers.Config = i.configWriter
 	}
-	i.loop = control.NewLoop(state.New(identity), clock, i.recorder, handlers)
+	if i.storage != nil {
+		handlers.Storage = i.storage
+	}
+	i.loop = control.NewLoop(state.New(identity, codec.Changes{}), clock, i.recorder, handlers)
 	links.loop = i.loop
 	i.proxy.SetControl(i.loop)
 	i.api = api.New(i.loop, i.proxy, i.telemetry)
@@ -148,6 +160,9 @@
 	defer cancel()
 	var g run.Group
 	g.Add(func() error { return i.loop.Run(ctx) }, func(error) { cancel() })
+	if i.storage != nil {
+		g.Add(func() error { return i.storage.Run(ctx, i.loop) }, func(error) { cancel() })
+	}
 	g.Add(func() error { return i.peers.Run(ctx, i.settings.Peers) }, func(error) { cancel() })
 	i.addServer(&g, i.api.Server(), i.listener)
 	mux := http.NewServeMux()
@@ -157,6 +172,7 @@
 		return err
 	}
 	err := g.Run()
+	i.closeStorage()
 	i.proxy.Close()
 	if errors.Is(err, context.Canceled) {
 		return ctx.Err()
@@ -190,6 +206,28 @@
 func (i *Instance) Close() {
 	_ = i.listener.Close()
 	_ = i.peerListener.Close()
+	i.closeStorage()
+}
+
+// openStorage opens the data folder of a member of the control group. A folder
+// that another process uses is an error. One that cannot be read is reported to
+// the reducer: the member does not vote, and traffic goes on.
+func (i *Instance) openStorage() error {
+	if !slices.Contains(i.settings.ControlGroup, i.settings.Instance) {
+		return nil
+	}
+	folder, err := storage.Folder(i.settings.Data)
+	if err != nil {
+		return err
+	}
+	i.storage, err = control.OpenStorer(folder)
+	return err
+}
+
+func (i *Instance) closeStorage() {
+	if i.storage != nil {
+		i.storage.Close()
+	}
 }
 
 // Dump writes the recorded events to a file.
--- a/pkg/codec/change.go
+++ b/pkg/codec/change.go
@@ -46,3 +46,18 @@
 func DecodeConfig(data []byte) (*model.Config, error) {
 	return decode[model.Config]("configuration", data)
 }
+
+// Changes implements the codec of the replicated log.
+type Changes struct{}
+
+// EncodeChange encodes a change for the replicated log.
+func (Changes) EncodeChange(c *change.Change) ([]byte, error) { return EncodeChange(c) }
+
+// DecodeChange decodes what EncodeChange made.
+func (Changes) DecodeChange(data []byte) (*change.Change, error) { return DecodeChange(data) }
+
+// EncodeSnapshot encodes the replicated state.
+func (Changes) EncodeSnapshot(s *change.Snapshot) ([]byte, error) { return EncodeSnapshot(s) }
+
+// DecodeSnapshot decodes what EncodeSnapshot made.
+func (Changes) DecodeSnapshot(data []byte) (*change.Snapshot, error) { return DecodeSnapshot(data) }
--- a/pkg/distribution/state.go
+++ b/pkg/distribution/state.go
@@ -43,6 +43,8 @@
 	// Disk is true if configurations are saved in a data folder.
 	Disk bool
 	Seed uint64
+	// Group lists the instances that may be members of the control group.
+	Group []model.InstanceID
 }
 
 // Installer puts configurations in force.
@@ -115,6 +117,7 @@
 	s.calls.pending = map[message.RequestID]*pending{}
 	s.calls.handled = map[model.InstanceID]message.RequestID{}
 	s.known[id.ID] = s.held()
+	s.hint.Members = id.Group
 	return s
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -43,4 +43,5 @@
 	PeerReceived{}, PeerConnected{}, PeerLost{},
 	ConfigLoaded{}, BootstrapOffered{}, ConfigSaved{},
 	ChangeProposed{}, StatusRequested{}, HistoryRequested{},
+	StorageLoaded{}, Persisted{},
 }
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -53,6 +53,12 @@
 	ConfigSaveFailed Code = 502
 	ConfigFileBroken Code = 503
 	OperatorChange   Code = 504
+
+	AgreementStorageFailed Code = 601
+	AgreementLeader        Code = 602
+	AgreementSteppedDown   Code = 603
+	AgreementFounded       Code = 604
+	AgreementMembers       Code = 605
 )
 
 // Info describes an event for the catalogue.
@@ -84,6 +90,11 @@
 	{ConfigSaveFailed, "config_save_failed", LevelError, "a configuration could not be saved; it is in force all the same"},
 	{ConfigFileBroken, "config_file_broken", LevelError, "the saved configuration is damaged and was not used; peers are asked instead"},
 	{OperatorChange, "operator_change", LevelInfo, "an operator's change got its result"},
+	{AgreementStorageFailed, "agreement_storage_failed", LevelError, "the data folder cannot be used; this member of the control group no longer votes"},
+	{AgreementLeader, "agreement_leader", LevelInfo, "this instance leads the control group"},
+	{AgreementSteppedDown, "agreement_stepped_down", LevelWarn, "this instance no longer leads the control group"},
+	{AgreementFounded, "agreement_founded", LevelInfo, "this instance founded the control group"},
+	{AgreementMembers, "agreement_members", LevelInfo, "the member list of the control group changed"},
 }
 
 var byCode = func() map[Code]*Info {
--- a/pkg/state/config.go
+++ b/pkg/state/config.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"github.com/anvilcrank/anvilcrank/pkg/agreement"
 	"github.com/anvilcrank/anvilcrank/pkg/change"
 	"github.com/anvilcrank/anvilcrank/pkg/distribution"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -18,6 +19,8 @@
 	distribution.Control
 	// Take returns what was committed since the last call, in log order.
 	Take() []committed
+	// Compact may replace the entries that the machine has applied by a snapshot.
+	Compact(machine *change.State, out *event.Effects)
 }
 
 // committed is a committed change, or the state that replaces all that was
@@ -49,6 +52,7 @@
 		Zone:        s.identity.Zone,
 		Disk:        s.identity.Disk,
 		Seed:        s.identity.Seed,
+		Group:       s.identity.ControlGroup,
 	}, log, c, installer{s})
 	return c
 }
@@ -100,6 +104,7 @@
 		r := c.machine.Apply(e.position, e.change)
 		c.distribution.Decided(at, e.change, r, c.machine.Config(), &s.out)
 	}
+	c.log.Compact(c.machine, &s.out)
 }
 
 // proposeBootstrap proposes the first configuration once this instance leads a
@@ -172,3 +177,116 @@
 	l.entries = nil
 	return entries
 }
+
+// ChangeCodec encodes what the replicated log keeps as bytes. pkg/codec
+// implements it; the reducer knows no encoding.
+type ChangeCodec interface {
+	EncodeChange(*change.Change) ([]byte, error)
+	DecodeChange([]byte) (*change.Change, error)
+	EncodeSnapshot(*change.Snapshot) ([]byte, error)
+	DecodeSnapshot([]byte) (*change.Snapshot, error)
+}
+
+// compactEvery is how many entries are applied between two snapshots. It bounds
+// the log that a restarted member reads.
+const compactEvery = 1024
+
+// agreedLog connects the replicated log to the state machine.
+type agreedLog struct {
+	agreement *agreement.State
+	codec     ChangeCodec
+	// failed is the first entry that cannot be decoded. It is reported once.
+	failed error
+	// compacted is the position of the latest snapshot.
+	compacted uint64
+}
+
+// Status implements distribution.Control.
+func (l *agreedLog) Status(at model.Time) distribution.ControlStatus {
+	st := l.agreement.Status(at)
+	status := distribution.ControlStatus{
+		Member:  true,
+		Leading: st.Role == agreement.Leader,
+		Current: st.Current,
+		Leader:  st.Leader.Instance,
+		Term:    st.Term,
+	}
+	for _, m := range st.Members {
+		status.Members = append(status.Members, m.ID.Instance)
+	}
+	return status
+}
+
+// Propose implements distribution.Control.
+func (l *agreedLog) Propose(at model.Time, c *change.Change, out *event.Effects) result.Code {
+	data, err := l.codec.EncodeChange(c)
+	if err != nil {
+		return result.MalformedChange
+	}
+	_, code := l.agreement.Propose(at, data, out)
+	return code
+}
+
+// Take implements controlLog. An entry that cannot be decoded is passed over at
+// every member alike, since all of them hold the same bytes.
+func (l *agreedLog) Take() []committed {
+	var list []committed
+	for _, e := range l.agreement.Take() {
+		c := committed{position: e.Index}
+		if e.Snapshot {
+			snapshot, err := l.codec.DecodeSnapshot(e.Data)
+			if err != nil {
+				l.failed = err
+				continue
+			}
+			c.restored = change.Restore(*snapshot)
+			l.compacted = e.Index
+		} else {
+			var err error
+			if c.change, err = l.codec.DecodeChange(e.Data); err != nil {
+				l.failed = err
+				continue
+			}
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// Compact implements controlLog.
+func (l *agreedLog) Compact(machine *change.State, out *event.Effects) {
+	if l.failed != nil {
+		out.Add(event.InvariantFailed{Name: "config_entry", Detail: l.failed.Error()})
+		l.failed = nil
+	}
+	if machine.Position() < l.compacted+compactEvery {
+		return
+	}
+	snapshot := machine.Snapshot()
+	data, err := l.codec.EncodeSnapshot(&snapshot)
+	if err != nil {
+		return
+	}
+	l.compacted = machine.Position()
+	l.agreement.Compact(l.compacted, data, out)
+}
+
+// Compact implements controlLog.
+func (l *localLog) Compact(*change.State, *event.Effects) {}
+
+// hintLog stands for the control group at instances outside it.
+type hintLog struct{ localLog }
+
+// Status implements distribution.Control.
+func (*hintLog) Status(model.Time) distribution.ControlStatus { return distribution.ControlStatus{} }
+
+// newLog returns the log of an instance by its settings.
+func newLog(s *State, codec ChangeCodec) controlLog {
+	switch {
+	case s.agreement != nil && codec != nil:
+		return &agreedLog{agreement: s.agreement, codec: codec}
+	case len(s.identity.ControlGroup) > 0:
+		return &hintLog{}
+	}
+	return &localLog{self: s.identity.ID}
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"github.com/anvilcrank/anvilcrank/pkg/agreement"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -23,6 +24,8 @@
 	Seed uint64
 	// Disk is true if the instance has a data folder.
 	Disk bool
+	// ControlGroup lists the instances that keep the replicated log.
+	ControlGroup []model.InstanceID
 }
 
 // State is the whole control state of an instance.
@@ -35,6 +38,8 @@
 	upstreams *upstream.State
 	permits   *permit.State
 	ledger    *localLedger
+	// agreement is nil on instances outside the control group.
+	agreement *agreement.State
 
 	configuration *configuration
 
@@ -48,17 +53,19 @@
 	viewDone bool
 }
 
-// New returns the state of an instance that has seen no event.
-func New(identity Identity) *State {
+// New returns the state of an instance that has seen no event. An instance of
+// the control group needs a codec for its log.
+func New(identity Identity, codec ChangeCodec) *State {
 	s := &State{
 		identity: identity,
 		permits:  permit.New(),
 		ledger:   &localLedger{},
 		peers:    map[model.InstanceID]view.Instance{},
 	}
+	s.agreement = newAgreement(identity)
 	s.upstreams = upstream.New(s.permits)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
-	s.configuration = newConfiguration(s, &localLog{self: identity.ID})
+	s.configuration = newConfiguration(s, newLog(s, codec))
 	return s
 }
 
@@ -103,6 +110,10 @@
 		s.viewDone = false
 	case event.PeerReceived:
 		s.receive(at, b)
+	case event.StorageLoaded:
+		s.storageLoaded(at, b)
+	case event.Persisted:
+		s.persisted(at, b)
 	case event.TimerFired:
 		s.timerAt = 0
 		s.wake(at)
@@ -130,6 +141,7 @@
 // receive routes a message of another instance.
 func (s *State) receive(at model.Time, b event.PeerReceived) {
 	s.configuration.distribution.Receive(at, b.From, b.Message, &s.out)
+	s.receiveAgreement(at, b)
 }
 
 // wake handles everything that is due.
@@ -137,6 +149,7 @@
 	s.upstreams.Wake(at, &s.out)
 	s.permits.Wake(at)
 	s.configuration.distribution.Wake(at, &s.out)
+	s.wakeAgreement(at)
 	s.requests.PumpAll(at, &s.out)
 }
 
@@ -191,7 +204,7 @@
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
 	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(),
-		s.configuration.distribution.NextWake())
+		s.configuration.distribution.NextWake(), s.agreementWake())
 	if s.stopping && !s.stopped {
 		next = earliest(next, s.stopAt)
 	}
