--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -43,17 +43,31 @@
 	Send(to model.InstanceID, m message.Message)
 }
 
+// Storage carries out writes to the data folder. Persist must not block.
+type Storage interface {
+	Persist(event.Persist)
+}
+
 // Telemetry takes logs and counts. Its methods must not block.
 type Telemetry interface {
 	Log(event.Log)
 	Count(event.Count)
 }
 
+// ConfigStore saves configurations. Save must not block.
+type ConfigStore interface {
+	Save(event.SaveConfig)
+}
+
 // Handlers carry out effects.
 type Handlers struct {
 	Traffic   Traffic
 	Peers     Peers
 	Telemetry Telemetry
+	// Config is nil at instances without a data folder.
+	Config ConfigStore
+	// Storage is nil on instances outside the control group.
+	Storage Storage
 	// InvariantFailed is called when an invariant of the reducer fails.
 	InvariantFailed func(event.InvariantFailed)
 }
@@ -213,6 +227,8 @@
 		l.handlers.Traffic.ReplayAnswer(e)
 	case event.Send:
 		l.handlers.Peers.Send(e.To, e.Message)
+	case event.Persist:
+		l.handlers.Storage.Persist(e)
 	case event.SetTimer:
 		l.timer.Reset(l.clock.Until(e.At))
 	case event.Publish:
@@ -221,6 +237,8 @@
 		l.handlers.Telemetry.Log(e)
 	case event.Count:
 		l.handlers.Telemetry.Count(e)
+	case event.SaveConfig:
+		l.handlers.Config.Save(e)
 	case event.InvariantFailed:
 		l.handlers.InvariantFailed(e)
 	case event.Stopped:
--- a/pkg/control/recorder.go
+++ b/pkg/control/recorder.go
@@ -147,7 +147,7 @@
 		return report, fmt.Errorf("read recording: %w", err)
 	}
 	report.Dropped = h.Dropped
-	s := state.New(h.Identity)
+	s := state.New(h.Identity, codec.Changes{})
 	for {
 		data, err := readFrame(r)
 		if errors.Is(err, io.EOF) {
--- a/pkg/state/bench_test.go
+++ b/pkg/state/bench_test.go
@@ -11,7 +11,7 @@
 
 // benchState owns 1,000 upstreams of one service that are past their slow start.
 func benchState() (*State, model.Time) {
-	s := New(Identity{ID: "i", Zone: "z", Seed: 1})
+	s := New(Identity{ID: "i", Zone: "z", Seed: 1}, nil)
 	at := simStart
 	step := func(b event.Body) { s.Step(event.Event{At: at, Body: b}) }
 	step(event.Started{})
--- /dev/null
+++ b/pkg/state/config.go
@@ -0,0 +1,286 @@
+package state
+
+import (
+	"github.com/anvilcrank/anvilcrank/pkg/agreement"
+	"github.com/anvilcrank/anvilcrank/pkg/change"
+	"github.com/anvilcrank/anvilcrank/pkg/distribution"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// bootstrapID is the change id of the first change of every deployment. Two
+// leaders may both propose it; the second one gets the first result.
+const bootstrapID = "bootstrap"
+
+// controlLog is the replicated log of the control group.
+type controlLog interface {
+	distribution.Control
+	// Take returns what was committed since the last call, in log order.
+	Take() []committed
+	// Compact may replace the entries that the machine has applied by a snapshot.
+	Compact(machine *change.State, out *event.Effects)
+}
+
+// committed is a committed change, or the state that replaces all that was
+// applied before.
+type committed struct {
+	position uint64
+	change   *change.Change
+	restored *change.State
+}
+
+// configuration joins the replicated log, the state machine it feeds and the
+// distribution of the result.
+type configuration struct {
+	log          controlLog
+	machine      *change.State
+	distribution *distribution.State
+	// bootstrap is the first configuration of a new deployment, nil if the
+	// settings have none.
+	bootstrap *event.BootstrapOffered
+	// proposedIn is the term in which the bootstrap was proposed.
+	proposedIn uint64
+}
+
+func newConfiguration(s *State, log controlLog) *configuration {
+	c := &configuration{log: log, machine: change.New()}
+	c.distribution = distribution.New(distribution.Identity{
+		ID:          s.identity.ID,
+		Incarnation: s.identity.Incarnation,
+		Zone:        s.identity.Zone,
+		Disk:        s.identity.Disk,
+		Seed:        s.identity.Seed,
+		Group:       s.identity.ControlGroup,
+	}, log, c, installer{s})
+	return c
+}
+
+// DryRun implements distribution.Machine.
+func (c *configuration) DryRun(x *change.Change) (change.Result, *model.Config) {
+	return c.machine.DryRun(x)
+}
+
+// History implements distribution.Machine.
+func (c *configuration) History(limit int) []change.Entry { return c.machine.History(limit) }
+
+// routeConfig handles the events of configuration changes.
+func (s *State) routeConfig(at model.Time, body event.Body) {
+	d, out := s.configuration.distribution, &s.out
+	switch b := body.(type) {
+	case event.ConfigLoaded:
+		d.Load(at, &b.Config, out)
+	case event.BootstrapOffered:
+		s.configuration.offerBootstrap(&b)
+	case event.ConfigSaved:
+		d.Saved(at, b, out)
+	case event.ChangeProposed:
+		d.Propose(at, &b, out)
+	case event.StatusRequested:
+		d.QueryStatus(at, b, out)
+	case event.HistoryRequested:
+		d.QueryHistory(at, b, out)
+	}
+}
+
+func (c *configuration) offerBootstrap(b *event.BootstrapOffered) {
+	c.bootstrap = b
+	if l, ok := c.log.(*localLog); ok && len(b.Config.Roster) > 0 {
+		l.leader = b.Config.Roster[0].ID
+	}
+}
+
+// applyCommitted applies what the log has committed in this step.
+func (s *State) applyCommitted(at model.Time) {
+	c := s.configuration
+	c.proposeBootstrap(at, &s.out)
+	for _, e := range c.log.Take() {
+		if e.restored != nil {
+			c.machine = e.restored
+			c.distribution.Restored(at, c.machine.Config(), &s.out)
+			continue
+		}
+		r := c.machine.Apply(e.position, e.change)
+		c.distribution.Decided(at, e.change, r, c.machine.Config(), &s.out)
+	}
+	c.log.Compact(c.machine, &s.out)
+}
+
+// proposeBootstrap proposes the first configuration once this instance leads a
+// control group without one. A group that was founded anew, after all its disks
+// were lost, starts from the configuration that is still in force.
+func (c *configuration) proposeBootstrap(at model.Time, out *event.Effects) {
+	if c.machine.Config() != nil {
+		return
+	}
+	status := c.log.Status(at)
+	if !status.Leading || !status.Current || c.proposedIn == status.Term {
+		return
+	}
+	first := c.distribution.Config()
+	if first == nil && c.bootstrap != nil && (c.bootstrap.Alone || c.distribution.FoundNone(at)) {
+		first = &c.bootstrap.Config
+	}
+	if first == nil {
+		return
+	}
+	c.proposedIn = status.Term
+	c.log.Propose(at, &change.Change{
+		ID: bootstrapID, Author: "settings", Time: at, Reason: "first configuration of the deployment",
+		Operation: change.Operation{Kind: change.Bootstrap, Config: first},
+	}, out)
+}
+
+// installer implements distribution.Installer.
+type installer struct{ s *State }
+
+// Install puts a configuration in force.
+func (i installer) Install(at model.Time, c *model.Config, _ *event.Effects) {
+	i.s.configure(at, c)
+}
+
+// localLog stands in for the replicated log at a deployment without a control
+// group: the first instance of the roster leads and commits at once. Nothing is
+// replicated or saved, so it is for demonstrations and tests.
+type localLog struct {
+	self, leader model.InstanceID
+	position     uint64
+	entries      []committed
+}
+
+// Status implements distribution.Control.
+func (l *localLog) Status(model.Time) distribution.ControlStatus {
+	if l.leader == "" {
+		return distribution.ControlStatus{}
+	}
+	leads := l.leader == l.self
+	return distribution.ControlStatus{Member: true, Leading: leads, Current: leads,
+		Leader: l.leader, Term: 1, Members: []model.InstanceID{l.leader}}
+}
+
+// Propose implements distribution.Control.
+func (l *localLog) Propose(_ model.Time, c *change.Change, _ *event.Effects) result.Code {
+	l.position++
+	l.entries = append(l.entries, committed{position: l.position, change: c})
+	return result.Answered
+}
+
+// Take implements controlLog.
+func (l *localLog) Take() []committed {
+	entries := l.entries
+	l.entries = nil
+	return entries
+}
+
+// ChangeCodec encodes what the replicated log keeps as bytes. pkg/codec
+// implements it; the reducer knows no encoding.
+type ChangeCodec interface {
+	EncodeChange(*change.Change) ([]byte, error)
+	DecodeChange([]byte) (*change.Change, error)
+	EncodeSnapshot(*change.Snapshot) ([]byte, error)
+	DecodeSnapshot([]byte) (*change.Snapshot, error)
+}
+
+// compactEvery is how many entries are applied between two snapshots. It bounds
+// the log that a restarted member reads.
+const compactEvery = 1024
+
+// agreedLog connects the replicated log to the state machine.
+type agreedLog struct {
+	agreement *agreement.State
+	codec     ChangeCodec
+	// failed is the first entry that cannot be decoded. It is reported once.
+	failed error
+	// compacted is the position of the latest snapshot.
+	compacted uint64
+}
+
+// Status implements distribution.Control.
+func (l *agreedLog) Status(at model.Time) distribution.ControlStatus {
+	st := l.agreement.Status(at)
+	status := distribution.ControlStatus{
+		Member:  true,
+		Leading: st.Role == agreement.Leader,
+		Current: st.Current,
+		Leader:  st.Leader.Instance,
+		Term:    st.Term,
+	}
+	for _, m := range st.Members {
+		status.Members = append(status.Members, m.ID.Instance)
+	}
+	return status
+}
+
+// Propose implements distribution.Control.
+func (l *agreedLog) Propose(at model.Time, c *change.Change, out *event.Effects) result.Code {
+	data, err := l.codec.EncodeChange(c)
+	if err != nil {
+		return result.MalformedChange
+	}
+	_, code := l.agreement.Propose(at, data, out)
+	return code
+}
+
+// Take implements controlLog. An entry that cannot be decoded is passed over at
+// every member alike, since all of them hold the same bytes.
+func (l *agreedLog) Take() []committed {
+	var list []committed
+	for _, e := range l.agreement.Take() {
+		c := committed{position: e.Index}
+		if e.Snapshot {
+			snapshot, err := l.codec.DecodeSnapshot(e.Data)
+			if err != nil {
+				l.failed = err
+				continue
+			}
+			c.restored = change.Restore(*snapshot)
+			l.compacted = e.Index
+		} else {
+			var err error
+			if c.change, err = l.codec.DecodeChange(e.Data); err != nil {
+				l.failed = err
+				continue
+			}
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// Compact implements controlLog.
+func (l *agreedLog) Compact(machine *change.State, out *event.Effects) {
+	if l.failed != nil {
+		out.Add(event.InvariantFailed{Name: "config_entry", Detail: l.failed.Error()})
+		l.failed = nil
+	}
+	if machine.Position() < l.compacted+compactEvery {
+		return
+	}
+	snapshot := machine.Snapshot()
+	data, err := l.codec.EncodeSnapshot(&snapshot)
+	if err != nil {
+		return
+	}
+	l.compacted = machine.Position()
+	l.agreement.Compact(l.compacted, data, out)
+}
+
+// Compact implements controlLog.
+func (l *localLog) Compact(*change.State, *event.Effects) {}
+
+// hintLog stands for the control group at instances outside it.
+type hintLog struct{ localLog }
+
+// Status implements distribution.Control.
+func (*hintLog) Status(model.Time) distribution.ControlStatus { return distribution.ControlStatus{} }
+
+// newLog returns the log of an instance by its settings.
+func newLog(s *State, codec ChangeCodec) controlLog {
+	switch {
+	case s.agreement != nil && codec != nil:
+		return &agreedLog{agreement: s.agreement, codec: codec}
+	case len(s.identity.ControlGroup) > 0:
+		return &hintLog{}
+	}
+	return &localLog{self: s.identity.ID}
+}
--- a/pkg/state/shifts_test.go
+++ b/pkg/state/shifts_test.go
@@ -17,7 +17,7 @@
 		s := newSim(1, nil)
 		s.config.Shifts[0].Cap = limit
 		for _, n := range s.nodes {
-			state := New(Identity{ID: n.id, Zone: n.zone})
+			state := New(Identity{ID: n.id, Zone: n.zone}, nil)
 			state.Step(event.Event{At: simStart, Body: event.ConfigLoaded{Config: s.config}})
 			for _, share := range state.ownShares(nil) {
 				total += share.Limit
@@ -31,7 +31,7 @@
 // neighbors.
 func TestUpstreamsSpreadOverTheZone(t *testing.T) {
 	g := NewWithT(t)
-	s := New(Identity{ID: "i0", Zone: "z"})
+	s := New(Identity{ID: "i0", Zone: "z"}, nil)
 	for _, id := range []model.InstanceID{"i1", "i2"} {
 		s.Step(event.Event{At: 1, Body: event.PeerConnected{Peer: id, Zone: "z", Address: string(id)}})
 	}
--- a/pkg/state/sim_test.go
+++ b/pkg/state/sim_test.go
@@ -156,7 +156,7 @@
 // boot starts a process of the instance and connects it to the others.
 func (s *sim) boot(n *simNode) {
 	n.incarnation = model.Incarnation(s.now)
-	n.state = New(Identity{ID: n.id, Incarnation: n.incarnation, Zone: n.zone, Address: string(n.id), Seed: s.rng.Uint64()})
+	n.state = New(Identity{ID: n.id, Incarnation: n.incarnation, Zone: n.zone, Address: string(n.id), Seed: s.rng.Uint64()}, nil)
 	if s.faults != nil {
 		s.faults(n.state)
 	}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sort"
 
+	"github.com/anvilcrank/anvilcrank/pkg/agreement"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -24,6 +25,10 @@
 	Seed uint64
 	// Policy names the selection policy for benches, "" for the usual one.
 	Policy string
+	// Disk is true if the instance has a data folder.
+	Disk bool
+	// ControlGroup lists the instances that keep the replicated log.
+	ControlGroup []model.InstanceID
 }
 
 // State is the whole control state of an instance.
@@ -36,6 +41,10 @@
 	upstreams *upstream.State
 	permits   *permit.State
 	ledger    *localLedger
+	// agreement is nil on instances outside the control group.
+	agreement *agreement.State
+
+	configuration *configuration
 
 	// peers are the instances with a standing link.
 	peers map[model.InstanceID]view.Instance
@@ -58,8 +67,9 @@
 	viewDone    bool
 }
 
-// New returns the state of an instance that has seen no event.
-func New(identity Identity) *State {
+// New returns the state of an instance that has seen no event. An instance of
+// the control group needs a codec for its log.
+func New(identity Identity, codec ChangeCodec) *State {
 	s := &State{
 		identity: identity,
 		permits:  permit.New(identity.ID, identity.Incarnation),
@@ -69,9 +79,11 @@
 		longest:  map[model.ServiceName]model.Duration{},
 		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
+	s.agreement = newAgreement(identity)
 	s.upstreams = upstream.New(s.permits, s, identity.Incarnation, identity.Seed)
 	s.upstreams.Policy = upstream.NewPolicy(identity.Policy)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
+	s.configuration = newConfiguration(s, newLog(s, codec))
 	return s
 }
 
@@ -81,6 +93,7 @@
 	s.out.Reset()
 	s.advanceStop(ev.At)
 	s.route(ev.At, ev.Body)
+	s.applyCommitted(ev.At)
 	s.decideClaims(ev.At)
 	s.pump(ev.At)
 	s.tick(ev.At)
@@ -109,23 +122,30 @@
 	case event.PeerConnected:
 		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
 		s.viewDone = false
+		s.configuration.distribution.Connected(at, b.Peer, b.Incarnation, b.Zone, out)
 	case event.PeerLost:
 		delete(s.peers, b.Peer)
 		s.peerLost(at, b.Peer)
+		s.configuration.distribution.Lost(at, b.Peer, out)
 		s.viewDone = false
 	case event.PeerReceived:
 		s.receive(at, b)
-	case event.ConfigLoaded:
-		s.configure(at, &b.Config)
+	case event.StorageLoaded:
+		s.storageLoaded(at, b)
+	case event.Persisted:
+		s.persisted(at, b)
 	case event.TimerFired:
 		s.timerAt = 0
 		s.wake(at)
 	case event.Started:
 		s.permits.Start(at)
+		s.configuration.distribution.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
 		s.stop(at)
+	default:
+		s.routeConfig(at, body)
 	}
 }
 
@@ -134,6 +154,8 @@
 	if s.receivePermit(at, b) {
 		return
 	}
+	s.configuration.distribution.Receive(at, b.From, b.Message, &s.out)
+	s.receiveAgreement(at, b)
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -159,6 +181,8 @@
 	s.upstreams.Wake(at, &s.out)
 	s.permits.Wake(at, s.requests, &s.out)
 	s.requests.Wake(at, &s.out)
+	s.configuration.distribution.Wake(at, &s.out)
+	s.wakeAgreement(at)
 }
 
 // decideClaims passes on the ledger's decisions of this step.
@@ -193,7 +217,8 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick(), s.nextStop())
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick(), s.nextStop(),
+		s.configuration.distribution.NextWake(), s.agreementWake())
 	if next == 0 || next == s.timerAt {
 		return
 	}
