Add the at-most-once ledger

A request with an idempotency key was always refused with 3005, since no replica could prove that the key had not run elsewhere.

pkg/ledger is a pure sub-reducer with two sides. As a replica it keeps write-once claims, recorded outcomes and the floor up to which it may have forgotten keys. As a coordinator it claims the key of each keyed request at the key's group, first replica first, and repeats outcomes and abandoned claims until they are confirmed. GET /v1/outcome tells what a majority knows of a key. A graceful stop waits until a majority has confirmed the outcomes.

A code of class not_run is given only when a majority has never granted the key to a request with the same digest.

--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -52,6 +52,7 @@
 	a.echo.HTTPErrorHandler = handleError
 	a.echo.GET("/v1/lookup", a.lookup)
 	a.echo.POST("/v1/announce", a.announce)
+	a.echo.GET("/v1/outcome", a.outcome)
 	a.echo.GET("/v1/health", a.health)
 	a.echo.GET("/metrics", a.metrics)
 	return a
--- /dev/null
+++ b/pkg/api/outcome.go
@@ -0,0 +1,39 @@
+package api
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// outcomeAnswer tells what is known of an idempotency key.
+type outcomeAnswer struct {
+	Key string `json:"key"`
+	// State is "running", "ran", "not_known" or "unknown".
+	State string `json:"state"`
+	// Status is the HTTP status of the recorded answer, if one is kept.
+	Status int `json:"status,omitempty"`
+}
+
+// outcome answers what a majority of the key's ledger group knows of it.
+func (a *API) outcome(c echo.Context) error {
+	key, err := model.ParseKey(c.QueryParam("key"))
+	if err != nil {
+		return result.Errorf(result.MalformedKey, "%v", err)
+	}
+	effect, err := a.call(c, func(id event.CallID) event.Body {
+		return event.OutcomeRequested{Call: id, Key: key}
+	})
+	if err != nil {
+		return result.Errorf(result.ControlQueueFull, "%v", err)
+	}
+	reply, ok := effect.(event.OutcomeReply)
+	if !ok {
+		return result.Errorf(result.Internal, "unexpected effect %T", effect)
+	}
+	return c.JSON(http.StatusOK, outcomeAnswer{Key: key.Text, State: reply.State.String(), Status: reply.Status})
+}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -42,4 +42,5 @@
 	UpstreamAnnounced{},
 	PeerReceived{}, PeerConnected{}, PeerLost{},
 	ConfigLoaded{},
+	OutcomeRequested{},
 }
--- /dev/null
+++ b/pkg/ledger/entry.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+const (
+	// entryOverhead estimates the memory of an entry besides its variable parts.
+	entryOverhead = 384
+	// claimantCost estimates the memory of a listed claimant.
+	claimantCost = 64
+	// maxAbandoned bounds the remembered abandoned claims of a key. A late
+	// duplicate of a forgotten one is granted again, and its coordinator, which
+	// has closed the claim, gives it back.
+	maxAbandoned = 16
+	// maxWaiters bounds the claimants that are told of an outcome at once. Others
+	// learn it when they repeat their claim.
+	maxWaiters = 16
+)
+
+// entry is what a replica knows of one key.
+type entry struct {
+	key    model.Key
+	state  model.KeyState // KeyNotKnown, KeyRunning or KeyRan
+	holder model.Claimant
+	digest uint64
+	answer *model.Answer
+	// abandoned claims must not be granted to a late duplicate.
+	abandoned []model.Claimant
+	waiters   []model.Claimant
+	cost      int
+	index     int
+}
+
+// size returns the estimated memory of the entry in bytes.
+func (e *entry) size() int {
+	n := entryOverhead + len(e.key.Text) + claimantCost*(len(e.abandoned)+len(e.waiters))
+	if e.answer == nil {
+		return n
+	}
+	n += len(e.answer.Body)
+	for _, f := range e.answer.Header {
+		n += len(f.Name) + len(f.Value)
+	}
+	return n
+}
+
+func (e *entry) abandon(c model.Claimant) { e.abandoned = appendBounded(e.abandoned, c, maxAbandoned) }
+
+func (e *entry) await(c model.Claimant) { e.waiters = appendBounded(e.waiters, c, maxWaiters) }
+
+// appendBounded appends a claimant that is not listed yet and drops the oldest
+// one beyond the limit.
+func appendBounded(list []model.Claimant, c model.Claimant, limit int) []model.Claimant {
+	if slices.Contains(list, c) {
+		return list
+	}
+	if len(list) == limit {
+		list = slices.Delete(list, 0, 1)
+	}
+	return append(list, c)
+}
+
+// entryHeap orders entries by issue time, then by key.
+type entryHeap []*entry
+
+func (h entryHeap) Len() int { return len(h) }
+func (h entryHeap) Less(i, j int) bool {
+	if h[i].key.Issued != h[j].key.Issued {
+		return h[i].key.Issued < h[j].key.Issued
+	}
+	return h[i].key.Text < h[j].key.Text
+}
+func (h entryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	e := old[n]
+	old[n] = nil
+	*h = old[:n]
+	return e
+}
--- /dev/null
+++ b/pkg/ledger/ledger_test.go
@@ -0,0 +1,236 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// Instances of the test network; the first three are the group of zone "a".
+const (
+	a1 = iota
+	a2
+	b1
+	c1
+	c2
+)
+
+// ignore leaves granted requests running.
+func ignore(*request) {}
+
+// answerLater records an answer 200 ms after each grant.
+func (n *network) answerLater(body int) {
+	n.decided = func(r *request) {
+		n.after(200*time.Millisecond, func() {
+			n.record(r, &model.Answer{Status: 201, Body: make([]byte, body)})
+		})
+	}
+}
+
+// ask returns what instance c2 answers to a question about the key.
+func (n *network) ask(key model.Key) string {
+	var reply event.Effect
+	p := n.nodes[c2]
+	n.replies = func(e event.OutcomeReply) { reply = e }
+	n.step(p, func(out *event.Effects) { p.state.Query(n.clock(p), event.OutcomeRequested{Call: 1, Key: key}, out) })
+	n.run(2 * time.Second)
+	return reply.(event.OutcomeReply).State.String()
+}
+
+// TestFailures names each case for the failure it guards against. Each makes
+// some trouble for a key and returns the last request with it.
+func TestFailures(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		code result.Code
+		// replayed says that the recorded answer is given.
+		replayed bool
+		known    string
+		run      func(n *network, key model.Key) *request
+	}{
+		{"key runs at two instances at the same time", result.Answered, true, "ran", func(n *network, key model.Key) *request {
+			n.answerLater(10)
+			one, two := n.send(c1, key, 1, time.Second), n.send(c2, key, 1, time.Second)
+			n.run(time.Second)
+			if one.answer != nil {
+				return one
+			}
+			return two
+		}},
+		{"resend waits beyond its deadline", result.KeyInProgress, false, "running", func(n *network, key model.Key) *request {
+			n.decided = ignore
+			n.send(c1, key, 1, time.Second)
+			n.run(100 * time.Millisecond)
+			return n.send(c2, key, 1, 300*time.Millisecond)
+		}},
+		{"claimant crashes before it has a majority and blocks the key", result.Answered, false, "running", func(n *network, key model.Key) *request {
+			n.cut[[2]model.InstanceID{"a1", "c1"}] = true
+			n.decided = ignore
+			n.send(c1, key, 1, time.Second)
+			n.run(100 * time.Millisecond)
+			n.restart(c1)
+			return n.send(c1, key, 1, time.Second)
+		}},
+		{"claimant crashes with a majority and the key runs again", result.KeyInProgress, false, "running", func(n *network, key model.Key) *request {
+			n.decided = ignore
+			n.send(c1, key, 1, time.Second)
+			n.run(100 * time.Millisecond)
+			n.restart(c1)
+			return n.send(c2, key, 1, time.Second)
+		}},
+		{"one replica without memory loses the answer", result.Answered, true, "ran", func(n *network, key model.Key) *request {
+			n.answerLater(10)
+			n.send(c1, key, 1, time.Second)
+			n.run(time.Second)
+			n.restart(a1)
+			return n.send(c2, key, 1, time.Second)
+		}},
+		{"two replicas without memory grant a key again", result.KeyForgotten, false, "unknown", func(n *network, key model.Key) *request {
+			n.decided = ignore
+			n.cut[[2]model.InstanceID{"c1", "b1"}] = true
+			n.send(c1, key, 1, time.Second)
+			n.run(time.Second)
+			n.restart(a1)
+			n.run(time.Second)
+			n.restart(a2)
+			return n.send(c2, key, 1, time.Second)
+		}},
+		{"votes are lost in one direction and the claim blocks the key", result.Answered, true, "ran", func(n *network, key model.Key) *request {
+			n.answerLater(10)
+			for _, id := range []model.InstanceID{"a1", "a2", "b1"} {
+				n.cut[[2]model.InstanceID{id, "c1"}] = true
+			}
+			first := n.send(c1, key, 1, time.Second)
+			n.run(3 * time.Second)
+			Expect(first.code).To(Equal(result.LedgerNoMajority))
+			n.send(c2, key, 1, time.Second)
+			n.run(time.Second)
+			return n.send(b1, key, 1, time.Second)
+		}},
+		{"late votes keep a key that nobody runs", result.Answered, false, "running", func(n *network, key model.Key) *request {
+			n.decided = ignore
+			n.maxDelay = 5 * time.Second
+			n.send(c1, key, 1, time.Millisecond)
+			n.run(10 * time.Second)
+			n.maxDelay = time.Millisecond
+			return n.send(c2, key, 1, time.Second)
+		}},
+		{"recorded outcome is lost on the way", result.Answered, true, "ran", func(n *network, key model.Key) *request {
+			n.answerLater(10)
+			n.send(c1, key, 1, time.Second)
+			n.run(100 * time.Millisecond)
+			n.loss = 1
+			n.run(3 * time.Second)
+			n.loss = 0
+			n.run(3 * time.Second)
+			return n.send(c2, key, 1, time.Second)
+		}},
+		{"answer beyond the limit is kept or the key runs again", result.AnswerNotKept, false, "ran", func(n *network, key model.Key) *request {
+			n.answerLater(model.MaxRecordedBody + 1)
+			n.send(c1, key, 1, time.Second)
+			n.run(time.Second)
+			return n.send(c2, key, 1, time.Second)
+		}},
+		{"key serves two different requests", result.KeyReused, false, "running", func(n *network, key model.Key) *request {
+			n.decided = ignore
+			n.send(c1, key, 1, time.Second)
+			n.run(100 * time.Millisecond)
+			return n.send(c2, key, 2, time.Second)
+		}},
+		{"expired key runs", result.KeyExpired, false, "unknown", func(n *network, key model.Key) *request {
+			n.run(model.KeyRetention + time.Second)
+			return n.send(c2, key, 1, time.Second)
+		}},
+		{"group changes and its new members grant an old key", result.KeyForgotten, false, "unknown", func(n *network, key model.Key) *request {
+			n.decided = ignore
+			n.cut[[2]model.InstanceID{"c1", "b1"}] = true
+			n.send(c1, key, 1, time.Second)
+			n.run(time.Second)
+			changed := *n.config
+			changed.Version++
+			changed.Roster = append([]model.RosterEntry{{ID: "c1", Zone: "a"}, {ID: "c2", Zone: "a"}}, changed.Roster[2])
+			for _, p := range n.nodes {
+				p.state.Configure(n.now, &changed)
+			}
+			return n.send(c2, key, 1, time.Second)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			RegisterTestingT(t)
+			n := newNetwork(1)
+			key := n.key(n.now, "key")
+			r := c.run(n, key)
+			n.run(time.Second)
+			Expect(r.done).To(BeTrue())
+			Expect(r.code).To(Equal(c.code))
+			Expect(r.answer != nil).To(Equal(c.replayed))
+			Expect(n.ask(key)).To(Equal(c.known))
+			Expect(n.violations).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a key from the future that runs, and against a question about
+// a fresh key that is answered with anything but "not known".
+func TestFutureKeyIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(1)
+	r := n.send(c1, n.key(n.now.Add(3*time.Second), "key"), 1, time.Second)
+	n.run(time.Second)
+	g.Expect(r.code).To(Equal(result.KeyFromFuture))
+	g.Expect(n.ask(n.key(n.now, "fresh"))).To(Equal("not_known"))
+}
+
+// Guards against a late duplicate that revives an abandoned claim, also when it
+// was overtaken by its abandonment, and against an abandonment by another
+// claimant.
+func TestAbandonedClaimStaysAbandoned(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(1)
+	r := newReplica(&faults{})
+	r.start(epoch)
+	key := n.key(n.now, "key")
+	one, two := model.Claimant{Instance: "c1", Request: 1}, model.Claimant{Instance: "c2", Request: 1}
+	claim := func(c model.Claimant) *message.LedgerVote {
+		return r.claim(n.now, key, &message.LedgerClaim{Key: key.Text, Claimant: c}, true)
+	}
+	r.abandon(n.now, key, one)
+	g.Expect(claim(one)).To(BeNil())
+	g.Expect(claim(two).Vote).To(Equal(message.VoteGranted))
+	r.abandon(n.now, key, one)
+	g.Expect(claim(model.Claimant{Instance: "b1"}).Vote).To(Equal(message.VoteTaken))
+	r.abandon(n.now, key, two)
+	g.Expect(claim(two)).To(BeNil())
+}
+
+// Guards against a replica that grows without bound, or that forgets a claim
+// within the retention and grants the key again.
+func TestMemoryIsBoundedAndForgottenClaimsRaiseTheFloor(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(1)
+	r := newReplica(&faults{})
+	r.start(epoch)
+	r.maxBytes = 20 * entryOverhead
+	var out event.Effects
+	for k := range 100 {
+		key := n.key(n.now.Add(model.Duration(k)*time.Millisecond), fmt.Sprint("key", k))
+		c := model.Claimant{Instance: "c1", Request: model.RequestID(k)}
+		r.claim(n.now, key, &message.LedgerClaim{Key: key.Text, Claimant: c}, true)
+		if k%2 == 0 {
+			r.record(n.now, key, &message.LedgerRecord{Key: key.Text, Claimant: c, Answer: &model.Answer{Body: make([]byte, 1000)}}, &out)
+		}
+		g.Expect(r.bytes).To(BeNumerically("<=", r.maxBytes))
+		g.Expect(len(r.answers)).To(BeNumerically("<=", len(r.entries)))
+	}
+	first := n.key(n.now, "key0")
+	g.Expect(r.claim(n.now, first, &message.LedgerClaim{Key: first.Text}, true).Vote).To(Equal(message.VoteUnknown))
+	r.claim(n.now.Add(2*model.KeyRetention), n.key(n.now.Add(2*model.KeyRetention), "new"), &message.LedgerClaim{Key: "new"}, true)
+	g.Expect(r.entries).To(HaveLen(1))
+}
--- /dev/null
+++ b/pkg/ledger/network_test.go
@@ -0,0 +1,281 @@
+package ledger
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// epoch is the virtual time at which every run starts.
+const epoch = model.Time(1_700_000_000 * 1e9)
+
+// node is one process of an instance.
+type node struct {
+	id    model.InstanceID
+	state *State
+	// skew is how far its clock is ahead.
+	skew model.Duration
+	// requests are the open ones of this process.
+	requests map[model.RequestID]*request
+}
+
+// request is one caller's try of a key.
+type request struct {
+	id      model.RequestID
+	key     model.Key
+	digest  uint64
+	arrived model.Time
+	at      *node
+	done    bool
+	code    result.Code
+	answer  *model.Answer
+}
+
+// grant is a permission to run that was not given back.
+type grant struct {
+	digest uint64
+	at     model.Time
+	answer *model.Answer
+}
+
+// network runs several ledgers in virtual time.
+type network struct {
+	rng    *rand.Rand
+	now    model.Time
+	queue  stepHeap
+	seq    int
+	config *model.Config
+	nodes  []*node
+	faults faults
+	// maxBytes bounds the replicas' memory, 0 for the default.
+	maxBytes int
+	loss     float64
+	twice    float64
+	maxDelay model.Duration
+	// cut directions lose every message.
+	cut map[[2]model.InstanceID]bool
+	// decided is called for each granted request; nil runs and records it.
+	decided func(r *request)
+	// replies takes the answers to questions about keys.
+	replies    func(event.OutcomeReply)
+	nextID     model.RequestID
+	grants     map[string]*grant
+	violations []string
+	// codes counts the decisions.
+	codes map[result.Code]int
+}
+
+func newNetwork(seed uint64) *network {
+	n := &network{
+		rng:      rand.New(rand.NewPCG(seed, 7)),
+		now:      epoch,
+		maxDelay: time.Millisecond,
+		cut:      map[[2]model.InstanceID]bool{},
+		grants:   map[string]*grant{},
+		codes:    map[result.Code]int{},
+		config: &model.Config{
+			Version: 1,
+			Zones:   []model.ZoneInfo{{Zone: "a", Region: "r"}, {Zone: "b", Region: "r"}, {Zone: "c", Region: "s"}},
+			Roster:  []model.RosterEntry{{ID: "a1", Zone: "a"}, {ID: "a2", Zone: "a"}, {ID: "b1", Zone: "b"}, {ID: "c1", Zone: "c"}, {ID: "c2", Zone: "c"}},
+		},
+	}
+	for _, r := range n.config.Roster {
+		n.nodes = append(n.nodes, &node{id: r.ID})
+	}
+	for k := range n.nodes {
+		n.restart(k)
+	}
+	n.run(5 * time.Second)
+	return n
+}
+
+// restart starts a new process of the instance, without memory.
+func (n *network) restart(k int) {
+	old := n.nodes[k]
+	p := &node{id: old.id, skew: old.skew, requests: map[model.RequestID]*request{}}
+	p.state = New(p.id, model.Incarnation(n.now))
+	p.state.faults = n.faults
+	if n.maxBytes > 0 {
+		p.state.replica.maxBytes = n.maxBytes
+	}
+	p.state.Start(n.clock(p))
+	p.state.Configure(n.clock(p), n.config)
+	n.nodes[k] = p
+}
+
+func (n *network) clock(p *node) model.Time { return n.now.Add(p.skew) }
+
+func (n *network) key(issued model.Time, name string) model.Key {
+	k, err := model.ParseKey(model.NewKey("a", issued, name+"-random-part"))
+	if err != nil {
+		panic(err)
+	}
+	return k
+}
+
+// send lets a caller send a request with the key to an instance.
+func (n *network) send(k int, key model.Key, digest uint64, deadline model.Duration) *request {
+	p := n.nodes[k]
+	n.nextID++
+	r := &request{id: n.nextID, key: key, digest: digest, arrived: n.now, at: p}
+	p.requests[n.nextID] = r
+	ev := event.RequestArrived{ID: n.nextID, Key: key, Digest: digest, Deadline: deadline}
+	n.step(p, func(out *event.Effects) { p.state.Claim(n.clock(p), &ev, out) })
+	return r
+}
+
+// step runs one reducer step of a process, carries out its effects and acts on
+// its decisions.
+func (n *network) step(p *node, f func(*event.Effects)) {
+	var out event.Effects
+	f(&out)
+	for _, e := range out.List() {
+		switch e := e.(type) {
+		case event.Send:
+			n.carry(p.id, e.To, e.Message)
+		case event.OutcomeReply:
+			n.replies(e)
+		case event.InvariantFailed:
+			n.violate("invariant %s: %s", e.Name, e.Detail)
+		}
+	}
+	for _, d := range p.state.Take() {
+		n.decide(p, d)
+	}
+	if at := p.state.NextWake(); at != 0 {
+		n.after(max(0, at.Sub(n.clock(p))), func() {
+			if n.isUp(p) && p.state.NextWake() == at {
+				n.step(p, func(out *event.Effects) { p.state.Wake(n.clock(p), out) })
+			}
+		})
+	}
+}
+
+func (n *network) isUp(p *node) bool {
+	for _, q := range n.nodes {
+		if p == q {
+			return true
+		}
+	}
+	return false
+}
+
+// carry delivers a message never, once or twice.
+func (n *network) carry(from, to model.InstanceID, m message.Message) {
+	copies := 1
+	if n.rng.Float64() < n.twice {
+		copies = 2
+	}
+	for range copies {
+		if n.cut[[2]model.InstanceID{from, to}] || n.rng.Float64() < n.loss {
+			continue
+		}
+		n.after(model.Duration(n.rng.Int64N(int64(n.maxDelay)+1)), func() {
+			for _, p := range n.nodes {
+				if p.id == to {
+					n.step(p, func(out *event.Effects) { p.state.Receive(n.clock(p), from, m, out) })
+				}
+			}
+		})
+	}
+}
+
+// decide checks a decision and, if the request may run, lets it run.
+func (n *network) decide(p *node, d Decision) {
+	r := p.requests[d.Request]
+	r.done, r.code, r.answer = true, d.Code, d.Answer
+	n.codes[d.Code]++
+	g := n.grants[r.key.Text]
+	switch {
+	case d.Answer != nil:
+		if g == nil || g.digest != r.digest || g.answer != d.Answer {
+			n.violate("key %s: an answer that no request with it got", r.key.Text)
+		}
+	case d.Code == result.Answered:
+		if g != nil {
+			n.violate("key %s was granted to run twice", r.key.Text)
+		}
+		n.grants[r.key.Text] = &grant{digest: r.digest, at: n.now}
+		if n.decided != nil {
+			n.decided(r)
+			return
+		}
+		n.finish(r)
+	case d.Code.Class() == result.NotRun:
+		// Another try that began while this one was open is the caller's own race.
+		if g != nil && g.digest == r.digest && g.at < r.arrived {
+			n.violate("key %s: %v although the request may have run", r.key.Text, d.Code)
+		}
+	}
+}
+
+// finish ends a granted request: mostly with an answer, at times without proof
+// of anything, and at times provably not run.
+func (n *network) finish(r *request) {
+	how := n.rng.IntN(10)
+	n.after(model.Duration(n.rng.Int64N(int64(300*time.Millisecond))), func() {
+		p := r.at
+		if !n.isUp(p) {
+			return
+		}
+		switch {
+		case how < 6:
+			n.record(r, &model.Answer{Status: 200, Body: []byte(r.key.Text)})
+		case how < 9:
+			delete(n.grants, r.key.Text)
+			n.step(p, func(out *event.Effects) { p.state.Abandon(n.clock(p), r.id, out) })
+		}
+	})
+}
+
+func (n *network) record(r *request, a *model.Answer) {
+	n.grants[r.key.Text].answer = a
+	n.step(r.at, func(out *event.Effects) { r.at.state.Record(n.clock(r.at), r.id, a, out) })
+}
+
+func (n *network) violate(format string, args ...any) {
+	n.violations = append(n.violations, fmt.Sprintf(format, args...))
+}
+
+func (n *network) after(d model.Duration, f func()) {
+	n.seq++
+	heap.Push(&n.queue, scheduled{n.now.Add(d), n.seq, f})
+}
+
+// run lets virtual time pass.
+func (n *network) run(d model.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && n.queue[0].at <= end {
+		s := heap.Pop(&n.queue).(scheduled)
+		n.now = max(n.now, s.at)
+		s.f()
+	}
+	n.now = end
+}
+
+type scheduled struct {
+	at  model.Time
+	seq int
+	f   func()
+}
+
+type stepHeap []scheduled
+
+func (h stepHeap) Len() int { return len(h) }
+func (h stepHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h stepHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *stepHeap) Push(x any)   { *h = append(*h, x.(scheduled)) }
+func (h *stepHeap) Pop() any {
+	old := *h
+	s := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return s
+}
--- /dev/null
+++ b/pkg/ledger/query.go
@@ -0,0 +1,120 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+const (
+	// queryTimeout bounds the wait for a majority of the group.
+	queryTimeout = time.Second
+	// maxQueries bounds the open questions; further ones are answered "unknown"
+	// at once.
+	maxQueries = 1024
+)
+
+// query is an open question about a key.
+type query struct {
+	id       uint64
+	call     event.CallID
+	group    []model.InstanceID
+	answers  []*message.LedgerKnown
+	giveUpAt model.Time
+}
+
+// Query answers an operator or caller who asks what is known of a key.
+func (s *State) Query(at model.Time, ev event.OutcomeRequested, out *event.Effects) {
+	group := s.group(ev.Key.Home)
+	if len(group) == 0 || len(s.queries) >= maxQueries {
+		out.Add(event.OutcomeReply{Call: ev.Call, State: model.KeyUnknown})
+		return
+	}
+	s.lastQuery++
+	q := &query{
+		id:       s.lastQuery,
+		call:     ev.Call,
+		group:    group,
+		answers:  make([]*message.LedgerKnown, len(group)),
+		giveUpAt: at.Add(queryTimeout),
+	}
+	s.queries = append(s.queries, q)
+	for _, id := range group {
+		s.send(id, &message.LedgerQuery{Key: ev.Key.Text, Incarnation: s.incarnation, Query: q.id}, out)
+	}
+	s.flush(at, out)
+}
+
+func (s *State) receiveQuery(at model.Time, from model.InstanceID, m *message.LedgerQuery, out *event.Effects) {
+	key, err := model.ParseKey(m.Key)
+	if err != nil {
+		return
+	}
+	state, status := s.replica.known(at, key)
+	if state == model.KeyNotKnown && !slices.Contains(s.group(key.Home), s.self) {
+		state = model.KeyUnknown
+	}
+	s.send(from, &message.LedgerKnown{Incarnation: m.Incarnation, Query: m.Query, State: state, Status: status}, out)
+}
+
+func (s *State) receiveKnown(from model.InstanceID, m *message.LedgerKnown, out *event.Effects) {
+	i := slices.IndexFunc(s.queries, func(q *query) bool { return q.id == m.Query })
+	if i < 0 || m.Incarnation != s.incarnation {
+		return
+	}
+	q := s.queries[i]
+	k := slices.Index(q.group, from)
+	if k < 0 {
+		return
+	}
+	q.answers[k] = m
+	if reply, ok := q.reply(); ok {
+		s.queries = slices.Delete(s.queries, i, i+1)
+		out.Add(reply)
+	}
+}
+
+// reply returns the answer once it is certain or every replica has answered.
+func (q *query) reply() (event.OutcomeReply, bool) {
+	counts := map[model.KeyState]int{}
+	missing := 0
+	for _, a := range q.answers {
+		if a == nil {
+			missing++
+			continue
+		}
+		counts[a.State]++
+		if a.State == model.KeyRan {
+			return event.OutcomeReply{Call: q.call, State: model.KeyRan, Status: a.Status}, true
+		}
+	}
+	majority := len(q.group)/2 + 1
+	reply := event.OutcomeReply{Call: q.call, State: model.KeyUnknown}
+	switch {
+	case len(q.group)-missing < majority:
+	case counts[model.KeyRunning] > 0:
+		reply.State = model.KeyRunning
+	case counts[model.KeyNotKnown] >= majority:
+		reply.State = model.KeyNotKnown
+	}
+	return reply, missing == 0
+}
+
+func (s *State) nextQueryWake() model.Time {
+	if len(s.queries) == 0 {
+		return 0
+	}
+	return s.queries[0].giveUpAt
+}
+
+// wakeQueries answers the questions whose time is over with what is known.
+func (s *State) wakeQueries(at model.Time, out *event.Effects) {
+	for len(s.queries) > 0 && s.queries[0].giveUpAt <= at {
+		reply, _ := s.queries[0].reply()
+		out.Add(reply)
+		s.queries = slices.Delete(s.queries, 0, 1)
+	}
+}
--- /dev/null
+++ b/pkg/ledger/random_test.go
@@ -0,0 +1,153 @@
+package ledger
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// schedulesVariable names the environment variable for long runs.
+const schedulesVariable = "ANVILCRANK_LEDGER_SCHEDULES"
+
+const ciSchedules = 3000
+
+func schedules(t *testing.T) uint64 {
+	text := os.Getenv(schedulesVariable)
+	if text == "" {
+		return ciSchedules
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", schedulesVariable, err)
+	}
+	return n
+}
+
+// runSchedule runs one random schedule.
+func runSchedule(seed uint64, f faults) *network {
+	n := newNetwork(seed)
+	n.faults = f
+	for k, p := range n.nodes {
+		p.state.faults = f
+		p.skew = model.Duration(n.rng.Int64N(int64(model.MaxClockSkew)))
+		if n.rng.IntN(8) == 0 {
+			n.maxBytes = 3 * entryOverhead
+		}
+		n.restart(k)
+	}
+	n.run(model.Duration(n.rng.Int64N(int64(6 * time.Second))))
+	age := time.Second
+	if n.rng.IntN(4) == 0 {
+		// Keys that expire in the course of the run.
+		n.run(model.KeyRetention)
+		age = model.KeyRetention
+	}
+	n.loss = []float64{0, 0.05, 0.3}[n.rng.IntN(3)]
+	n.twice = []float64{0, 0.3}[n.rng.IntN(2)]
+	n.maxDelay = []model.Duration{2 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond}[n.rng.IntN(3)]
+	var keys []model.Key
+	for k := range 1 + n.rng.IntN(3) {
+		issued := n.now.Add(model.Duration(n.rng.Int64N(int64(4*time.Second))) - age)
+		keys = append(keys, n.key(issued, fmt.Sprint("k", k)))
+	}
+	for range 5 + n.rng.IntN(12) {
+		n.act(keys)
+		n.run(model.Duration(n.rng.Int64N(int64([]time.Duration{time.Millisecond, 200 * time.Millisecond, time.Second}[n.rng.IntN(3)]))))
+	}
+	clear(n.cut)
+	n.loss = 0
+	n.run(5 * time.Second)
+	// Whatever happened before, another try must not run a second time.
+	for _, key := range keys {
+		n.send(n.rng.IntN(len(n.nodes)), key, 1, time.Second)
+	}
+	n.run(30 * time.Second)
+	return n
+}
+
+// act does one random thing: mostly it sends a request.
+func (n *network) act(keys []model.Key) {
+	any := func() int { return n.rng.IntN(len(n.nodes)) }
+	switch what := n.rng.IntN(20); {
+	case what < 12:
+		digest := uint64(1)
+		if n.rng.IntN(8) == 0 {
+			digest = 2
+		}
+		key := keys[n.rng.IntN(len(keys))]
+		for range 1 + n.rng.IntN(2) {
+			n.send(any(), key, digest, model.Duration(1+n.rng.Int64N(int64(4*time.Second))))
+		}
+	case what < 15:
+		n.restart(any())
+	case what < 16:
+		k := any()
+		n.restart(k)
+		n.restart((k + 1) % len(n.nodes))
+	case what < 18:
+		n.cut[[2]model.InstanceID{n.nodes[any()].id, n.nodes[any()].id}] = true
+	default:
+		clear(n.cut)
+	}
+}
+
+// Guards against a key that runs twice, an answer "not run" for a request that
+// may have run, and an answer of another request, under random faults.
+func TestRandomSchedulesKeepAtMostOnce(t *testing.T) {
+	codes := map[result.Code]int{}
+	for seed := range schedules(t) {
+		n := runSchedule(seed, faults{})
+		if len(n.violations) > 0 {
+			t.Fatalf("seed %d: %s", seed, n.violations[0])
+		}
+		for code, count := range n.codes {
+			codes[code] += count
+		}
+	}
+	// A run that does not reach a code checks nothing about it.
+	for _, code := range []result.Code{result.Answered, result.KeyFromFuture, result.KeyReused, result.KeyInProgress,
+		result.AnswerNotKept, result.KeyExpired, result.LedgerNoMajority, result.KeyForgotten} {
+		if codes[code] == 0 {
+			t.Errorf("no request got %v", code)
+		}
+	}
+	t.Log(codes)
+}
+
+// Guards against checks that notice nothing: each broken rule must fail a run.
+func TestRandomSchedulesNoticeBrokenRules(t *testing.T) {
+	for name, f := range map[string]faults{
+		"no floor":                    {noFloor: true},
+		"minority grant":              {minorityGrant: true},
+		"abandon by another claimant": {abandonByOthers: true},
+		"forgotten claim":             {forgetClaims: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(ciSchedules) {
+				if v := runSchedule(seed, f).violations; len(v) > 0 {
+					t.Logf("seed %d: %s", seed, v[0])
+					return
+				}
+			}
+			t.Fatal("no run failed")
+		})
+	}
+}
+
+// Guards against a ledger that depends on anything but its inputs, such as the
+// order of a map.
+func TestSchedulesAreRepeatable(t *testing.T) {
+	for k := range 5 {
+		seed := uint64(100 + k)
+		a := fmt.Sprint(runSchedule(seed, faults{minorityGrant: true}).violations)
+		b := fmt.Sprint(runSchedule(seed, faults{minorityGrant: true}).violations)
+		if a != b {
+			t.Fatalf("seed %d: %s, then %s", seed, a, b)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/ledger/state.go
@@ -0,0 +1,206 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// Decision answers Claim.
+type Decision struct {
+	Request model.RequestID
+	// Code is Answered if the claim is granted or Answer is set; otherwise the
+	// request ends with it.
+	Code result.Code
+	// Answer is the recorded answer of an earlier request with the key.
+	Answer *model.Answer
+}
+
+// State is the ledger of one instance: a replica of some groups, and the
+// coordinator of the claims of its own requests.
+type State struct {
+	self        model.InstanceID
+	incarnation model.Incarnation
+	faults      faults
+	config      *model.Config
+	groups      map[model.Zone][]model.InstanceID
+	replica     *replica
+
+	claims    map[model.RequestID]*claim
+	timers    claimHeap
+	decisions []Decision
+	queries   []*query
+	lastQuery uint64
+	// local holds messages of this instance to itself.
+	local []message.Message
+}
+
+// New returns an empty ledger. Until Start it grants nothing.
+func New(self model.InstanceID, incarnation model.Incarnation) *State {
+	s := &State{
+		self:        self,
+		incarnation: incarnation,
+		groups:      map[model.Zone][]model.InstanceID{},
+		claims:      map[model.RequestID]*claim{},
+	}
+	s.replica = newReplica(&s.faults)
+	return s
+}
+
+// Start handles the start of the process.
+func (s *State) Start(at model.Time) { s.replica.start(at) }
+
+// Configure brings the configuration in force. Open claims keep the group they
+// began with. The floor rises for zones whose group now has other members and
+// includes this instance.
+func (s *State) Configure(at model.Time, c *model.Config) {
+	old := s.config
+	s.config = c
+	if old != nil && slices.Equal(old.Roster, c.Roster) && slices.Equal(old.Zones, c.Zones) {
+		return
+	}
+	clear(s.groups)
+	if old == nil {
+		return
+	}
+	for _, z := range c.Zones {
+		group := c.LedgerGroup(z.Zone)
+		if slices.Contains(group, s.self) && !haveSameMembers(group, old.LedgerGroup(z.Zone)) {
+			s.replica.groupChanged(at, z.Zone)
+		}
+	}
+}
+
+func haveSameMembers(a, b []model.InstanceID) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, id := range a {
+		if !slices.Contains(b, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// group returns the replicas of the zone, nil if the zone is not configured.
+func (s *State) group(home model.Zone) []model.InstanceID {
+	if s.config == nil || s.config.RegionOf(home) == "" {
+		return nil
+	}
+	g := s.groups[home]
+	if g == nil {
+		g = s.config.LedgerGroup(home)
+		s.groups[home] = g
+	}
+	return g
+}
+
+// Receive handles a message of another instance. It reports whether the message
+// belongs to the ledger.
+func (s *State) Receive(at model.Time, from model.InstanceID, m message.Message, out *event.Effects) bool {
+	if !s.handle(at, from, m, out) {
+		return false
+	}
+	s.flush(at, out)
+	return true
+}
+
+// send sends a message, or keeps it for flush if it is for this instance.
+func (s *State) send(to model.InstanceID, m message.Message, out *event.Effects) {
+	if to == s.self {
+		s.local = append(s.local, m)
+		return
+	}
+	out.Add(event.Send{To: to, Message: m})
+}
+
+// flush handles the messages of this instance to itself.
+func (s *State) flush(at model.Time, out *event.Effects) {
+	for len(s.local) > 0 {
+		m := s.local[0]
+		s.local = s.local[1:]
+		s.handle(at, s.self, m, out)
+	}
+	s.local = nil
+}
+
+func (s *State) handle(at model.Time, from model.InstanceID, m message.Message, out *event.Effects) bool {
+	switch m := m.(type) {
+	case *message.LedgerClaim:
+		s.receiveClaim(at, from, m, out)
+	case *message.LedgerVote:
+		s.receiveVote(at, from, m, out)
+	case *message.LedgerAbandon:
+		s.receiveAbandon(at, from, m, out)
+	case *message.LedgerRecord:
+		s.receiveRecord(at, from, m, out)
+	case *message.LedgerAck:
+		s.receiveAck(at, from, m, out)
+	case *message.LedgerQuery:
+		s.receiveQuery(at, from, m, out)
+	case *message.LedgerKnown:
+		s.receiveKnown(from, m, out)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *State) receiveClaim(at model.Time, from model.InstanceID, m *message.LedgerClaim, out *event.Effects) {
+	key, err := model.ParseKey(m.Key)
+	if err != nil || m.Claimant.Instance != from {
+		return
+	}
+	group := s.group(key.Home)
+	sameGroup := slices.Contains(group, s.self) && haveSameMembers(group, m.Group)
+	if vote := s.replica.claim(at, key, m, sameGroup); vote != nil {
+		s.send(from, vote, out)
+	}
+}
+
+func (s *State) receiveAbandon(at model.Time, from model.InstanceID, m *message.LedgerAbandon, out *event.Effects) {
+	key, err := model.ParseKey(m.Key)
+	if err != nil || m.Claimant.Instance != from {
+		return
+	}
+	s.replica.abandon(at, key, m.Claimant)
+	s.send(from, &message.LedgerAck{Claimant: m.Claimant}, out)
+}
+
+// receiveRecord stores an outcome and tells those who wait for it.
+func (s *State) receiveRecord(at model.Time, from model.InstanceID, m *message.LedgerRecord, out *event.Effects) {
+	key, err := model.ParseKey(m.Key)
+	if err != nil || m.Claimant.Instance != from {
+		return
+	}
+	for _, w := range s.replica.record(at, key, m, out) {
+		vote := &message.LedgerVote{Key: m.Key, Claimant: w}
+		vote.Vote, vote.Holder, vote.Digest, vote.State = message.VoteTaken, m.Claimant, m.Digest, model.KeyRan
+		vote.Answer = m.Answer
+		s.send(w.Instance, vote, out)
+	}
+	s.send(from, &message.LedgerAck{Claimant: m.Claimant, Recorded: true}, out)
+}
+
+// Take returns the decisions made since the last call.
+func (s *State) Take() []Decision {
+	d := s.decisions
+	s.decisions = nil
+	return d
+}
+
+// Unsettled returns the number of outcomes and abandoned claims that a majority
+// has not confirmed. A graceful stop waits for them, at most updateTimeout.
+func (s *State) Unsettled() int {
+	n := 0
+	for _, c := range s.claims {
+		if c.update != nil && count(c.update.acked) < c.majority() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/ledger/update.go
@@ -0,0 +1,129 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+const (
+	// updateTimeout bounds the time for which outcomes and abandoned claims are
+	// repeated. A graceful stop waits for it at most.
+	updateTimeout = 10 * time.Second
+	// minUpdateRepeat and maxUpdateRepeat bound the pause between repeats.
+	minUpdateRepeat = 200 * time.Millisecond
+	maxUpdateRepeat = 2 * time.Second
+)
+
+// update is a message that is repeated until enough replicas confirmed it.
+type update struct {
+	message  message.Message
+	recorded bool
+	acked    []bool
+	// need is the number of replicas that must confirm.
+	need     int
+	pause    model.Duration
+	repeatAt model.Time
+	giveUpAt model.Time
+}
+
+// Record stores the outcome of a claimed request. A nil answer says that the
+// request ran and that its answer is not kept.
+func (s *State) Record(at model.Time, id model.RequestID, answer *model.Answer, out *event.Effects) {
+	c := s.claims[id]
+	if c == nil || c.stage != granted || c.update != nil {
+		return
+	}
+	if answer != nil && len(answer.Body) > model.MaxRecordedBody {
+		answer = nil
+	}
+	m := &message.LedgerRecord{Key: c.key.Text, Claimant: c.claimant, Digest: c.digest, Answer: answer}
+	s.startUpdate(at, c, &update{message: m, recorded: true, need: c.majority()}, out)
+	s.schedule(c)
+	s.flush(at, out)
+}
+
+// close ends a claim that never runs and tells every replica: a claim on its
+// way may still be granted by one that has not answered.
+func (s *State) close(at model.Time, c *claim, out *event.Effects) {
+	c.stage = closed
+	c.giveUpAt = at.Add(lateVoteTime)
+	m := &message.LedgerAbandon{Key: c.key.Text, Claimant: c.claimant}
+	s.startUpdate(at, c, &update{message: m, need: len(c.group)}, out)
+}
+
+func (s *State) startUpdate(at model.Time, c *claim, u *update, out *event.Effects) {
+	u.acked = make([]bool, len(c.group))
+	u.pause = minUpdateRepeat
+	u.giveUpAt = at.Add(updateTimeout)
+	c.update = u
+	s.sendUpdate(at, c, out)
+}
+
+// sendUpdate sends the update to the replicas that have not confirmed it.
+func (s *State) sendUpdate(at model.Time, c *claim, out *event.Effects) {
+	u := c.update
+	u.repeatAt = at.Add(u.pause)
+	u.pause = min(2*u.pause, maxUpdateRepeat)
+	for k, ok := range u.acked {
+		if !ok {
+			s.send(c.group[k], u.message, out)
+		}
+	}
+}
+
+func (s *State) wakeUpdate(at model.Time, c *claim, out *event.Effects) {
+	if at < c.update.giveUpAt {
+		s.sendUpdate(at, c, out)
+		return
+	}
+	s.endUpdate(c)
+}
+
+// endUpdate ends the repeats. A claim that never runs is kept for late votes.
+func (s *State) endUpdate(c *claim) {
+	c.update = nil
+	if c.stage == granted {
+		s.forget(c)
+	}
+}
+
+func (s *State) receiveAck(_ model.Time, from model.InstanceID, m *message.LedgerAck, _ *event.Effects) {
+	c := s.ownClaim(m.Claimant)
+	if c == nil || c.update == nil || c.update.recorded != m.Recorded {
+		return
+	}
+	k := slices.Index(c.group, from)
+	if k < 0 {
+		return
+	}
+	c.update.acked[k] = true
+	if count(c.update.acked) >= c.update.need {
+		s.endUpdate(c)
+	}
+	s.schedule(c)
+}
+
+func count(flags []bool) int {
+	n := 0
+	for _, f := range flags {
+		if f {
+			n++
+		}
+	}
+	return n
+}
+
+// giveBack abandons what a late vote granted to a claim that never runs.
+func (s *State) giveBack(at model.Time, c *claim, k int, out *event.Effects) {
+	if c.update == nil {
+		s.close(at, c, out)
+	} else {
+		c.update.acked[k] = false
+		s.send(c.group[k], c.update.message, out)
+	}
+	s.schedule(c)
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/ledger"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/permit"
@@ -32,7 +33,7 @@
 	requests  *request.State
 	upstreams *upstream.State
 	permits   *permit.State
-	ledger    *localLedger
+	ledger    *ledger.State
 
 	// peers are the instances with a standing link.
 	peers    map[model.InstanceID]view.Instance
@@ -49,7 +50,7 @@
 	s := &State{
 		identity: identity,
 		permits:  permit.New(),
-		ledger:   &localLedger{},
+		ledger:   ledger.New(identity.ID, identity.Incarnation),
 		peers:    map[model.InstanceID]view.Instance{},
 	}
 	s.upstreams = upstream.New(s.permits)
@@ -100,7 +101,10 @@
 	case event.TimerFired:
 		s.timerAt = 0
 		s.wake(at)
+	case event.OutcomeRequested:
+		s.ledger.Query(at, b, out)
 	case event.Started:
+		s.ledger.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
@@ -120,7 +124,7 @@
 
 // receive routes a message of another instance.
 func (s *State) receive(at model.Time, b event.PeerReceived) {
-	_, _ = at, b
+	s.ledger.Receive(at, b.From, b.Message, &s.out)
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -130,6 +134,7 @@
 	}
 	s.config = c
 	s.requests.Configure(c)
+	s.ledger.Configure(at, c)
 	s.viewDone = false
 	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
 	s.requests.PumpAll(at, &s.out)
@@ -139,16 +144,10 @@
 func (s *State) wake(at model.Time) {
 	s.upstreams.Wake(at, &s.out)
 	s.permits.Wake(at)
+	s.ledger.Wake(at, &s.out)
 	s.requests.PumpAll(at, &s.out)
 }
 
-// decideClaims passes on the ledger's decisions of this step.
-func (s *State) decideClaims(at model.Time) {
-	for _, d := range s.ledger.take() {
-		s.requests.ClaimDecided(at, d, &s.out)
-	}
-}
-
 // stop begins a graceful stop: look-ups stop naming this instance, and callers
 // with a cached answer are served until it has run out.
 func (s *State) stop(at model.Time) {
@@ -162,7 +161,7 @@
 }
 
 func (s *State) checkStopped(at model.Time) {
-	if !s.stopping || s.stopped || at < s.stopAt || s.requests.Open() > 0 {
+	if !s.stopping || s.stopped || at < s.stopAt || s.requests.Open() > 0 || s.ledger.Unsettled() > 0 {
 		return
 	}
 	s.stopped = true
@@ -192,7 +191,7 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake())
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.ledger.NextWake())
 	if s.stopping && !s.stopped {
 		next = earliest(next, s.stopAt)
 	}
