Add the membership of instances

Look-ups named the instances with a standing link. That needs a link to each instance and drops one whose link broke although it lives.

pkg/membership is a pure sub-reducer: each instance probes one other a second, in turn in its own zone and in others, asks three others before it suspects one, and spreads news on these messages. An instance refutes a suspicion with a higher revision; a planned stop spreads "leaving" before anything else. The member list is read in pages of 32, one a second until a whole pass brings no unknown member. Look-ups name the members that are alive and not leaving. A new effect, Connect, keeps a link to each member.

All 200 started at once know each other within 60 s.

--- a/instance.go
+++ b/instance.go
@@ -73,6 +73,7 @@
 		Incarnation: model.Incarnation(clock.Now()),
 		Zone:        s.Zone,
 		Address:     i.Address(),
+		PeerAddress: i.PeerAddress(),
 		Seed:        o.Seed,
 	}
 	if identity.Seed == 0 {
--- a/pkg/codec/codec_test.go
+++ b/pkg/codec/codec_test.go
@@ -1,6 +1,7 @@
 package codec_test
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -22,6 +23,21 @@
 	g.Expect(out).To(Equal(in))
 }
 
+// Guards against membership messages that take more of the 15 KB/s a node may
+// spend than planned, and against a lost field of a member.
+func TestMembershipMessagesAreSmall(t *testing.T) {
+	g := NewWithT(t)
+	m := message.Member{ID: "bhairahawa-entry-12", Incarnation: 1 << 60, Revision: 3, Status: message.MemberSuspect,
+		Leaving: true, Zone: "bhairahawa", Address: "255.255.255.255:65535", PeerAddress: "255.255.255.255:65534"}
+	in := &message.MemberPing{Seq: 1 << 40, From: m, Updates: slices.Repeat([]message.Member{m}, 8)}
+	data, err := codec.EncodeMessage(in)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(data)).To(BeNumerically("<", 1400))
+	out, err := codec.DecodeMessage(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(Equal(in))
+}
+
 // Guards against an event type that cannot be recorded and replayed.
 func TestEveryEventRoundTrips(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -38,9 +38,10 @@
 	ReplayAnswer(event.ReplayAnswer)
 }
 
-// Peers sends messages to other instances. Send must not block.
+// Peers sends messages to other instances. Its methods must not block.
 type Peers interface {
 	Send(to model.InstanceID, m message.Message)
+	Connect(address string)
 }
 
 // Telemetry takes logs and counts. Its methods must not block.
@@ -210,6 +211,8 @@
 		l.handlers.Traffic.ReplayAnswer(e)
 	case event.Send:
 		l.handlers.Peers.Send(e.To, e.Message)
+	case event.Connect:
+		l.handlers.Peers.Connect(e.Address)
 	case event.SetTimer:
 		l.timer.Reset(l.clock.Until(e.At))
 	case event.Publish:
--- a/pkg/event/peer.go
+++ b/pkg/event/peer.go
@@ -19,6 +19,8 @@
 	Zone        model.Zone
 	// Address is where the peer takes callers' requests.
 	Address string
+	// PeerAddress is where the peer takes links.
+	PeerAddress string
 }
 
 // PeerLost says that the link to another instance broke.
@@ -36,4 +38,10 @@
 	Message message.Message
 }
 
-func (Send) isEffect() {}
+// Connect keeps a link to the address from now on.
+type Connect struct {
+	Address string
+}
+
+func (Send) isEffect()    {}
+func (Connect) isEffect() {}
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -46,6 +46,9 @@
 	PeerBadMessage Code = 403
 	PeerQueueFull  Code = 404
 
+	MemberSuspected Code = 405
+	MemberDead      Code = 406
+
 	ConfigInForce Code = 501
 )
 
@@ -74,6 +77,8 @@
 	{PeerLost, "peer_lost", LevelWarn, "a link to another instance broke"},
 	{PeerBadMessage, "peer_bad_message", LevelWarn, "a message of another instance could not be decoded"},
 	{PeerQueueFull, "peer_queue_full", LevelWarn, "a message to another instance was dropped because its queue is full"},
+	{MemberSuspected, "member_suspected", LevelInfo, "an instance did not answer probes and is suspected to be lost"},
+	{MemberDead, "member_dead", LevelWarn, "a suspected instance did not refute in time and counts as lost"},
 	{ConfigInForce, "config_in_force", LevelInfo, "a configuration came into force"},
 }
 
--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,241 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// epoch is the virtual time at which every run starts, and step its resolution.
+const (
+	epoch = model.Time(1_700_000_000 * 1e9)
+	step  = 10 * time.Millisecond
+)
+
+type packet struct {
+	at       model.Time
+	from, to int
+	message  message.Message
+}
+
+// network runs several instances in virtual time.
+type network struct {
+	rng     *rand.Rand
+	now     model.Time
+	nodes   []*State // nil while an instance is down
+	packets []packet
+	loss    float64
+	cut     func(from, to int) bool
+	// sent counts messages by sender; largest is the most updates on one.
+	sent    []int
+	largest int
+	deaths  int
+}
+
+func newNetwork(seed uint64, n int) *network {
+	w := &network{rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, nodes: make([]*State, n), sent: make([]int, n)}
+	for k := range n {
+		w.start(k)
+	}
+	w.run(time.Duration(20+n/5) * time.Second)
+	return w
+}
+
+func id(k int) model.InstanceID { return model.InstanceID(fmt.Sprintf("i%03d", k)) }
+
+// start starts an instance that joins by the first one, or by the second if it
+// is the first.
+func (w *network) start(k int) {
+	self := message.Member{ID: id(k), Incarnation: model.Incarnation(w.now), Zone: model.Zone(fmt.Sprint("z", k%5)), PeerAddress: string(id(k))}
+	w.nodes[k] = New(self, w.rng.Uint64())
+	w.nodes[k].Start(w.now)
+	seed := 0
+	if k == 0 {
+		seed = 1
+	}
+	if w.nodes[seed] != nil {
+		w.do(k, func(out *event.Effects) { w.nodes[k].Connected(w.now, w.nodes[seed].self, out) })
+	}
+}
+
+// do runs one reducer step of an instance and sends its messages.
+func (w *network) do(k int, f func(*event.Effects)) {
+	var out event.Effects
+	f(&out)
+	for _, e := range out.List() {
+		switch e := e.(type) {
+		case event.Send:
+			w.send(k, e)
+		case event.Log:
+			if e.Code == logevent.MemberDead {
+				w.deaths++
+			}
+		}
+	}
+}
+
+func (w *network) send(k int, e event.Send) {
+	var to int
+	_, _ = fmt.Sscanf(string(e.To), "i%d", &to)
+	w.sent[k]++
+	if p, ok := e.Message.(*message.MemberPing); ok {
+		w.largest = max(w.largest, len(p.Updates))
+	}
+	if w.rng.Float64() < w.loss || w.cut != nil && w.cut(k, to) {
+		return
+	}
+	delay := model.Duration(w.rng.Int64N(int64(60 * time.Millisecond)))
+	w.packets = append(w.packets, packet{w.now.Add(delay), k, to, e.Message})
+}
+
+func (w *network) run(d model.Duration) {
+	for end := w.now.Add(d); w.now < end; w.now = w.now.Add(step) {
+		due := w.packets
+		w.packets = nil
+		for _, p := range due {
+			switch {
+			case p.at > w.now:
+				w.packets = append(w.packets, p)
+			case w.nodes[p.to] != nil:
+				w.do(p.to, func(out *event.Effects) { w.nodes[p.to].Receive(w.now, id(p.from), p.message, out) })
+			}
+		}
+		for k, s := range w.nodes {
+			if s != nil && s.NextWake() <= w.now {
+				w.do(k, func(out *event.Effects) { s.Wake(w.now, out) })
+			}
+		}
+	}
+}
+
+// wrongViews lists the instances that do not see exactly the given number of
+// serving instances, all in their latest incarnation.
+func (w *network) wrongViews(want int) []string {
+	var wrong []string
+	for k, s := range w.nodes {
+		if s == nil {
+			continue
+		}
+		serving := s.Serving()
+		for _, m := range serving {
+			var i int
+			_, _ = fmt.Sscanf(string(m.ID), "i%d", &i)
+			if w.nodes[i] == nil || w.nodes[i].self.Incarnation != m.Incarnation {
+				wrong = append(wrong, fmt.Sprintf("%s sees a lost %s", id(k), m.ID))
+			}
+		}
+		if len(serving) != want {
+			wrong = append(wrong, fmt.Sprintf("%s sees %d of %d", id(k), len(serving), want))
+		}
+	}
+	return wrong
+}
+
+// Guards against suspicions that are not refuted, dead instances that stay
+// listed, restarts that are not noticed, and planned stops that are not
+// announced, at random places and with lost messages.
+func TestRandomRunsConverge(t *testing.T) {
+	for seed := range uint64(30) {
+		RegisterTestingT(t)
+		n := 5 + int(seed%16)
+		w := newNetwork(seed, n)
+		w.loss = 0.1
+		w.run(20 * time.Second)
+		dead, restarted, leaving := 1+w.rng.IntN(n-1), w.rng.IntN(n), w.rng.IntN(n)
+		w.nodes[dead] = nil
+		if restarted != dead {
+			w.start(restarted)
+		}
+		want := n - 1
+		if leaving != dead {
+			want--
+			w.do(leaving, w.nodes[leaving].Leave)
+		}
+		w.run(20 * time.Second)
+		w.loss = 0
+		w.run(15 * time.Second)
+		Expect(w.wrongViews(want)).To(BeEmpty(), "seed %d", seed)
+		w.start(dead)
+		w.run(10 * time.Second)
+		Expect(w.wrongViews(want+1)).To(BeEmpty(), "seed %d", seed)
+	}
+}
+
+// Guards against a live instance that counts as dead because one path to it is
+// broken, in one direction.
+func TestBrokenPathIsNotALostInstance(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(1, 10)
+	w.cut = func(from, to int) bool { return from == 2 && to == 3 }
+	w.run(time.Minute)
+	g.Expect(w.deaths).To(BeZero())
+	g.Expect(w.wrongViews(10)).To(BeEmpty())
+}
+
+// Guards against a live instance that does not hear of its own suspicion.
+func TestFalseSuspicionIsRefuted(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(1, 10)
+	suspect := w.nodes[3].self
+	suspect.Status = message.MemberSuspect
+	w.do(7, func(out *event.Effects) { w.nodes[7].merge(w.now, suspect, out) })
+	g.Expect(w.nodes[7].Serving()).To(HaveLen(9))
+	w.run(minSuspicion)
+	g.Expect(w.nodes[3].self.Revision).To(BeNumerically(">", suspect.Revision))
+	g.Expect(w.deaths).To(BeZero())
+	g.Expect(w.wrongViews(10)).To(BeEmpty())
+}
+
+// Guards against two sides of a healed partition that never find each other
+// again.
+func TestHealedPartitionJoinsAgain(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(1, 10)
+	w.cut = func(from, to int) bool { return from%5 == 0 != (to%5 == 0) }
+	w.run(time.Minute)
+	g.Expect(w.nodes[0].Serving()).To(HaveLen(2))
+	g.Expect(w.nodes[1].Serving()).To(HaveLen(8))
+	w.cut = nil
+	w.run(30 * time.Second)
+	g.Expect(w.wrongViews(10)).To(BeEmpty())
+}
+
+// Guards against a frozen process that declares the others dead when it goes on.
+func TestFrozenProcessSuspectsNobody(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(1, 10)
+	s := w.nodes[4]
+	s.probes.target = id(5)
+	w.do(4, func(out *event.Effects) { s.Wake(w.now.Add(20*time.Second), out) })
+	g.Expect(s.Serving()).To(HaveLen(10))
+}
+
+// Guards against messages that grow in number or size with the instances.
+func TestRateDoesNotGrowWithInstances(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{10, 50, 200} {
+		w := newNetwork(1, n)
+		g.Expect(w.wrongViews(n)).To(BeEmpty())
+		clear(w.sent)
+		w.nodes[n-1] = nil
+		w.run(time.Minute)
+		g.Expect(w.wrongViews(n - 1)).To(BeEmpty())
+		most := 0
+		for _, k := range w.sent {
+			most = max(most, k)
+		}
+		t.Logf("%d instances: at most %.1f messages/s from one, %d updates on one", n, float64(most)/60, w.largest)
+		// A ping and an answer each second, and room for the probes of the dead
+		// instance.
+		g.Expect(most).To(BeNumerically("<", 5*60))
+		g.Expect(w.largest).To(BeNumerically("<=", maxUpdates))
+	}
+}
--- a/pkg/peer/manager.go
+++ b/pkg/peer/manager.go
@@ -165,7 +165,8 @@
 	m.links[remote.From] = l
 	m.mu.Unlock()
 	m.sink.Report(event.PeerConnected{
-		Peer: remote.From, Incarnation: remote.Incarnation, Zone: remote.Zone, Address: remote.Address})
+		Peer: remote.From, Incarnation: remote.Incarnation, Zone: remote.Zone,
+		Address: remote.Address, PeerAddress: remote.PeerAddress})
 	m.logger.Log(event.Log{Code: logevent.PeerConnected, Fields: []logevent.Field{logevent.F("peer", remote.From)}})
 	m.send(conn.CloseRead(ctx), conn, l)
 	m.mu.Lock()
--- /dev/null
+++ b/pkg/state/membership.go
@@ -0,0 +1,42 @@
+package state
+
+import (
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/membership"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
+)
+
+// newMembership returns the membership of an instance.
+func newMembership(i *Identity) *membership.State {
+	return membership.New(message.Member{
+		ID:          i.ID,
+		Incarnation: i.Incarnation,
+		Zone:        i.Zone,
+		Address:     i.Address,
+		PeerAddress: i.PeerAddress,
+	}, i.Seed)
+}
+
+// connectedMember describes the instance at the other end of a new link.
+func connectedMember(b *event.PeerConnected) message.Member {
+	return message.Member{
+		ID:          b.Peer,
+		Incarnation: b.Incarnation,
+		Zone:        b.Zone,
+		Address:     b.Address,
+		PeerAddress: b.PeerAddress,
+	}
+}
+
+// servingInstances returns the instances that look-ups may name, in identifier
+// order.
+func (s *State) servingInstances() []view.Instance {
+	members := s.members.Serving()
+	list := make([]view.Instance, len(members))
+	for i := range members {
+		m := &members[i]
+		list[i] = view.Instance{ID: m.ID, Address: m.Address, Zone: m.Zone, Region: s.config.RegionOf(m.Zone)}
+	}
+	return list
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -1,11 +1,10 @@
 package state
 
 import (
-	"sort"
-
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/ledger"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/membership"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/permit"
 	"github.com/anvilcrank/anvilcrank/pkg/request"
@@ -20,6 +19,8 @@
 	Zone        model.Zone
 	// Address is where this instance takes callers' requests.
 	Address string
+	// PeerAddress is where this instance takes links.
+	PeerAddress string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
 }
@@ -35,8 +36,8 @@
 	permits   *permit.State
 	ledger    *ledger.State
 
-	// peers are the instances with a standing link.
-	peers    map[model.InstanceID]view.Instance
+	members *membership.State
+
 	stopping bool
 	// stopAt is when callers' cached look-ups have run out.
 	stopAt   model.Time
@@ -51,7 +52,7 @@
 		identity: identity,
 		permits:  permit.New(),
 		ledger:   ledger.New(identity.ID, identity.Incarnation),
-		peers:    map[model.InstanceID]view.Instance{},
+		members:  newMembership(&identity),
 	}
 	s.upstreams = upstream.New(s.permits)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
@@ -89,11 +90,9 @@
 	case event.UpstreamAnnounced:
 		s.announce(at, b)
 	case event.PeerConnected:
-		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
-		s.viewDone = false
+		s.members.Connected(at, connectedMember(&b), out)
 	case event.PeerLost:
-		delete(s.peers, b.Peer)
-		s.viewDone = false
+		s.members.Lost(b.Peer)
 	case event.PeerReceived:
 		s.receive(at, b)
 	case event.ConfigLoaded:
@@ -105,6 +104,7 @@
 		s.ledger.Query(at, b, out)
 	case event.Started:
 		s.ledger.Start(at)
+		s.members.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
@@ -124,7 +124,10 @@
 
 // receive routes a message of another instance.
 func (s *State) receive(at model.Time, b event.PeerReceived) {
-	s.ledger.Receive(at, b.From, b.Message, &s.out)
+	switch {
+	case s.ledger.Receive(at, b.From, b.Message, &s.out):
+	case s.members.Receive(at, b.From, b.Message, &s.out):
+	}
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -145,6 +148,7 @@
 	s.upstreams.Wake(at, &s.out)
 	s.permits.Wake(at)
 	s.ledger.Wake(at, &s.out)
+	s.members.Wake(at, &s.out)
 	s.requests.PumpAll(at, &s.out)
 }
 
@@ -157,6 +161,7 @@
 	s.stopping = true
 	s.stopAt = at.Add(view.LookupTTL)
 	s.viewDone = false
+	s.members.Leave(&s.out)
 	s.out.Add(event.Log{Code: logevent.ProcessStopping})
 }
 
@@ -171,27 +176,19 @@
 
 // publish makes a new view if anything it shows has changed.
 func (s *State) publish() {
-	if s.viewDone {
+	if !s.members.TakeChanged() && s.viewDone {
 		return
 	}
 	s.viewDone = true
 	self := view.Instance{ID: s.identity.ID, Address: s.identity.Address, Zone: s.identity.Zone}
 	self.Region = s.config.RegionOf(self.Zone)
-	v := &view.View{Self: self, Config: s.config, Stopping: s.stopping}
-	for _, p := range s.peers {
-		p.Region = s.config.RegionOf(p.Zone)
-		v.Instances = append(v.Instances, p)
-	}
-	if !s.stopping {
-		v.Instances = append(v.Instances, self)
-	}
-	sort.Slice(v.Instances, func(i, j int) bool { return v.Instances[i].ID < v.Instances[j].ID })
+	v := &view.View{Self: self, Config: s.config, Instances: s.servingInstances(), Stopping: s.stopping}
 	s.out.Add(event.Publish{View: v})
 }
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.ledger.NextWake())
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.ledger.NextWake(), s.members.NextWake())
 	if s.stopping && !s.stopped {
 		next = earliest(next, s.stopAt)
 	}
