--- a/instance.go
+++ b/instance.go
@@ -84,6 +84,7 @@
 		Incarnation:  model.Incarnation(clock.Now()),
 		Zone:         s.Zone,
 		Address:      i.Address(),
+		PeerAddress:  i.PeerAddress(),
 		Seed:         o.Seed,
 		ControlGroup: s.ControlGroup,
 		Disk:         s.Data != "",
--- a/pkg/state/stopping.go
+++ b/pkg/state/stopping.go
@@ -24,6 +24,7 @@
 	s.viewDone = false
 	// The other instances learn of it with the next tick.
 	s.hinting.sentAt, s.hinting.next = 0, 0
+	s.members.Leave(&s.out)
 	s.out.Add(event.Log{Code: logevent.ProcessStopping})
 }
 
@@ -44,7 +45,7 @@
 	if len(s.peers) > 0 && at < s.stopAt.Add(handoverLimit) && s.upstreams.Owned() > 0 {
 		return
 	}
-	if len(s.peers) > 0 && s.permits.Unsettled() > 0 {
+	if len(s.peers) > 0 && s.permits.Unsettled() > 0 || s.ledger.Unsettled() > 0 {
 		return
 	}
 	s.stopped = true
