--- a/internal/scenario/call.go
+++ b/internal/scenario/call.go
@@ -103,10 +103,14 @@
 	}
 	deadline := time.Now().Add(callTimeout)
 	for d.journal.Runs(c.token) == 0 {
+		select {
+		case <-c.done:
+			return fmt.Errorf("call %s ended before it ran: outcome %d code %q", name, c.outcome, c.code)
+		case <-time.After(time.Millisecond):
+		}
 		if time.Now().After(deadline) {
 			return fmt.Errorf("call %s does not run after %v", name, callTimeout)
 		}
-		time.Sleep(time.Millisecond)
 	}
 	return nil
 }
--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -114,10 +114,33 @@
 		}
 		return d.runs(args[0], n)
 	}),
+	"calls":  command("calls COUNT METHOD SERVICE at=INSTANCE ...", 4, upper(sequence)),
+	"lookup": command("lookup DURATION REGEXP INSTANCE SERVICE", 4, lookup),
+	"load": command("load NAME METHOD SERVICE zone=ZONE", 4, func(_ *testscript.TestScript, d *deployment, args []string) error {
+		o, err := options(args[3:])
+		if err != nil {
+			return err
+		}
+		return d.startLoad(args[0], strings.ToUpper(args[1]), args[2], o)
+	}),
+	"loaded": command("loaded NAME...", 1, each((*deployment).loaded)),
+	"pause": command("pause DURATION", 1, func(_ *testscript.TestScript, _ *deployment, args []string) error {
+		wait, err := time.ParseDuration(args[0])
+		time.Sleep(wait)
+		return err
+	}),
 	"await":  command("await DURATION REGEXP PROGRAM ARG...", 3, await),
 	"newkey": command("newkey VARIABLE ZONE", 2, newKey),
 }
 
+// upper lets scripts write the HTTP method in lower case.
+func upper(f func(*testscript.TestScript, *deployment, []string) error) func(*testscript.TestScript, *deployment, []string) error {
+	return func(ts *testscript.TestScript, d *deployment, args []string) error {
+		args[1] = strings.ToUpper(args[1])
+		return f(ts, d, args)
+	}
+}
+
 // newKey puts a new idempotency key into a variable.
 func newKey(ts *testscript.TestScript, _ *deployment, args []string) error {
 	now := model.Time(time.Now().UnixNano())
--- a/internal/scenario/deployment.go
+++ b/internal/scenario/deployment.go
@@ -53,6 +53,7 @@
 	upstreams map[string]*fake.Upstream
 	mu        sync.Mutex
 	calls     map[string]*call
+	loads     map[string]*load
 }
 
 // newDeployment returns an empty deployment whose files are in dir.
@@ -63,6 +64,7 @@
 		journal:   fake.NewJournal(),
 		upstreams: map[string]*fake.Upstream{},
 		calls:     map[string]*call{},
+		loads:     map[string]*load{},
 	}
 }
 
@@ -85,7 +87,7 @@
     - {zone: d, region: r2}
   roster: [{{range $n, $p := .All}}{{if $n}}, {{end}}{id: {{$p.Name}}, zone: {{$p.Zone}}}{{end}}]
   profiles:
-    - {name: freely, class: short, repeat: freely, max_attempts: 3, deadline: 5s, queue_limit: 100, spill: any}
+    - {name: freely, class: short, repeat: freely, max_attempts: 3, hedge: true, deadline: 5s, queue_limit: 100, spill: any}
     - {name: once, class: short, repeat: if-not-run, max_attempts: 3, deadline: 5s, queue_limit: 100, spill: any}
     - {name: exports, class: long, repeat: never, max_attempts: 1, deadline: 60s, queue_limit: 100, spill: any}
   services:
@@ -226,6 +228,10 @@
 
 // close ends everything that the script left running.
 func (d *deployment) close() {
+	for _, l := range d.loads {
+		l.stop()
+		<-l.done
+	}
 	for _, u := range d.upstreams {
 		u.Kill()
 	}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -21,10 +21,23 @@
 //	result NAME OUTCOME [CODE]
 //	                          wait for the request; OUTCOME is answered, not_run,
 //	                          unknown or lost
+//	calls COUNT METHOD SERVICE KEY=VALUE...
+//	                          send requests one after the other, all must be
+//	                          answered: at, within, most, eventually
+//	load NAME METHOD SERVICE zone=ZONE
+//	                          send requests until "loaded", following look-ups
+//	loaded NAME...            end a load; all its requests must have been answered
+//	lookup DURATION REGEXP INSTANCE SERVICE
+//	                          ask until the names in the answer match
+//	pause DURATION            wait
+//	newkey VARIABLE ZONE      make an idempotency key
 //	runs NAME COUNT           how often upstreams ran the request
 //	await DURATION REGEXP PROGRAM ARG...
 //	                          run a program until its output matches
 //
+// A ledger replica that has just started refuses keys issued before its floor, so
+// scripts pause for longer than the clock skew before they make keys.
+//
 // Zones a and b form region r1, zones c and d region r2. The environment holds
 // the address of each instance, such as $a_1, and $PATH finds the programs.
 package scenario
