Add the administration API and the operator's commands

Conclusion: the test over four loopback instances with a control group of three passes: one winner of a race, the same result for a resent id, in force at all four, and no fall back after a restart.

--- /dev/null
+++ b/admin_test.go
@@ -0,0 +1,162 @@
+package anvilcrank_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank"
+	"github.com/anvilcrank/anvilcrank/pkg/api"
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/settings"
+)
+
+// adminGroup is a deployment of three members of the control group and one instance
+// without a disk.
+type adminGroup struct {
+	t         *testing.T
+	settings  []*settings.Settings
+	instances []*anvilcrank.Instance
+	stops     []func()
+}
+
+func startAdminGroup(t *testing.T) *adminGroup {
+	d := &adminGroup{t: t}
+	b := &settings.Bootstrap{}
+	var members []model.InstanceID
+	for i, zone := range []model.Zone{"a", "b", "c", "d"} {
+		id := model.InstanceID(zone + "-1")
+		b.Zones = append(b.Zones, settings.Zone{Zone: zone, Region: model.Region("r-" + zone)})
+		b.Roster = append(b.Roster, settings.Member{ID: id, Zone: zone})
+		s := &settings.Settings{Instance: id, Zone: zone, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Bootstrap: b, RecordEvents: 1000}
+		if i < 3 {
+			members = append(members, id)
+			s.Data = t.TempDir()
+		}
+		d.settings = append(d.settings, s)
+	}
+	for i, s := range d.settings {
+		s.ControlGroup = members
+		for _, other := range d.instances {
+			s.Peers = append(s.Peers, other.PeerAddress())
+		}
+		d.instances = append(d.instances, nil)
+		d.stops = append(d.stops, nil)
+		d.start(i)
+	}
+	t.Cleanup(func() {
+		for _, stop := range d.stops {
+			stop()
+		}
+	})
+	return d
+}
+
+func (d *adminGroup) start(n int) {
+	i, err := anvilcrank.New(d.settings[n], anvilcrank.Options{Logger: &log.Logger{Handler: discard.New()}, Seed: uint64(n + 1),
+		OnInvariant: func(f event.InvariantFailed) { d.t.Errorf("invariant %s: %s", f.Name, f.Detail) }})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = i.Run(ctx)
+	}()
+	d.instances[n] = i
+	d.stops[n] = func() {
+		cancel()
+		<-done
+	}
+}
+
+// call sends a request to instance n and returns the status.
+func (d *adminGroup) call(n int, method, path, token, body string, into any) int {
+	req, _ := http.NewRequest(method, "http://"+d.instances[n].Address()+"/v1/admin/"+path, bytes.NewBufferString(body))
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	if into != nil {
+		_ = json.Unmarshal(data, into)
+	}
+	return resp.StatusCode
+}
+
+func (d *adminGroup) version(n int) model.Version {
+	var c model.Config
+	d.call(n, "GET", "config", "", "", &c)
+	return c.Version
+}
+
+// Guards against a change that is accepted and does not come into force
+// everywhere, a race with two winners, a resend that is applied twice, and a
+// member or an instance without a disk that falls back after a restart.
+func TestChangeThroughTheAPIReachesEveryInstance(t *testing.T) {
+	g := NewWithT(t)
+	d := startAdminGroup(t)
+	for n := range d.instances {
+		g.Eventually(func() model.Version { return d.version(n) }, 10*time.Second).Should(BeNumerically(">=", 2))
+	}
+	base := d.version(3)
+	body := func(id string, cap int) string {
+		return fmt.Sprintf(`{"change_id":%q,"expected_version":%d,"author":"ada","operation":{"kind":"set_links",
+			"links":[{"a":"r-a","b":"r-b","bytes_per_second":%d}]}}`, id, base, cap)
+	}
+	var won, again, lost api.ChangeAnswer
+	g.Expect(d.call(3, "POST", "changes", "", body("change-won", 1), &won)).To(Equal(200), won.Message)
+	g.Expect(d.call(1, "POST", "changes", "", body("change-won", 1), &again)).To(Equal(200))
+	g.Expect(again.Version).To(Equal(won.Version))
+	g.Expect(d.call(2, "POST", "changes", "", body("change-lost", 2), &lost)).To(Equal(409))
+	g.Expect(lost.Winner.ID).To(Equal("change-won"))
+	g.Expect(d.call(2, "POST", "changes", "", body("change-won", 3), &lost)).To(Equal(422))
+	g.Expect(d.call(2, "POST", "changes", "", `{"change_id":"change-x","unknown":1}`, nil)).To(Equal(400))
+	var s api.StatusAnswer
+	g.Expect(d.call(3, "GET", fmt.Sprintf("status?version=%d&wait_ms=5000", won.Version), "", "", &s)).To(Equal(200))
+	g.Expect(s.Current).To(BeTrue())
+	g.Expect(s.Instances).To(HaveLen(4))
+	for _, i := range s.Instances {
+		g.Expect(i.Version).To(Equal(won.Version), "%s", i.ID)
+	}
+	var h struct{ Entries []struct{ Author string } }
+	g.Expect(d.call(3, "GET", "history", "", "", &h)).To(Equal(200))
+	g.Expect(h.Entries[0].Author).To(Equal("ada"))
+	for _, n := range []int{0, 3} {
+		d.stops[n]()
+		d.start(n)
+		g.Eventually(func() model.Version { return d.version(n) }, 10*time.Second).Should(Equal(won.Version))
+	}
+}
+
+// Guards against a reader who changes the configuration, and against an API
+// that is open although tokens are set.
+func TestRolesOfTokens(t *testing.T) {
+	g := NewWithT(t)
+	d := &adminGroup{t: t, instances: make([]*anvilcrank.Instance, 1), stops: make([]func(), 1), settings: []*settings.Settings{{
+		Instance: "a-1", Zone: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		Bootstrap: &settings.Bootstrap{Zones: []settings.Zone{{Zone: "a", Region: "r"}}, Roster: []settings.Member{{ID: "a-1", Zone: "a"}}},
+		Tokens: []settings.Token{{Name: "rita", Role: settings.RoleReader, Token: "reader-token-0001"},
+			{Name: "otto", Role: settings.RoleOperator, Token: "operator-token-01"}}}}}
+	d.start(0)
+	t.Cleanup(func() { d.stops[0]() })
+	g.Eventually(func() int { return d.call(0, "GET", "config", "reader-token-0001", "", nil) }, "5s").Should(Equal(200))
+	change := `{"change_id":"change-1","expected_version":2,"operation":{"kind":"add_drain","drain":{"kind":"zone","target":"a"}}}`
+	g.Expect(d.call(0, "GET", "status", "", "", nil)).To(Equal(401))
+	g.Expect(d.call(0, "POST", "changes", "reader-token-0001", change, nil)).To(Equal(401))
+	g.Expect(d.call(0, "POST", "dry-run", "reader-token-0001", change, nil)).To(Equal(200))
+	g.Expect(d.call(0, "POST", "changes", "operator-token-01", change, nil)).To(Equal(200))
+}
--- a/cmd/anvilcrank/main.go
+++ b/cmd/anvilcrank/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -12,33 +13,83 @@
 const (
 	exitFailure = 1
 	exitUsage   = 2
+	// exitConflict: another change won, or the change id belongs to another change.
+	exitConflict = 3
+	// exitInvalid: the change is malformed or its result would be invalid.
+	exitInvalid = 4
+	// exitUnknown: the change may have been accepted; its answer was lost.
+	exitUnknown = 5
+	// exitLacking: the change is accepted but not known to be in force everywhere.
+	exitLacking = 6
+	// exitUnavailable: nobody could answer, or the answer is not confirmed by the
+	// leader. Nothing was changed.
+	exitUnavailable = 7
+	// exitUnauthorized: the token is missing or lacks the role.
+	exitUnauthorized = 8
 )
 
+// errUsage reports a command without its subcommand.
+var errUsage = &commandError{exitUsage, "a subcommand is missing; see --help"}
+
 type args struct {
-	Demo   *demoArgs   `arg:"subcommand:demo" help:"run a small deployment in this process"`
-	Replay *replayArgs `arg:"subcommand:replay" help:"run recorded events again"`
+	Profile  *profileArgs  `arg:"subcommand:profile" help:"list, set or delete steering profiles"`
+	Shift    *shiftArgs    `arg:"subcommand:shift" help:"list, set or delete traffic shifts"`
+	Drain    *drainArgs    `arg:"subcommand:drain" help:"take upstreams, instances, zones or regions out of service"`
+	RollBack *rollBackArgs `arg:"subcommand:rollback" help:"bring back an earlier version as a new one"`
+	Status   *statusArgs   `arg:"subcommand:status" help:"show which version is in force where"`
+	History  *historyArgs  `arg:"subcommand:history" help:"show the latest changes"`
+	Member   *memberArgs   `arg:"subcommand:member" help:"show the control group"`
+	Demo     *demoArgs     `arg:"subcommand:demo" help:"run a small deployment in this process"`
+	Replay   *replayArgs   `arg:"subcommand:replay" help:"run recorded events again"`
 }
 
 // Description implements arg.Described.
 func (args) Description() string {
-	return "anvilcrank steers an anvilcrank deployment.\n\nExit codes: 0 done, 1 failed, 2 wrong usage."
+	return "anvilcrank steers an anvilcrank deployment."
 }
 
-func main() {
-	var a args
-	p := arg.MustParse(&a)
-	var err error
+// Epilogue implements arg.Epilogued.
+func (args) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 another change won, 4 invalid change, 5 outcome unknown, " +
+		"6 accepted but not known to be in force everywhere, 7 no current answer, 8 not authorized."
+}
+
+// run runs the chosen command.
+func (a *args) run() error {
 	switch {
+	case a.Profile != nil:
+		return a.Profile.run()
+	case a.Shift != nil:
+		return a.Shift.run()
+	case a.Drain != nil:
+		return a.Drain.run()
+	case a.RollBack != nil:
+		return a.RollBack.run()
+	case a.Status != nil:
+		return a.Status.run()
+	case a.History != nil:
+		return a.History.run()
+	case a.Member != nil:
+		return a.Member.run()
 	case a.Demo != nil:
-		err = a.Demo.run()
+		return a.Demo.run()
 	case a.Replay != nil:
-		err = a.Replay.run()
-	default:
-		p.WriteHelp(os.Stderr)
-		os.Exit(exitUsage)
+		return a.Replay.run()
+	}
+	return errUsage
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	err := a.run()
+	if err == nil {
+		return
 	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "anvilcrank:", err)
-		os.Exit(exitFailure)
+	fmt.Fprintln(os.Stderr, "anvilcrank:", err)
+	var c *commandError
+	if errors.As(err, &c) {
+		os.Exit(c.exit)
 	}
+	os.Exit(exitFailure)
 }
--- a/instance.go
+++ b/instance.go
@@ -120,6 +120,7 @@
 	links.loop = i.loop
 	i.proxy.SetControl(i.loop)
 	i.api = api.New(i.loop, i.proxy, i.telemetry)
+	i.api.EnableAdmin(adminOptions(s, clock))
 	return i, nil
 }
 
--- a/instanceconfig.go
+++ b/instanceconfig.go
@@ -8,8 +8,11 @@
 
 	"github.com/oklog/run"
 
+	"github.com/anvilcrank/anvilcrank/pkg/api"
+	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/settings"
 	"github.com/anvilcrank/anvilcrank/pkg/storage"
 )
 
@@ -48,3 +51,12 @@
 	}
 	return nil
 }
+
+// adminOptions says who may use the administration API.
+func adminOptions(s *settings.Settings, clock *control.Clock) api.AdminOptions {
+	o := api.AdminOptions{Open: s.IsLoopback(), Now: clock.Now}
+	for _, t := range s.Tokens {
+		o.Tokens = append(o.Tokens, api.AdminToken{Name: t.Name, Token: t.Token, Operator: t.Role == settings.RoleOperator})
+	}
+	return o
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,6 +30,9 @@
 	// ControlGroup lists the instances that keep the replicated log, the same on
 	// every instance. They need a data folder.
 	ControlGroup []model.InstanceID `yaml:"control_group"`
+	// Tokens open the administration API. Without any, it is open on loopback
+	// listeners and closed on others.
+	Tokens []Token `yaml:"admin_tokens"`
 	// Bootstrap is the configuration a new deployment starts with.
 	Bootstrap *Bootstrap `yaml:"bootstrap"`
 	// RecordEvents is how many events are kept for replay.
@@ -184,6 +187,9 @@
 	if key, err := s.checkControlGroup(); err != nil {
 		return key, err
 	}
+	if key, err := s.checkTokens(); err != nil {
+		return key, err
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
