Rotate the leader in random schedules and test lost answers

Cause: a child that became the leader sent waiting acknowledgements to an empty parent; the random schedules had kept one leader. Change: a new root drops acknowledgements for its former parent. The schedules change leaders.

--- /dev/null
+++ b/cmd/anvilcrank/client_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/change"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// stub answers changes with the given bodies in turn, the last one again and
+// again; "" breaks the connection. It collects the change ids.
+func stub(t *testing.T, status string, answers ...string) (clientArgs, *[]string) {
+	ids := &[]string{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/admin/status" {
+			_, _ = w.Write([]byte(status))
+			return
+		}
+		var x change.Change
+		_ = json.NewDecoder(r.Body).Decode(&x)
+		*ids = append(*ids, x.ID)
+		answer := answers[min(len(*ids), len(answers))-1]
+		if answer == "" {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte(answer))
+	}))
+	t.Cleanup(srv.Close)
+	return clientArgs{Instances: []string{srv.Listener.Addr().String()}, Timeout: 900 * time.Millisecond, JSON: true}, ids
+}
+
+func exitCode(err error) int {
+	var c *commandError
+	if errors.As(err, &c) {
+		return c.exit
+	}
+	return 0
+}
+
+// Each row guards against the failure in its name.
+func TestLostAnswers(t *testing.T) {
+	const unknown = `{"code":4003,"class":"outcome_unknown"}`
+	const notLeader = `{"code":4002,"class":"not_run"}`
+	for name, tc := range map[string]struct {
+		answers []string
+		exit    int
+	}{
+		"lost answer not sent again":               {[]string{"", `{"version":3}`}, 0},
+		"unknown outcome not asked for again":      {[]string{unknown, `{"version":3}`}, 0},
+		"refusal after a lost answer is believed":  {[]string{"", notLeader}, exitUnknown},
+		"refusal alone is told as unknown":         {[]string{notLeader}, exitUnavailable},
+		"conflict after a lost answer is not told": {[]string{unknown, `{"code":4001,"class":"conflict"}`}, exitConflict},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, ids := stub(t, "", tc.answers...)
+			_, err := a.propose(&change.Change{ID: "change-1"}, false)
+			g.Expect(exitCode(err)).To(Equal(tc.exit), "%v", err)
+			for _, id := range *ids {
+				g.Expect(id).To(Equal("change-1"))
+			}
+		})
+	}
+}
+
+// Guards against --wait that reports success while an instance lacks the
+// version, or while nobody can confirm it.
+func TestWaitNamesWhoLacksTheVersion(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := stub(t, `{"current":true,"instances":[{"id":"a","version":3},{"id":"b","version":2}]}`, `{"version":3}`)
+	c := changeArgs{clientArgs: a, Expect: 2, Wait: true, WaitTime: 50 * time.Millisecond}
+	report := changeReport{}
+	g.Expect(c.waitFor(3, &report)).To(Succeed())
+	g.Expect(report.Lacking).To(Equal([]string{"b"}))
+	g.Expect(exitCode(c.apply(change.Operation{Kind: change.AddDrain, Drain: &model.Drain{}}))).To(Equal(exitLacking))
+	a, _ = stub(t, `{"current":false,"instances":[{"id":"a","version":3}]}`, `{"version":3}`)
+	c.clientArgs = a
+	g.Expect(exitCode(c.apply(change.Operation{Kind: change.AddDrain, Drain: &model.Drain{}}))).To(Equal(exitLacking))
+}
--- a/pkg/distribution/sim_test.go
+++ b/pkg/distribution/sim_test.go
@@ -25,6 +25,7 @@
 	now     model.Time
 	nodes   []*node
 	leader  model.InstanceID
+	term    uint64
 	queue   actions
 	seq     int
 	blocked map[[2]model.InstanceID]bool
@@ -137,7 +138,7 @@
 // Status implements distribution.Control.
 func (n *node) Status(model.Time) distribution.ControlStatus {
 	leads := n.id == n.sim.leader
-	return distribution.ControlStatus{Member: n.member, Leading: leads, Current: leads, Leader: n.sim.leader, Term: 1,
+	return distribution.ControlStatus{Member: n.member, Leading: leads, Current: leads, Leader: n.sim.leader, Term: 1 + n.sim.term,
 		Members: []model.InstanceID{"i-00", "i-01", "i-02"}}
 }
 
@@ -322,6 +323,10 @@
 				if i%7 == 0 {
 					s.cut()
 				}
+				if i%9 == 4 {
+					s.leader = s.nodes[s.rng.IntN(3)].id
+					s.term++
+				}
 				if i%11 == 5 {
 					s.nodes[3+s.rng.IntN(8)].start()
 				}
--- a/pkg/distribution/spread.go
+++ b/pkg/distribution/spread.go
@@ -20,7 +20,9 @@
 
 // push sends the present configuration down a tree over all live peers.
 func (s *State) push(c, previous *model.Config, out *event.Effects) {
-	s.spread.parent, s.spread.version = "", c.Version
+	// Acknowledgements that wait for a former parent stay here: this is the root.
+	clear(s.spread.acks)
+	s.spread.parent, s.spread.version, s.spread.ackAt = "", c.Version, 0
 	s.passOn(update(previous, c), s.peers, out)
 }
 
