Let the first holder of a key finish

Cause: the script resend-at-once saw 3002 for all of three requests sent at the same time: a request that the first replica had already turned down still took the votes of the others, so that nobody had a majority. And a resend after two replicas lost their memory was answered 3007 before the third one, which holds the answer, was heard.

Change: a request behind another at the first replica waits for its outcome and asks only there; with a replica missing, votes of lost memory decide only after the claim timeout.

Conclusion: racing resends are answered, and still run at most once.

--- a/pkg/ledger/claim.go
+++ b/pkg/ledger/claim.go
@@ -19,7 +19,7 @@
 	// not grant it.
 	claimRepeat = 150 * time.Millisecond
 	// waitRepeat replaces claimRepeat while another request with the key runs.
-	waitRepeat = 500 * time.Millisecond
+	waitRepeat = 200 * time.Millisecond
 	// claimTimeout bounds the time to find a majority.
 	claimTimeout = 2 * time.Second
 	// lateVoteTime is how long a claim that was not granted is remembered, to
@@ -127,12 +127,31 @@
 		c.votes[k] = m
 	}
 	s.evaluate(at, c, out)
-	if c.stage == claiming && !c.opened {
+	switch {
+	case c.stage != claiming || c.opened:
+	case c.isBehind():
+		s.waitForHolder(at, c)
+	default:
 		s.openClaim(at, c, out)
 	}
 	s.schedule(c)
 }
 
+// isBehind reports whether the first replica gave the key to an earlier request
+// that is the same.
+func (c *claim) isBehind() bool {
+	v := c.votes[0]
+	return v != nil && v.Vote == message.VoteTaken && v.Digest == c.digest
+}
+
+// waitForHolder lets the earlier request finish. Asking the other replicas would
+// take their votes from it, and neither would run.
+func (s *State) waitForHolder(at model.Time, c *claim) {
+	c.waiting = true
+	c.giveUpAt = c.deadline
+	c.repeatAt = at.Add(waitRepeat)
+}
+
 // ownClaim returns the claim of a claimant of this process, nil if it is not
 // known any more.
 func (s *State) ownClaim(id model.Claimant) *claim {
@@ -181,6 +200,9 @@
 	case t.heldByOne >= c.majority():
 		c.waiting = true
 		c.giveUpAt = c.deadline
+	case t.unknown > 0 && t.missing > 0:
+		// A replica that has not answered yet may hold the recorded answer.
+		c.waiting = false
 	default:
 		s.refuse(at, c, t.refusal(c.majority()), nil, out)
 	}
@@ -244,6 +266,9 @@
 		return
 	case at >= c.giveUpAt:
 		s.refuse(at, c, c.tally().refusal(c.majority()), nil, out)
+	case !c.opened && c.isBehind():
+		s.waitForHolder(at, c)
+		s.sendClaim(c, 0, out)
 	case !c.opened:
 		s.openClaim(at, c, out)
 		s.sendClaim(c, 0, out)
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -177,6 +177,29 @@
 	}
 }
 
+// Guards against racing requests that take votes from each other, so that none
+// of them runs although every replica is there.
+func TestRacingRequestsAreAllAnswered(t *testing.T) {
+	for seed := range uint64(100) {
+		g := NewWithT(t)
+		n := newNetwork(seed)
+		n.maxDelay = 60 * time.Millisecond
+		n.answerLater(10)
+		n.run(5 * time.Second)
+		key := n.key(n.now, "race")
+		racing := []*request{n.send(a1, key, 1, 3*time.Second), n.send(a2, key, 1, 3*time.Second), n.send(c1, key, 1, 3*time.Second)}
+		n.run(5 * time.Second)
+		ran := 0
+		for _, r := range racing {
+			g.Expect(r.code).To(Equal(result.Answered), "seed %d", seed)
+			if r.answer == nil {
+				ran++
+			}
+		}
+		g.Expect(ran).To(Equal(1), "seed %d", seed)
+	}
+}
+
 // Guards against a key from the future that runs, and against a question about
 // a fresh key that is answered with anything but "not known".
 func TestFutureKeyIsRefused(t *testing.T) {
