Stay until the new owners have the counts

Change: the stop waits until no request for a count has come for 600 ms; new owners repeat theirs every 200 ms until they have it.

Figures: TestStopWaitsForLostHandovers fails without the wait and passes with it.

--- a/pkg/state/stopping.go
+++ b/pkg/state/stopping.go
@@ -42,7 +42,7 @@
 	if !s.handingOver || s.stopped || s.requests.Open() > 0 {
 		return
 	}
-	if len(s.peers) > 0 && at < s.stopAt.Add(handoverLimit) && s.upstreams.Owned() > 0 {
+	if len(s.peers) > 0 && at < s.stopAt.Add(handoverLimit) && (s.upstreams.Owned() > 0 || !s.upstreams.HandoversSettled(at)) {
 		return
 	}
 	if len(s.peers) > 0 && s.permits.Unsettled() > 0 || s.ledger.Unsettled() > 0 {
--- a/pkg/state/stopping_test.go
+++ b/pkg/state/stopping_test.go
@@ -35,3 +35,26 @@
 	g.Expect(s.stops).To(Equal(1))
 	g.Expect(s.violations).To(BeEmpty())
 }
+
+// Guards against an instance that exits right after it has sent its last count:
+// if that message is lost, the new owner counts all slots as used.
+func TestStopWaitsForLostHandovers(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(4, nil)
+	n := s.nodes[0]
+	s.play(simStart.Add(2 * time.Second))
+	g.Expect(n.state.upstreams.Owned()).To(BeNumerically(">", 0))
+	s.step(n, event.StopRequested{})
+	handedAt := s.now.Add(view.LookupTTL)
+	s.play(handedAt)
+	for n.state.upstreams.Owned() > 0 {
+		handedAt = handedAt.Add(20 * time.Millisecond)
+		s.play(handedAt)
+		g.Expect(n.state).NotTo(BeNil())
+	}
+	// Time for two more requests.
+	s.play(handedAt.Add(400 * time.Millisecond))
+	g.Expect(n.state).NotTo(BeNil())
+	s.play(handedAt.Add(5 * time.Second))
+	g.Expect(s.stops).To(Equal(1))
+}
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -20,6 +20,9 @@
 	candidateWindow = 800 * time.Millisecond
 	// handoverInterval is how often a request for a handover is repeated.
 	handoverInterval = 200 * time.Millisecond
+	// handoverQuiet is how long no request for a handover must have come before
+	// the last ones count as answered.
+	handoverQuiet = 3 * handoverInterval
 	// maxRedirects is how often an upstream is sent to its preferred owner
 	// without a sign that it arrived there.
 	maxRedirects = 3
@@ -233,6 +236,7 @@
 	if r := s.redirects[m.Upstream]; r != nil && r.to == from {
 		r.arrived = true
 	}
+	s.askedAt = at
 	if h := s.handed[m.Upstream]; h != nil && h.to == from && h.message.Tenure == m.Tenure && h.message.Incarnation == m.Incarnation {
 		out.Add(event.Send{To: from, Message: h.message})
 		return
@@ -265,6 +269,12 @@
 	out.Add(event.Send{To: from, Message: h.message})
 }
 
+// HandoversSettled reports whether the new owners seem to have the counts: they
+// repeat their request until they do.
+func (s *State) HandoversSettled(at model.Time) bool {
+	return s.askedAt == 0 || at >= s.askedAt.Add(handoverQuiet)
+}
+
 // ReceiveHandover takes the count of the former owner. Only the answer to the
 // request of the present ownership counts: an older one may have missed grants.
 func (s *State) ReceiveHandover(at model.Time, m *message.Handover) {
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -127,6 +127,8 @@
 	tenures   uint64
 	handovers alarm.Queue[*Upstream]
 	handed    map[model.UpstreamID]*handedOver
+	// askedAt is when another instance last asked for a handover.
+	askedAt   model.Time
 	redirects map[model.UpstreamID]*redirect
 
 	// Buffers of Choose and Sweep.
