--- a/pkg/agreement/sim_test.go
+++ b/pkg/agreement/sim_test.go
@@ -51,6 +51,7 @@
 	life    int
 	disk    *event.StorageLoaded
 	frozen  model.Time
+	slow    model.Duration // added to each sync
 	timer   model.Time
 	wroteAt model.Time
 	writes  []event.Persist
@@ -201,6 +202,7 @@
 		if s.rng.IntN(50) == 0 {
 			d = 300 * time.Millisecond
 		}
+		d += n.slow
 		n.wroteAt = max(n.wroteAt, s.now.Add(d))
 		s.after(n.wroteAt.Sub(s.now), func() {
 			if n.up && n.life == life {
@@ -373,16 +375,22 @@
 		s.loss = 0
 	case 6:
 		s.crash(n)
+		if s.rng.IntN(2) == 0 {
+			s.start(n)
+		}
 	case 7, 8:
 		if s.mayLose() || s.isRemoved(n) {
 			s.replaceDisk(n)
 		}
 	case 9:
 		n.frozen = s.now.Add(time.Duration(s.rng.IntN(2500)) * time.Millisecond)
+		o.slow = time.Duration(s.rng.IntN(800)) * time.Millisecond
 	case 10:
 		if s.mayLose() {
-			id := model.MemberID{Instance: s.id(o.k), Disk: o.disk.Disk}
-			s.in(n, n.life, func(out *event.Effects) { n.st.Remove(s.now, id, out) })
+			s.in(n, n.life, func(out *event.Effects) { // the second is to be refused
+				n.st.Remove(s.now, model.MemberID{Instance: s.id(o.k), Disk: o.disk.Disk}, out)
+				n.st.Remove(s.now, model.MemberID{Instance: s.id(n.k), Disk: n.disk.Disk}, out)
+			})
 		}
 	case 11:
 		s.in(n, n.life, func(out *event.Effects) { n.st.StorageFailed(s.now, "sync failed", out) })
@@ -410,7 +418,7 @@
 	clear(s.cut)
 	s.loss = 0
 	for _, n := range s.nodes {
-		n.frozen = 0
+		n.frozen, n.slow = 0, 0
 		if !n.up {
 			s.start(n)
 		}
--- a/pkg/storage/mark.go
+++ b/pkg/storage/mark.go
@@ -29,11 +29,12 @@
 // markOffset returns where the mark with the number is.
 func markOffset(seq uint64) int64 { return int64(seq % marks * sector) }
 
-// readMark returns the number and the length of the latest mark.
-func readMark(data []byte) (seq, length uint64, err error) {
+// readMark returns the length of the latest mark.
+func readMark(data []byte) (uint64, error) {
 	if len(data) < marksEnd {
-		return 0, 0, fmt.Errorf("%w: %d bytes are too few", ErrCorrupt, len(data))
+		return 0, fmt.Errorf("%w: %d bytes are too few", ErrCorrupt, len(data))
 	}
+	var seq, length uint64
 	for k := range marks {
 		b := data[k*sector:][:markBytes]
 		n := binary.BigEndian.Uint64(b)
@@ -43,9 +44,9 @@
 	}
 	switch {
 	case length == 0:
-		return 0, 0, fmt.Errorf("%w: no mark is intact", ErrCorrupt)
+		return 0, fmt.Errorf("%w: no mark is intact", ErrCorrupt)
 	case length > uint64(len(data)):
-		return 0, 0, fmt.Errorf("%w: %d of %d synced bytes", ErrCorrupt, len(data), length)
+		return 0, fmt.Errorf("%w: %d of %d synced bytes", ErrCorrupt, len(data), length)
 	}
-	return seq, length, nil
+	return length, nil
 }
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -136,11 +136,10 @@
 // loadLog reads the records. Only those after the mark may be torn; they were
 // not confirmed.
 func (s *Storage) loadLog(data []byte) error {
-	seq, synced, err := readMark(data)
+	synced, err := readMark(data)
 	if err != nil {
 		return err
 	}
-	s.markSeq = seq
 	var h header
 	offset, err := readFrame(data, marksEnd, &h)
 	if err != nil || h.Version != formatVersion || h.Disk == "" {
@@ -263,7 +262,7 @@
 	if data, err = appendFrame(data, record{Hard: c.Hard, Entries: c.Entries}); err != nil {
 		return err
 	}
-	s.markSeq++
+	s.markSeq = 1
 	copy(data[markOffset(s.markSeq):], mark(s.markSeq, uint64(len(data))))
 	f, err := s.replace(logFile, data)
 	if err != nil {
--- a/pkg/storage/storage_test.go
+++ b/pkg/storage/storage_test.go
@@ -128,8 +128,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var older []byte
 	h := history{s.Contents()}
 	for len(h) < 40 || len(h.last().Entries) < 4 || h.last().Snapshot.Index == 0 {
+		if f := m.names["snapshot"]; older == nil && f != nil {
+			older = f.data
+		}
 		if err := s.Write([]event.Persist{next(m.rng, &h)}); err != nil {
 			t.Fatal(err)
 		}
@@ -143,12 +147,15 @@
 			t.Errorf("%s %s: %v", name, what, err)
 		}
 	}
+	read("snapshot", older, "of an earlier state", len(h)-1)
 	for _, name := range []string{"log", "snapshot"} {
 		whole := m.names[name].data
 		for at := range whole {
 			flipped := slices.Clone(whole)
 			flipped[at] ^= 1 << (at % 8)
 			read(name, flipped, fmt.Sprint("bit flipped at ", at), len(h)-1)
+			zeroed := append(slices.Clone(whole[:at]), make([]byte, min(512, len(whole)-at))...)
+			read(name, append(zeroed, whole[len(zeroed):]...), fmt.Sprint("zeros at ", at), len(h)-2)
 			read(name, whole[:at], fmt.Sprint("cut at ", at), len(h)-2)
 		}
 	}
