--- a/instance.go
+++ b/instance.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 
 	"github.com/anvilcrank/anvilcrank/pkg/api"
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
 	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
@@ -54,6 +55,8 @@
 	proxy     *proxy.Proxy
 	peers     *peer.Manager
 	api       *api.API
+	// configWriter is nil without a data folder.
+	configWriter *storage.ConfigWriter
 	// storage is nil on instances outside the control group.
 	storage *control.Storer
 
@@ -81,8 +84,10 @@
 		Incarnation:  model.Incarnation(clock.Now()),
 		Zone:         s.Zone,
 		Address:      i.Address(),
+		PeerAddress:  i.PeerAddress(),
 		Seed:         o.Seed,
 		ControlGroup: s.ControlGroup,
+		Disk:         s.Data != "",
 	}
 	if identity.Seed == 0 {
 		identity.Seed = uint64(identity.Incarnation)
@@ -104,13 +109,18 @@
 		Telemetry:       i.telemetry,
 		InvariantFailed: i.invariantFailed,
 	}
+	if identity.Disk {
+		i.configWriter = storage.NewConfigWriter(s.Data, links.Report)
+		handlers.Config = i.configWriter
+	}
 	if i.storage != nil {
 		handlers.Storage = i.storage
 	}
-	i.loop = control.NewLoop(state.New(identity), clock, i.recorder, handlers)
+	i.loop = control.NewLoop(state.New(identity, codec.Changes{}), clock, i.recorder, handlers)
 	links.loop = i.loop
 	i.proxy.SetControl(i.loop)
 	i.api = api.New(i.loop, i.proxy, i.telemetry)
+	i.api.EnableAdmin(adminOptions(s, clock))
 	return i, nil
 }
 
@@ -145,6 +155,10 @@
 // ID returns the identifier of the instance.
 func (i *Instance) ID() model.InstanceID { return i.settings.Instance }
 
+// Handler returns the HTTP handler for callers, upstreams and operators, for
+// programs that serve it on a listener of their own.
+func (i *Instance) Handler() http.Handler { return i.api }
+
 // Run serves until Stop has let all work end, or until the context is canceled,
 // which cuts off what is in flight. It returns nil after a graceful stop.
 func (i *Instance) Run(ctx context.Context) error {
@@ -160,8 +174,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, i.peers)
 	i.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}, i.peerListener)
-	if i.settings.Bootstrap != nil {
-		i.loop.Report(event.ConfigLoaded{Config: i.settings.Bootstrap.Config()})
+	if err := i.loadConfig(ctx, &g); err != nil {
+		return err
 	}
 	err := g.Run()
 	i.closeStorage()
--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -72,6 +72,8 @@
 	attempts map[string]*fakeAttempt
 	owner    string
 	first    bool
+	// registered is closed when the first announcement was accepted.
+	registered chan struct{}
 }
 
 type fakeAttempt struct {
@@ -99,6 +101,7 @@
 		attempts:    map[string]*fakeAttempt{},
 		owner:       o.Instances[0],
 		first:       true,
+		registered:  make(chan struct{}),
 	}
 	u.slowdown.Store(100)
 	u.server = &http.Server{Handler: u}
@@ -110,6 +113,9 @@
 // ID returns the identifier of the upstream.
 func (u *Upstream) ID() model.UpstreamID { return u.options.ID }
 
+// Registered is closed when an instance has accepted the upstream.
+func (u *Upstream) Registered() <-chan struct{} { return u.registered }
+
 // SetSlowdown multiplies the service time by the factor.
 func (u *Upstream) SetSlowdown(factor float64) { u.slowdown.Store(int64(factor * 100)) }
 
@@ -169,17 +175,27 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
+	meant := r.Header.Get(proxy.HeaderIncarnation)
+	if meant != "" && meant != strconv.FormatInt(int64(u.incarnation), 10) {
+		refuse(w)
+		return
+	}
 	a, ok := u.begin(id, cancel)
 	if !ok {
-		w.Header().Set(proxy.HeaderNotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	}
 	defer u.finish(a)
 	_, _ = io.Copy(io.Discard, r.Body)
 	token := r.Header.Get(HeaderToken)
-	u.options.Journal.Run(token)
-	u.work(ctx, w, token)
+	u.options.Journal.Run(token, r.Header.Get(proxy.HeaderKey), id)
+	u.work(ctx, w, token, firstByte(r))
+}
+
+// refuse answers a request that did not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(proxy.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // begin takes a slot, or refuses before anything runs.
@@ -211,8 +227,15 @@
 	close(a.done)
 }
 
+// firstByte returns where the body begins that the request asks for.
+func firstByte(r *http.Request) int {
+	var first int
+	_, _ = fmt.Sscanf(r.Header.Get("Range"), "bytes=%d-", &first)
+	return first
+}
+
 // work waits for the service time and writes the answer in chunks.
-func (u *Upstream) work(ctx context.Context, w http.ResponseWriter, token string) {
+func (u *Upstream) work(ctx context.Context, w http.ResponseWriter, token string, first int) {
 	u.mu.Lock()
 	jitter := 0.5 + u.rng.Float64()
 	u.mu.Unlock()
@@ -221,9 +244,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	size := u.options.BodySize
-	w.Header().Set("Content-Length", strconv.Itoa(size))
+	w.Header().Set("Content-Length", strconv.Itoa(size-first))
+	w.Header().Set("Etag", fmt.Sprintf("%q", token))
+	w.Header().Set("Accept-Ranges", "bytes")
+	if first > 0 {
+		w.Header().Set("Content-Range", fmt.Sprintf("bytes %d-%d/%d", first, size-1, size))
+		w.WriteHeader(http.StatusPartialContent)
+	}
 	chunk := bytes.Repeat([]byte{bodyPattern(token)}, (size+bodyChunks-1)/bodyChunks)
-	for sent := 0; sent < size; sent += len(chunk) {
+	for sent := first; sent < size; sent += len(chunk) {
 		if _, err := w.Write(chunk[:min(len(chunk), size-sent)]); err != nil {
 			return
 		}
@@ -325,6 +354,9 @@
 		return false
 	}
 	u.mu.Lock()
+	if u.first {
+		close(u.registered)
+	}
 	u.first = false
 	u.owner = resp.Request.URL.Host
 	u.mu.Unlock()
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -17,8 +17,8 @@
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
-// commandQueue holds the commands of one exchange. The reducer gives at most
-// one Relay, Finish or ReplayAnswer for a request, so it never fills.
+// commandQueue holds the commands of one exchange. The reducer gives another
+// Relay or a Finish only after the last Relay has ended, so it never fills.
 const commandQueue = 4
 
 // command is an effect for one exchange.
@@ -40,6 +40,8 @@
 	stream   io.Reader // set instead of body for a large request body
 	keyed    bool
 	commands chan command
+	progress progress
+	class    model.Class // of the last relayed attempt
 }
 
 // Serve handles a caller's request for a service. The path is what follows the
@@ -64,13 +66,27 @@
 	p.exchanges.Store(e.id, e)
 	defer p.exchanges.Delete(e.id)
 	if err := p.control.Submit(arrived); err != nil {
-		WriteError(w, &result.Error{Code: result.ControlQueueFull})
-		p.records.Request(arrived.Tenant, service, model.Short, result.ControlQueueFull, time.Since(start))
+		// The event was not handed in, so the request cannot run.
+		code := result.ControlQueueFull
+		if p.isStopped() {
+			code = result.Stopping
+		}
+		WriteError(w, &result.Error{Code: code})
+		p.records.Request(arrived.Tenant, service, model.Short, code, time.Since(start))
 		return
 	}
 	e.await(arrived, start)
 }
 
+func (p *Proxy) isStopped() bool {
+	select {
+	case <-p.control.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // describe reads the request and makes the event for it.
 func (e *exchange) describe(service model.ServiceName) (event.RequestArrived, *result.Error) {
 	ev := event.RequestArrived{
@@ -140,37 +156,64 @@
 
 // await carries out the commands until the request has ended.
 func (e *exchange) await(arrived event.RequestArrived, start time.Time) {
+	for {
+		c := e.next()
+		code, class, ended := e.carryOut(c)
+		if !ended {
+			continue
+		}
+		e.proxy.records.Request(arrived.Tenant, arrived.Service, class, code, time.Since(start))
+		if (e.progress.started || c.relay != nil) && code != result.Answered {
+			// The caller must see that the body is not whole.
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+}
+
+// next waits for the next command. When the control goroutine has ended without
+// one, the request may have been dispatched.
+func (e *exchange) next() command {
 	gone := e.r.Context().Done()
 	for {
 		select {
 		case c := <-e.commands:
-			code, class := e.carryOut(c)
-			e.proxy.records.Request(arrived.Tenant, arrived.Service, class, code, time.Since(start))
-			if c.relay != nil && code != result.Answered {
-				// The caller must see that the body is not whole.
-				panic(http.ErrAbortHandler)
-			}
-			return
+			return c
 		case <-gone:
 			gone = nil
 			e.proxy.control.Report(event.RequestCanceled{ID: e.id})
+		case <-e.proxy.control.Done():
+			select {
+			case c := <-e.commands:
+				return c
+			default:
+				return command{finish: true, code: result.UpstreamLost}
+			}
 		}
 	}
 }
 
-func (e *exchange) carryOut(c command) (result.Code, model.Class) {
+// carryOut handles a command and reports whether the request has ended. A
+// truncated response is followed by a relay of its rest or by a finish.
+func (e *exchange) carryOut(c command) (code result.Code, class model.Class, ended bool) {
 	switch {
 	case c.relay != nil:
-		if c.relay.relay(e.w) {
-			return result.Answered, c.relay.dispatch.Class
+		e.class = c.relay.dispatch.Class
+		switch c.relay.relay(e.w) {
+		case relayTruncated:
+			return result.UpstreamLost, e.class, false
+		case relayBroken:
+			return result.UpstreamLost, e.class, true
 		}
-		return result.UpstreamLost, c.relay.dispatch.Class
+		return result.Answered, e.class, true
 	case c.answer != nil:
 		writeAnswer(e.w, c.answer)
-		return result.Answered, model.Short
+		return result.Answered, model.Short, true
+	}
+	if !e.progress.started {
+		WriteError(e.w, &result.Error{Code: c.code})
 	}
-	WriteError(e.w, &result.Error{Code: c.code})
-	return c.code, model.Short
+	return c.code, e.class, true
 }
 
 // writeAnswer sends a recorded answer.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/linkbudget"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
 )
 
 // Headers of requests and answers.
@@ -20,8 +22,11 @@
 	HeaderDeadline = "Anvilcrank-Deadline-Ms"
 	HeaderKey      = "Idempotency-Key"
 	HeaderAttempt  = "Anvilcrank-Attempt"
-	HeaderNotRun   = "Anvilcrank-Not-Run"
-	HeaderCode     = "Anvilcrank-Code"
+	// HeaderIncarnation names the upstream process for which the slot is held. A
+	// process started later refuses the request before it runs.
+	HeaderIncarnation = "Anvilcrank-Upstream-Incarnation"
+	HeaderNotRun      = "Anvilcrank-Not-Run"
+	HeaderCode        = "Anvilcrank-Code"
 	// HeaderInstance names the instance that answered.
 	HeaderInstance = "Anvilcrank-Instance"
 )
@@ -49,6 +54,10 @@
 type Control interface {
 	Submit(event.Body) error
 	Report(event.Body)
+	// Done is closed when the control goroutine has ended.
+	Done() <-chan struct{}
+	// View returns the published view.
+	View() *view.View
 }
 
 // Recorder takes the latency and code of each ended request.
@@ -72,6 +81,7 @@
 	exchanges sync.Map // model.RequestID to *exchange
 	attempts  sync.Map // model.AttemptID to *attempt
 	buffers   sync.Pool
+	pacer     *linkbudget.Pacer
 
 	mu         sync.Mutex
 	transports map[transportKey]*http.Transport
@@ -93,6 +103,7 @@
 		self:       self,
 		records:    records,
 		now:        now,
+		pacer:      linkbudget.NewPacer(now),
 		dial:       dial,
 		buffers:    sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }},
 		transports: map[transportKey]*http.Transport{},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,6 +30,9 @@
 	// ControlGroup lists the instances that keep the replicated log, the same on
 	// every instance. They need a data folder.
 	ControlGroup []model.InstanceID `yaml:"control_group"`
+	// Tokens open the administration API. Without any, it is open on loopback
+	// listeners and closed on others.
+	Tokens []Token `yaml:"admin_tokens"`
 	// Bootstrap is the configuration a new deployment starts with.
 	Bootstrap *Bootstrap `yaml:"bootstrap"`
 	// RecordEvents is how many events are kept for replay.
@@ -132,6 +135,11 @@
 
 // decodeError adds file and line to an error of the YAML decoder.
 func decodeError(name string, err error) error {
+	var key *KeyError
+	if errors.As(err, &key) {
+		key.File = name
+		return key
+	}
 	var y yaml.Error
 	if errors.As(err, &y) && y.GetToken() != nil {
 		tok := y.GetToken()
@@ -179,6 +187,9 @@
 	if key, err := s.checkControlGroup(); err != nil {
 		return key, err
 	}
+	if key, err := s.checkTokens(); err != nil {
+		return key, err
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
@@ -186,8 +197,9 @@
 	}
 	if s.Bootstrap != nil {
 		c := s.Bootstrap.Config()
-		if err := c.Validate(); err != nil {
-			return "bootstrap", err
+		var field *model.FieldError
+		if err := c.Validate(); errors.As(err, &field) {
+			return "bootstrap." + field.Path, field.Err
 		}
 	}
 	return "", nil
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/permit"
 	"github.com/anvilcrank/anvilcrank/pkg/request"
 	"github.com/anvilcrank/anvilcrank/pkg/upstream"
 )
@@ -11,43 +13,231 @@
 // requests sub-reducer.
 type slots struct{ s *State }
 
-// Acquire implements request.Slots.
+// reach returns the largest distance that the profile's spill allows.
+func reach(spill string) int {
+	switch spill {
+	case model.SpillZone:
+		return 0
+	case model.SpillRegion:
+		return 1
+	}
+	return 2
+}
+
+// Acquire implements request.Slots. A slot of another instance that is nearer
+// goes before one of this instance.
 func (l *slots) Acquire(at model.Time, r request.SlotRequest, out *event.Effects) (request.SlotGrant, bool) {
-	u := l.s.upstreams.Choose(at, r.Service, l.s.isDrained)
+	u := l.s.choose(at, r, false)
+	if u == nil {
+		u = l.s.choose(at, r, true)
+	}
 	if u == nil {
 		return request.SlotGrant{}, false
 	}
+	l.s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
+	return grantOf(u), true
+}
+
+// choose returns the nearest upstream of this instance with a free slot, nil if
+// there is none or another instance has one nearer. Suspect upstreams count only
+// as spare.
+func (s *State) choose(at model.Time, r request.SlotRequest, spare bool) *upstream.Upstream {
+	for distance := 0; distance <= reach(r.Spill); distance++ {
+		q := upstream.Query{Service: r.Service, Distance: distance, Avoid: r.Avoid, Spare: spare}
+		if u := s.upstreams.Choose(at, q); u != nil {
+			return u
+		}
+		if s.freeHint(at, r.Service, distance) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func grantOf(u *upstream.Upstream) request.SlotGrant {
 	a := &u.Announcement
-	l.s.permits.Grant(at, a.Upstream, r.Attempt, r.Deadline, out)
-	return request.SlotGrant{
-		Upstream:    a.Upstream,
-		Address:     a.Address,
-		Region:      l.s.config.RegionOf(a.Zone),
-		Connections: l.s.connectionShare(a),
-	}, true
+	return request.SlotGrant{Upstream: a.Upstream, Incarnation: a.Incarnation, Address: a.Address, Region: u.Site.Region, Connections: u.Site.Connections}
 }
 
-// Release implements request.Slots.
-func (l *slots) Release(_ model.Time, attempt model.AttemptID, _ *event.Effects) bool {
-	return l.s.permits.Release(attempt)
+// freeHint returns the hint of the instance with the most free slots at the
+// distance, nil if none is known to have one.
+func (s *State) freeHint(at model.Time, service model.ServiceName, distance int) *permit.Hint {
+	var best *permit.Hint
+	for _, h := range s.permits.Hints(service) {
+		if free(h, distance) <= 0 || at > h.At.Add(permit.HintAge) || s.distance(h.Zone) != distance {
+			continue
+		}
+		if best == nil || free(h, distance) > free(best, distance) {
+			best = h
+		}
+	}
+	return best
 }
 
-// Serves implements request.Slots.
-func (l *slots) Serves(service model.ServiceName) bool { return l.s.upstreams.Serves(service) }
+// free returns the slots that an owner at the distance has for this instance.
+func free(h *permit.Hint, distance int) int {
+	if distance == 2 {
+		return h.Far
+	}
+	return h.Free
+}
 
-// isDrained reports whether operators took the upstream out of service.
-func (s *State) isDrained(u *upstream.Upstream) bool {
-	if len(s.config.Drains) == 0 {
+// shiftHint returns the hint of the instance with the most free slots in the
+// target region of a shift.
+func (s *State) shiftHint(at model.Time, service model.ServiceName, shift string) *permit.Hint {
+	region := s.shiftTarget(shift)
+	var best *permit.Hint
+	for _, h := range s.permits.Hints(service) {
+		if h.Far > 0 && at <= h.At.Add(permit.HintAge) && s.config.RegionOf(h.Zone) == region && (best == nil || h.Far > best.Far) {
+			best = h
+		}
+	}
+	return best
+}
+
+// busyHint returns the hint of the instance with the fewest waiting requests
+// for its slots at the smallest distance.
+func (s *State) busyHint(at model.Time, service model.ServiceName, spill string) *permit.Hint {
+	var best *permit.Hint
+	for distance := 0; distance <= reach(spill) && best == nil; distance++ {
+		for _, h := range s.permits.Hints(service) {
+			if h.Slots <= 0 || at > h.At.Add(permit.HintAge) || s.distance(h.Zone) != distance {
+				continue
+			}
+			if best == nil || h.Waiting*best.Slots < best.Waiting*h.Slots {
+				best = h
+			}
+		}
+	}
+	return best
+}
+
+// Ask implements request.Slots. Without a free slot anywhere, a request waits at
+// this instance if it owns upstreams of the service, or else at another.
+func (l *slots) Ask(at model.Time, r request.SlotRequest, out *event.Effects) bool {
+	s := l.s
+	var h *permit.Hint
+	if r.Shift != "" {
+		h = s.shiftHint(at, r.Service, r.Shift)
+	}
+	for distance := 0; r.Shift == "" && distance <= reach(r.Spill) && h == nil; distance++ {
+		h = s.freeHint(at, r.Service, distance)
+	}
+	if r.FreeOnly && (h == nil || h.Instance == s.permits.AskedOf(r.Asked)) {
 		return false
 	}
-	a := &u.Announcement
-	return s.config.IsDrained(model.DrainUpstream, string(a.Upstream)) ||
-		s.config.IsDrained(model.DrainZone, string(a.Zone)) ||
-		s.config.IsDrained(model.DrainRegion, string(s.config.RegionOf(a.Zone)))
+	if h == nil && !s.upstreams.Serves(r.Service) {
+		h = s.busyHint(at, r.Service, r.Spill)
+	}
+	if h == nil {
+		return false
+	}
+	h.Free--
+	h.Far--
+	h.Waiting++
+	s.permits.AskFor(at, h.Instance, message.PermitRequest{
+		Attempt: r.Attempt, Service: r.Service, Zone: s.identity.Zone, Avoid: r.Avoid, Shift: r.Shift}, r.Deadline, out)
+	return true
+}
+
+// Release implements request.Slots.
+func (l *slots) Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool {
+	return l.s.permits.Release(at, attempt, out)
+}
+
+// Observe implements request.Slots.
+func (l *slots) Observe(at model.Time, attempt model.AttemptID, use message.Use) {
+	if l.s.permits.Note(attempt, use) {
+		return
+	}
+	l.s.observe(at, l.s.permits.UpstreamOf(attempt), use)
+}
+
+func (s *State) observe(at model.Time, id model.UpstreamID, use message.Use) {
+	if use != (message.Use{}) {
+		s.upstreams.Observe(at, id, use)
+	}
+}
+
+// MayServe implements request.Slots. Requests wait for the first hints at an
+// instance that has just started, and while the only upstreams of a service
+// move to another owner.
+func (l *slots) MayServe(at model.Time, service model.ServiceName) bool {
+	s := l.s
+	return s.isServed(service) || s.isLearning(at) || at < s.servedAt[service].Add(movingTime)
+}
+
+// isServed reports whether an upstream of the service is known.
+func (s *State) isServed(service model.ServiceName) bool {
+	if s.upstreams.Serves(service) {
+		return true
+	}
+	for _, h := range s.permits.Hints(service) {
+		if h.Slots > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// connectionShare splits the connections of an upstream over the roster, so
-// that all instances together stay within its total.
-func (s *State) connectionShare(a *model.Announcement) int {
-	return max(1, a.Connections/max(1, len(s.config.Roster)))
+// noteServed keeps the time at which each service was last known to have
+// upstreams.
+func (s *State) noteServed(at model.Time) {
+	for i := range s.config.Services {
+		if name := s.config.Services[i].Name; s.isServed(name) {
+			s.servedAt[name] = at
+		}
+	}
+}
+
+// pump dispatches waiting work to the slots that became free in this step. Work
+// of this instance and work of others take turns.
+func (s *State) pump(at model.Time) {
+	for _, g := range s.permits.TakeGained() {
+		if g.Upstream != "" {
+			s.upstreams.MarkReady(g.Upstream)
+		}
+		s.pumpService(at, g.Service)
+	}
+}
+
+func (s *State) pumpService(at model.Time, service model.ServiceName) {
+	for {
+		own, other := false, false
+		if s.othersFirst {
+			other = s.grantOne(at, service)
+		}
+		own = s.requests.PumpOne(at, service, &s.out)
+		if !s.othersFirst && !own {
+			other = s.grantOne(at, service)
+		}
+		if !own && !other {
+			return
+		}
+		s.othersFirst = own
+	}
+}
+
+// grantOne grants a slot to the first waiting request of another instance.
+func (s *State) grantOne(at model.Time, service model.ServiceName) bool {
+	a := s.permits.FirstAsk(service)
+	if a == nil {
+		return false
+	}
+	if limited := s.isLimited(at, a); limited {
+		s.permits.RefuseAsk(a.Attempt, limited, &s.out)
+		return true
+	}
+	for k := range 2 * upstream.Distances {
+		q := upstream.Query{Service: service, Distance: k % upstream.Distances, Region: s.shiftTarget(a.Shift), Avoid: a.Avoid, Spare: k >= upstream.Distances}
+		u := s.upstreams.Choose(at, q)
+		if u == nil {
+			continue
+		}
+		g := grantOf(u)
+		s.permits.GrantAsk(at, a.Attempt, message.PermitGrant{
+			Upstream: g.Upstream, Incarnation: g.Incarnation, Address: g.Address, Zone: u.Announcement.Zone, Connections: g.Connections}, &s.out)
+		return true
+	}
+	return false
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -1,11 +1,13 @@
 package state
 
 import (
-	"sort"
+	"math/rand/v2"
 
 	"github.com/anvilcrank/anvilcrank/pkg/agreement"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/ledger"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/membership"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/permit"
 	"github.com/anvilcrank/anvilcrank/pkg/request"
@@ -20,8 +22,14 @@
 	Zone        model.Zone
 	// Address is where this instance takes callers' requests.
 	Address string
+	// PeerAddress is where this instance takes links.
+	PeerAddress string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
+	// Policy names the selection policy for benches, "" for the usual one.
+	Policy string
+	// Disk is true if the instance has a data folder.
+	Disk bool
 	// ControlGroup lists the instances that keep the replicated log.
 	ControlGroup []model.InstanceID
 }
@@ -35,31 +43,56 @@
 	requests  *request.State
 	upstreams *upstream.State
 	permits   *permit.State
-	ledger    *localLedger
+	ledger    *ledger.State
+	members   *membership.State
 	// agreement is nil on instances outside the control group.
 	agreement *agreement.State
 
+	configuration *configuration
+
 	// peers are the instances with a standing link.
-	peers    map[model.InstanceID]view.Instance
+	peers map[model.InstanceID]view.Instance
+	// distances caches the distance of each zone, and longest the longest
+	// deadline that each service has had.
+	distances map[model.Zone]int
+	longest   map[model.ServiceName]model.Duration
+	hinting   hinting
+	// othersFirst makes this instance's requests and those of others take turns.
+	othersFirst bool
+
+	startedAt model.Time
+	// servedAt is when each service was last known to have upstreams.
+	servedAt map[model.ServiceName]model.Time
 	stopping bool
 	// stopAt is when callers' cached look-ups have run out.
-	stopAt   model.Time
-	stopped  bool
-	timerAt  model.Time
-	viewDone bool
+	stopAt  model.Time
+	stopped bool
+	// handingOver is set once ownership moves to other instances.
+	handingOver bool
+	timerAt     model.Time
+	rng         *rand.Rand
+	viewDone    bool
 }
 
-// New returns the state of an instance that has seen no event.
-func New(identity Identity) *State {
+// New returns the state of an instance that has seen no event. An instance of
+// the control group needs a codec for its log.
+func New(identity Identity, codec ChangeCodec) *State {
 	s := &State{
 		identity: identity,
-		permits:  permit.New(),
-		ledger:   &localLedger{},
+		permits:  permit.New(identity.ID, identity.Incarnation),
+		ledger:   ledger.New(identity.ID, identity.Incarnation),
+		members:  newMembership(&identity),
 		peers:    map[model.InstanceID]view.Instance{},
+		rng:      rand.New(rand.NewPCG(identity.Seed, 3)),
+		longest:  map[model.ServiceName]model.Duration{},
+		servedAt: map[model.ServiceName]model.Time{},
+		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
 	s.agreement = newAgreement(identity)
-	s.upstreams = upstream.New(s.permits)
+	s.upstreams = upstream.New(s.permits, s, identity.Incarnation, identity.Seed)
+	s.upstreams.Policy = upstream.NewPolicy(identity.Policy)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
+	s.configuration = newConfiguration(s, newLog(s, codec))
 	return s
 }
 
@@ -67,8 +100,12 @@
 // valid until the next call.
 func (s *State) Step(ev event.Event) []event.Effect {
 	s.out.Reset()
+	s.advanceStop(ev.At)
 	s.route(ev.At, ev.Body)
+	s.applyCommitted(ev.At)
 	s.decideClaims(ev.At)
+	s.pump(ev.At)
+	s.tick(ev.At)
 	s.checkStopped(ev.At)
 	s.publish()
 	s.setTimer()
@@ -87,22 +124,23 @@
 		s.requests.Answered(at, &b, out)
 	case event.AttemptEnded:
 		s.requests.Ended(at, &b, out)
-		s.requests.PumpAll(at, out)
 	case event.CancelConfirmed:
 		s.requests.CancelConfirmed(at, &b, out)
-		s.requests.PumpAll(at, out)
 	case event.UpstreamAnnounced:
-		s.announce(at, b)
+		s.upstreams.Announce(at, b, out)
 	case event.PeerConnected:
 		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
-		s.viewDone = false
+		s.members.Connected(at, connectedMember(&b), out)
+		// The new link gets hints at once.
+		s.hinting.sentAt, s.hinting.next = 0, 0
+		s.configuration.distribution.Connected(at, b.Peer, b.Incarnation, b.Zone, out)
 	case event.PeerLost:
 		delete(s.peers, b.Peer)
-		s.viewDone = false
+		s.members.Lost(b.Peer)
+		s.peerLost(at, b.Peer)
+		s.configuration.distribution.Lost(at, b.Peer, out)
 	case event.PeerReceived:
 		s.receive(at, b)
-	case event.ConfigLoaded:
-		s.configure(at, &b.Config)
 	case event.StorageLoaded:
 		s.storageLoaded(at, b)
 	case event.Persisted:
@@ -110,27 +148,33 @@
 	case event.TimerFired:
 		s.timerAt = 0
 		s.wake(at)
+	case event.OutcomeRequested:
+		s.ledger.Query(at, b, out)
 	case event.Started:
+		s.startedAt = at
+		s.permits.Start(at)
+		s.configuration.distribution.Start(at)
+		s.ledger.Start(at)
+		s.members.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
 		s.stop(at)
-	}
-}
-
-func (s *State) announce(at model.Time, b event.UpstreamAnnounced) {
-	longest := model.MaxDeadline
-	if p := s.config.Profile(b.Announcement.Service); p != nil {
-		longest = p.Deadline()
-	}
-	if s.upstreams.Announce(at, b, longest, &s.out) {
-		s.requests.Pump(at, b.Announcement.Service, &s.out)
+	default:
+		s.routeConfig(at, body)
 	}
 }
 
 // receive routes a message of another instance.
 func (s *State) receive(at model.Time, b event.PeerReceived) {
-	s.receiveAgreement(at, b)
+	switch {
+	case s.receivePermit(at, b):
+	case s.ledger.Receive(at, b.From, b.Message, &s.out):
+	case s.members.Receive(at, b.From, b.Message, &s.out):
+	default:
+		s.configuration.distribution.Receive(at, b.From, b.Message, &s.out)
+		s.receiveAgreement(at, b)
+	}
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -138,75 +182,47 @@
 	if s.config != nil && c.Version <= s.config.Version {
 		return
 	}
+	before := s.config
 	s.config = c
+	s.measureDistances()
 	s.requests.Configure(c)
+	s.permits.Configure(at, s.ownShares(before), s.requests)
+	s.upstreams.Reconfigure()
+	s.ledger.Configure(at, c)
 	s.viewDone = false
 	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
-	s.requests.PumpAll(at, &s.out)
+	for _, svc := range c.Services {
+		s.pumpService(at, svc.Name)
+	}
 }
 
 // wake handles everything that is due.
 func (s *State) wake(at model.Time) {
 	s.upstreams.Wake(at, &s.out)
-	s.permits.Wake(at)
+	s.permits.Wake(at, s.requests, &s.out)
+	s.requests.Wake(at, &s.out)
+	s.ledger.Wake(at, &s.out)
+	s.members.Wake(at, &s.out)
+	s.configuration.distribution.Wake(at, &s.out)
 	s.wakeAgreement(at)
-	s.requests.PumpAll(at, &s.out)
-}
-
-// decideClaims passes on the ledger's decisions of this step.
-func (s *State) decideClaims(at model.Time) {
-	for _, d := range s.ledger.take() {
-		s.requests.ClaimDecided(at, d, &s.out)
-	}
-}
-
-// stop begins a graceful stop: look-ups stop naming this instance, and callers
-// with a cached answer are served until it has run out.
-func (s *State) stop(at model.Time) {
-	if s.stopping {
-		return
-	}
-	s.stopping = true
-	s.stopAt = at.Add(view.LookupTTL)
-	s.viewDone = false
-	s.out.Add(event.Log{Code: logevent.ProcessStopping})
-}
-
-func (s *State) checkStopped(at model.Time) {
-	if !s.stopping || s.stopped || at < s.stopAt || s.requests.Open() > 0 {
-		return
-	}
-	s.stopped = true
-	s.out.Add(event.Log{Code: logevent.ProcessStopped})
-	s.out.Add(event.Stopped{})
 }
 
 // publish makes a new view if anything it shows has changed.
 func (s *State) publish() {
-	if s.viewDone {
+	if !s.members.TakeChanged() && s.viewDone {
 		return
 	}
 	s.viewDone = true
 	self := view.Instance{ID: s.identity.ID, Address: s.identity.Address, Zone: s.identity.Zone}
 	self.Region = s.config.RegionOf(self.Zone)
-	v := &view.View{Self: self, Config: s.config, Stopping: s.stopping}
-	for _, p := range s.peers {
-		p.Region = s.config.RegionOf(p.Zone)
-		v.Instances = append(v.Instances, p)
-	}
-	if !s.stopping {
-		v.Instances = append(v.Instances, self)
-	}
-	sort.Slice(v.Instances, func(i, j int) bool { return v.Instances[i].ID < v.Instances[j].ID })
+	v := &view.View{Self: self, Config: s.config, Instances: s.servingInstances(), Stopping: s.stopping}
 	s.out.Add(event.Publish{View: v})
 }
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.agreementWake())
-	if s.stopping && !s.stopped {
-		next = earliest(next, s.stopAt)
-	}
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick(), s.nextStop(),
+		s.ledger.NextWake(), s.members.NextWake(), s.configuration.distribution.NextWake(), s.agreementWake())
 	if next == 0 || next == s.timerAt {
 		return
 	}
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -2,31 +2,75 @@
 
 import "github.com/anvilcrank/anvilcrank/pkg/model"
 
-// Choose returns the serving upstream of the service that has the smallest
-// share of its slots in use, or nil if none has a free slot. Upstreams that
-// tie take turns.
-func (s *State) Choose(at model.Time, service model.ServiceName, drained func(*Upstream) bool) *Upstream {
-	p := s.pools[service]
-	if p == nil {
+// maxSample bounds the upstreams that are compared for one choice, so that the
+// cost of a choice does not grow with their number.
+const maxSample = 8
+
+// Query says which upstream is wanted.
+type Query struct {
+	Service model.ServiceName
+	// Distance of the upstream.
+	Distance int
+	// Region of the upstream, "" for any.
+	Region model.Region
+	// Avoid is an upstream to be used only if there is no other, "" for none.
+	Avoid model.UpstreamID
+	// Spare accepts a suspect or avoided upstream if there is no other.
+	Spare bool
+}
+
+// Choose returns an upstream with a free slot, nil if there is none.
+func (s *State) Choose(at model.Time, q Query) *Upstream {
+	p := s.pools[q.Service]
+	if p == nil || len(p.ready[q.Distance]) == 0 {
 		return nil
 	}
-	var best *Upstream
-	bestUsed, bestSlots := 0, 1
-	n := len(p.members)
-	for k := range n {
-		u := p.members[(p.next+k)%n]
-		a := &u.Announcement
-		if a.State != model.Serving || at < u.GrantFrom || s.slots.Free(a.Upstream, at) <= 0 || drained(u) {
+	candidates := s.sample(at, p, q)
+	if len(candidates) == 0 {
+		return nil
+	}
+	return candidates[s.Policy.Pick(at, candidates)]
+}
+
+// sample collects upstreams with a free slot. An upstream found full leaves the
+// ready list, so each is looked at once for every slot it gains. A suspect
+// upstream that is due for a probe goes first.
+func (s *State) sample(at model.Time, p *pool, q Query) []*Upstream {
+	into := s.candidates[:0]
+	limit := maxSample
+	if s.Policy.Full() {
+		limit = len(p.ready[q.Distance])
+	}
+	start := 0
+	if n := len(p.ready[q.Distance]); n > limit {
+		start = s.rng.IntN(n)
+	}
+	observes := s.Policy.Observes()
+	var spare *Upstream
+	for k := 0; k < len(p.ready[q.Distance]) && len(into) < limit; {
+		list := p.ready[q.Distance]
+		u := list[(start+k)%len(list)]
+		if u.free(at) <= 0 {
+			p.unready(u)
 			continue
 		}
-		used := s.slots.Used(a.Upstream)
-		if best == nil || used*bestSlots < bestUsed*a.Slots {
-			best, bestUsed, bestSlots = u, used, a.Slots
-		}
-		if bestUsed == 0 {
-			break
+		k++
+		switch {
+		case q.Region != "" && u.Site.Region != q.Region:
+		case u.Announcement.Upstream == q.Avoid:
+			spare = u
+		case observes && u.mayProbe(at):
+			u.health.probeAt = at.Add(probeInterval)
+			return append(into[:0], u)
+		case observes && u.health.suspect:
+			spare = u
+		default:
+			into = append(into, u)
 		}
 	}
-	p.next = (p.next + 1) % n
-	return best
+	if len(into) == 0 && spare != nil && q.Spare {
+		into = append(into, spare)
+	}
+	s.candidates = into
+	return into
 }
