--- a/pkg/state/schedules_test.go
+++ b/internal/simulation/schedules_test.go
@@ -1,4 +1,4 @@
-package state
+package simulation
 
 import (
 	"os"
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+
+	"github.com/anvilcrank/anvilcrank/pkg/state"
 )
 
 // schedulesVariable sets the number of schedules of a long run.
@@ -18,7 +20,7 @@
 
 // runSchedules runs numbered schedules on all processors until one violates a
 // check. It returns the first of its violations.
-func runSchedules(count int, faults func(*State)) (seed uint64, violation string, total sim) {
+func runSchedules(count int, faults state.Faults) (seed uint64, violation string, total sim) {
 	// The live heap is small, so the collector would run all the time.
 	defer debug.SetGCPercent(debug.SetGCPercent(1000))
 	var next atomic.Uint64
@@ -66,7 +68,7 @@
 		}
 		count = n
 	}
-	seed, violation, total := runSchedules(count, nil)
+	seed, violation, total := runSchedules(count, state.Faults{})
 	if violation != "" {
 		t.Fatalf("seed %d: %s", seed, violation)
 	}
--- a/pkg/state/stopping_test.go
+++ b/internal/simulation/stopping_test.go
@@ -1,4 +1,4 @@
-package state
+package simulation
 
 import (
 	"testing"
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/state"
 	"github.com/anvilcrank/anvilcrank/pkg/view"
 )
 
@@ -15,23 +16,23 @@
 // requests.
 func TestStopServesThenHandsOverThenExits(t *testing.T) {
 	g := NewWithT(t)
-	s := newSim(4, nil)
+	s := newSim(4, state.Faults{})
 	n := s.nodes[0]
 	for at := 2 * time.Second; at < 9*time.Second; at += 20 * time.Millisecond {
-		s.queue.Add(simStart.Add(at), s.arrive)
+		s.queue.Add(start.Add(at), s.arrive)
 	}
-	s.play(simStart.Add(2 * time.Second))
-	g.Expect(n.state.upstreams.Owned()).To(BeNumerically(">", 0))
+	s.play(start.Add(2 * time.Second))
+	g.Expect(n.state.Owned()).To(BeNumerically(">", 0))
 	s.step(n, event.StopRequested{})
 	stopAt := s.now.Add(view.LookupTTL)
 	s.play(stopAt.Add(-10 * time.Millisecond))
-	g.Expect(n.state.upstreams.Owned()).To(BeNumerically(">", 0))
+	g.Expect(n.state.Owned()).To(BeNumerically(">", 0))
 	// Without a handover, the counts would be kept for 3 s.
 	s.play(stopAt.Add(2500 * time.Millisecond))
 	if n.state != nil {
-		g.Expect(n.state.upstreams.Owned()).To(Equal(0))
+		g.Expect(n.state.Owned()).To(Equal(0))
 	}
-	s.play(stopAt.Add(simLongDeadline + time.Second))
+	s.play(stopAt.Add(longDeadline + time.Second))
 	g.Expect(s.stops).To(Equal(1))
 	g.Expect(s.violations).To(BeEmpty())
 }
--- a/pkg/state/sim_upstream_test.go
+++ b/internal/simulation/upstream.go
@@ -1,4 +1,4 @@
-package state
+package simulation
 
 import (
 	"sort"
@@ -10,11 +10,11 @@
 )
 
 // startUpstream starts a process of the upstream and its announcements.
-func (s *sim) startUpstream(u *simUpstream) {
+func (s *sim) startUpstream(u *server) {
 	u.incarnation = model.Incarnation(s.now)
 	u.state, u.drainedAt = model.Serving, 0
 	u.first, u.up, u.failed = true, true, 0
-	u.running = map[model.AttemptID]*simAttempt{}
+	u.running = map[model.AttemptID]*attempt{}
 	u.seen = map[model.AttemptID]bool{}
 	incarnation := u.incarnation
 	var tick func()
@@ -27,12 +27,12 @@
 	s.after(s.between(0, 200*time.Millisecond), tick)
 }
 
-func (s *sim) crashUpstream(u *simUpstream) {
+func (s *sim) crashUpstream(u *server) {
 	if !u.up {
 		return
 	}
 	u.up = false
-	lost := make([]*simAttempt, 0, len(u.running))
+	lost := make([]*attempt, 0, len(u.running))
 	for _, a := range u.running {
 		lost = append(lost, a)
 	}
@@ -45,7 +45,7 @@
 }
 
 // announce sends one announcement and follows a redirect.
-func (s *sim) announce(u *simUpstream) {
+func (s *sim) announce(u *server) {
 	a := model.Announcement{Upstream: u.id, Incarnation: u.incarnation, Service: u.service, Zone: u.zone,
 		Address: string(u.id), Slots: u.slots, Connections: 100, State: u.state, First: u.first}
 	done := false
@@ -61,7 +61,7 @@
 	})
 }
 
-func (s *sim) announceTo(u *simUpstream, a model.Announcement, to, hops int, done *bool) {
+func (s *sim) announceTo(u *server, a model.Announcement, to, hops int, done *bool) {
 	n := s.nodes[to]
 	if hops > 3 || s.chance(5) || s.cut[[2]model.Zone{u.zone, n.zone}] {
 		return
@@ -86,7 +86,7 @@
 	})
 }
 
-func (s *sim) announced(u *simUpstream, a model.Announcement, to, hops int, reply event.AnnounceReply, done *bool) {
+func (s *sim) announced(u *server, a model.Announcement, to, hops int, reply event.AnnounceReply, done *bool) {
 	if !u.up || u.incarnation != a.Incarnation || reply.Code != 0 {
 		return
 	}
@@ -104,9 +104,9 @@
 }
 
 // dispatch carries a request to its upstream.
-func (s *sim) dispatch(n *simNode, d event.Dispatch) {
-	key := simRequestID{n.id, n.incarnation, d.Request}
-	a := &simAttempt{node: n, state: n.state, request: key, dispatch: d}
+func (s *sim) dispatch(n *node, d event.Dispatch) {
+	key := requestID{n.id, n.incarnation, d.Request}
+	a := &attempt{node: n, state: n.state, request: key, dispatch: d}
 	for _, u := range s.upstreams {
 		if u.id == d.Upstream {
 			a.upstream = u
@@ -121,10 +121,10 @@
 	left := d.Deadline.Sub(s.now)
 	switch {
 	case s.cut[[2]model.Zone{n.zone, u.zone}] || s.chance(2):
-		s.after(s.between(0, simMaxDelay), func() { s.report(a, event.ConnectFailed) })
+		s.after(s.between(0, maxDelay), func() { s.report(a, event.ConnectFailed) })
 		return
 	case s.chance(2):
-		s.after(s.between(0, simMaxDelay), func() { s.report(a, event.RefusedBeforeRun) })
+		s.after(s.between(0, maxDelay), func() { s.report(a, event.RefusedBeforeRun) })
 		return
 	}
 	s.after(s.delay(), func() { s.begin(a, left) })
@@ -132,7 +132,7 @@
 }
 
 // begin runs a request at its upstream and checks that it may run there.
-func (s *sim) begin(a *simAttempt, left time.Duration) {
+func (s *sim) begin(a *attempt, left time.Duration) {
 	u := a.upstream
 	switch {
 	case !u.up:
@@ -158,7 +158,7 @@
 	s.checkCap()
 	service := s.between(5*time.Millisecond, 150*time.Millisecond)
 	if s.chance(10) {
-		service = s.between(simSlow/2, simSlow)
+		service = s.between(slowTime/2, slowTime)
 	}
 	if u.service == "exports" {
 		service *= 4
@@ -193,15 +193,14 @@
 	}
 }
 
-func (s *sim) answer(a *simAttempt, took time.Duration) {
+func (s *sim) answer(a *attempt, took time.Duration) {
 	if a.ended || a.node.state != a.state {
 		return
 	}
-	a.answered = true
 	s.step(a.node, event.AttemptAnswered{Request: a.dispatch.Request, Attempt: a.dispatch.Attempt, Status: 200, Latency: took})
 }
 
-func (s *sim) relay(n *simNode, e event.Relay) {
+func (s *sim) relay(n *node, e event.Relay) {
 	a := n.attempts[e.Attempt]
 	a.relayed = true
 	res := event.Completed
@@ -212,7 +211,7 @@
 }
 
 // report ends an attempt once.
-func (s *sim) report(a *simAttempt, res event.AttemptResult) {
+func (s *sim) report(a *attempt, res event.AttemptResult) {
 	if a.ended || a.node.state != a.state {
 		return
 	}
@@ -224,9 +223,8 @@
 }
 
 // cancel closes an attempt and asks its upstream to stop it.
-func (s *sim) cancel(n *simNode, a *simAttempt) {
+func (s *sim) cancel(n *node, a *attempt) {
 	u := a.upstream
-	a.canceled = true
 	s.after(0, func() { s.report(a, event.Canceled) })
 	reply := func(c event.CancelState) {
 		s.after(s.delay(), func() {
--- a/pkg/state/bench_test.go
+++ b/pkg/state/bench_test.go
@@ -12,7 +12,7 @@
 // benchState owns 1,000 upstreams of one service that are past their slow start.
 func benchState() (*State, model.Time) {
 	s := New(Identity{ID: "i", Zone: "z", Seed: 1})
-	at := simStart
+	at := model.Time(time.Hour)
 	step := func(b event.Body) { s.Step(event.Event{At: at, Body: b}) }
 	step(event.Started{})
 	step(event.ConfigLoaded{Config: model.Config{Version: 1,
--- a/pkg/state/shifts_test.go
+++ b/pkg/state/shifts_test.go
@@ -14,11 +14,16 @@
 	g := NewWithT(t)
 	for limit := range 12 {
 		total := 0
-		s := newSim(1, nil)
-		s.config.Shifts[0].Cap = limit
-		for _, n := range s.nodes {
-			state := New(Identity{ID: n.id, Zone: n.zone})
-			state.Step(event.Event{At: simStart, Body: event.ConfigLoaded{Config: s.config}})
+		c := model.Config{Version: 1,
+			Zones:    []model.ZoneInfo{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}, {Zone: "b2", Region: "b"}},
+			Roster:   []model.RosterEntry{{ID: "i1", Zone: "a1"}, {ID: "i2", Zone: "b1"}, {ID: "i3", Zone: "b1"}, {ID: "i4", Zone: "b2"}},
+			Profiles: []model.Profile{{Name: "p"}},
+			Services: []model.Service{{Name: "tabview", Profile: "p"}},
+			Shifts:   []model.Shift{{ID: "s", Service: "tabview", From: "a", To: "b", Cap: limit}},
+		}
+		for _, r := range c.Roster {
+			state := New(Identity{ID: r.ID, Zone: r.Zone})
+			state.Step(event.Event{At: 1, Body: event.ConfigLoaded{Config: c}})
 			for _, share := range state.ownShares(nil) {
 				total += share.Limit
 			}
--- a/pkg/state/stopping.go
+++ b/pkg/state/stopping.go
@@ -34,6 +34,12 @@
 	s.handingOver = s.stopping && at >= s.stopAt
 }
 
+// HandingOver reports whether ownership moves to other instances.
+func (s *State) HandingOver() bool { return s.handingOver }
+
+// Owned returns the number of upstreams that this instance owns.
+func (s *State) Owned() int { return s.upstreams.Owned() }
+
 // checkStopped ends the process when nothing is left to wait for: requests of
 // this instance, long downloads included, upstreams without another owner, and
 // permits whose release must be passed on.
