Keep permits within the spill of the request

An owner granted any of its upstreams to a request of another instance. Requests for permits now carry their spill, and those with the same target wait in one line, so that one that cannot be served holds up no others.

--- a/pkg/message/permit.go
+++ b/pkg/message/permit.go
@@ -65,6 +65,8 @@
 	Avoid model.UpstreamID
 	// Shift is the traffic shift that the request is part of, "" for none.
 	Shift string
+	// Spill is how far from Zone the upstream may be.
+	Spill string
 }
 
 // PermitGrant gives a slot to an attempt. SentAt plus Waited is never later
--- a/pkg/permit/asks.go
+++ b/pkg/permit/asks.go
@@ -16,10 +16,25 @@
 	message.PermitRequest
 	From     model.InstanceID
 	Deadline model.Time
+	// Target is where the upstream must be.
+	Target Target
 	// Near asks come from this instance's own region.
 	Near bool
 }
 
+// Target limits the upstreams that an ask can use. Empty fields stand for any.
+type Target struct {
+	Zone   model.Zone
+	Region model.Region
+}
+
+// line is what asks wait in. Those with the same target form one, so that an ask
+// that can't be served doesn't hold up others.
+type line struct {
+	service model.ServiceName
+	target  Target
+}
+
 type ask struct {
 	Ask
 	received model.Time
@@ -65,7 +80,8 @@
 // ReceiveRequest queues a request of another instance. maxDeadline is the
 // longest deadline of the service: a later one could outlast the wait of a
 // future owner. serves says whether this instance may have slots to grant.
-func (s *State) ReceiveRequest(at model.Time, from model.InstanceID, m *message.PermitRequest, maxDeadline model.Duration, near, serves bool, out *event.Effects) {
+func (s *State) ReceiveRequest(at model.Time, r Ask, maxDeadline model.Duration, serves bool, out *event.Effects) {
+	m, from := &r.PermitRequest, r.From
 	if p := s.permits[m.Attempt]; p != nil {
 		if p.grant != nil {
 			// The grant was lost or is still on its way.
@@ -76,27 +92,39 @@
 	if s.asks[m.Attempt] != nil {
 		return
 	}
-	q := s.askQueues[m.Service]
-	if q == nil {
-		q = &askQueue{}
-		s.askQueues[m.Service] = q
-	}
+	q := s.line(line{m.Service, r.Target})
 	limited := m.Shift != "" && !s.MayShift(at, m.Shift)
 	if !serves || limited || m.Remaining <= 0 || m.Remaining > maxDeadline || q.Len() >= maxAsks {
 		out.Add(event.Send{To: from, Message: &message.PermitRefusal{Attempt: m.Attempt, LimitReached: limited}})
 		return
 	}
-	a := &ask{Ask: Ask{PermitRequest: *m, From: from, Deadline: at.Add(m.Remaining), Near: near}, received: at}
+	r.Deadline = at.Add(m.Remaining)
+	a := &ask{Ask: r, received: at}
 	s.asks[m.Attempt] = a
 	heap.Push(q, a)
 	s.askEnds.Add(a.Deadline, m.Attempt)
 	s.gain(Gain{Service: m.Service})
 }
 
-// FirstAsk returns the ask for the service that is next in turn, nil if none
-// waits.
-func (s *State) FirstAsk(service model.ServiceName) *Ask {
-	q := s.askQueues[service]
+// line returns the queue of asks that wait in a line.
+func (s *State) line(l line) *askQueue {
+	q := s.askQueues[l]
+	if q == nil {
+		q = &askQueue{}
+		s.askQueues[l] = q
+		s.targets[l.service] = append(s.targets[l.service], l.target)
+	}
+	return q
+}
+
+// Targets lists where asks for the service want upstreams. It may list targets
+// for which none waits now.
+func (s *State) Targets(service model.ServiceName) []Target { return s.targets[service] }
+
+// FirstAsk returns the ask for the service and target that is next in turn, nil
+// if none waits.
+func (s *State) FirstAsk(service model.ServiceName, target Target) *Ask {
+	q := s.askQueues[line{service, target}]
 	if q == nil || q.Len() == 0 {
 		return nil
 	}
@@ -105,10 +133,11 @@
 
 // Waiting returns the number of asks that wait for the service.
 func (s *State) Waiting(service model.ServiceName) int {
-	if q := s.askQueues[service]; q != nil {
-		return q.Len()
+	n := 0
+	for _, target := range s.targets[service] {
+		n += s.askQueues[line{service, target}].Len()
 	}
-	return 0
+	return n
 }
 
 // GrantAsk gives a free slot of the upstream to the waiting ask.
@@ -138,7 +167,7 @@
 
 func (s *State) removeAsk(a *ask) {
 	delete(s.asks, a.Attempt)
-	heap.Remove(s.askQueues[a.Service], a.index)
+	heap.Remove(s.askQueues[line{a.Service, a.Target}], a.index)
 }
 
 // endAsk drops an ask whose deadline has passed.
--- a/pkg/permit/permit_test.go
+++ b/pkg/permit/permit_test.go
@@ -84,9 +84,9 @@
 	out := &event.Effects{}
 	m := s.Own(permit.Account{Upstream: "u", Service: "tabview", Slots: 3, GrantUntil: permit.Never})
 	r := &message.PermitRequest{Attempt: attempt(1), Service: "tabview", Remaining: time.Second}
-	s.ReceiveRequest(start, "holder", r, time.Second, true, true, out)
+	s.ReceiveRequest(start, permit.Ask{PermitRequest: *r, From: "holder", Near: true}, time.Second, true, out)
 	s.GrantAsk(start, attempt(1), message.PermitGrant{Upstream: "u"}, out)
-	s.ReceiveRequest(start.Add(5), "holder", r, time.Second, true, true, out)
+	s.ReceiveRequest(start.Add(5), permit.Ask{PermitRequest: *r, From: "holder", Near: true}, time.Second, true, out)
 	grants := sent[*message.PermitGrant](out)
 	g.Expect(grants).To(HaveLen(2))
 	g.Expect(grants[1]).To(Equal(grants[0]))
--- a/pkg/permit/shares_test.go
+++ b/pkg/permit/shares_test.go
@@ -25,7 +25,7 @@
 	var ids []model.AttemptID
 	for s.MayShift(at, "s") {
 		ids = append(ids, attempt(uint64(len(ids))))
-		s.ReceiveRequest(at, "x", request(ids[len(ids)-1], "s"), time.Minute, false, true, out)
+		s.ReceiveRequest(at, permit.Ask{PermitRequest: *request(ids[len(ids)-1], "s"), From: "x"}, time.Minute, true, out)
 		s.GrantAsk(at, ids[len(ids)-1], grantTo("u"), out)
 	}
 	for _, id := range ids {
--- a/pkg/permit/state.go
+++ b/pkg/permit/state.go
@@ -52,7 +52,8 @@
 	taken  []Gain
 
 	asks      map[model.AttemptID]*ask
-	askQueues map[model.ServiceName]*askQueue
+	askQueues map[line]*askQueue
+	targets   map[model.ServiceName][]Target
 	askEnds   alarm.Queue[model.AttemptID]
 
 	held    map[model.AttemptID]*held
@@ -73,7 +74,8 @@
 		accounts:    map[model.UpstreamID]*account{},
 		permits:     map[model.AttemptID]*permit{},
 		asks:        map[model.AttemptID]*ask{},
-		askQueues:   map[model.ServiceName]*askQueue{},
+		askQueues:   map[line]*askQueue{},
+		targets:     map[model.ServiceName][]Target{},
 		held:        map[model.AttemptID]*held{},
 		hints:       map[model.ServiceName][]*Hint{},
 		peers:       map[model.InstanceID]*peerHints{},
--- a/pkg/state/permits.go
+++ b/pkg/state/permits.go
@@ -9,6 +9,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/permit"
 	"github.com/anvilcrank/anvilcrank/pkg/request"
 	"github.com/anvilcrank/anvilcrank/pkg/upstream"
 	"github.com/anvilcrank/anvilcrank/pkg/view"
@@ -38,9 +39,8 @@
 	case *message.Availability:
 		s.receiveAvailability(at, b, m)
 	case *message.PermitRequest:
-		longest := s.longestDeadline(m.Service)
-		near := s.distance(m.Zone) < 2
-		s.permits.ReceiveRequest(at, b.From, m, longest, near, s.upstreams.Serves(m.Service), out)
+		ask := permit.Ask{PermitRequest: *m, From: b.From, Target: s.target(m), Near: s.distance(m.Zone) < 2}
+		s.permits.ReceiveRequest(at, ask, s.longestDeadline(m.Service), s.upstreams.Serves(m.Service), out)
 	case *message.PermitGrant:
 		s.receiveGrant(at, b.From, m)
 	case *message.PermitRefusal:
@@ -86,6 +86,21 @@
 		Upstream: m.Upstream, Incarnation: m.Incarnation, Address: m.Address, Region: s.config.RegionOf(m.Zone), Connections: m.Connections}, &s.out)
 }
 
+// target returns where the upstream for a request of another instance must be.
+// An owner may have upstreams of several zones, of which the request's profile
+// allows only some.
+func (s *State) target(m *message.PermitRequest) permit.Target {
+	switch {
+	case m.Shift != "":
+		return permit.Target{Region: s.shiftTarget(m.Shift)}
+	case m.Spill == model.SpillZone:
+		return permit.Target{Zone: m.Zone}
+	case m.Spill == model.SpillRegion:
+		return permit.Target{Region: s.config.RegionOf(m.Zone)}
+	}
+	return permit.Target{}
+}
+
 // comparable drops the times that an instance of another region measured: its
 // distance would make an upstream look slow.
 func (s *State) comparable(from model.InstanceID, use message.Use) message.Use {
--- a/pkg/state/shifts_test.go
+++ b/pkg/state/shifts_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -51,3 +52,35 @@
 		g.Expect(n).To(BeNumerically("~", 100, 30))
 	}
 }
+
+// Guards against an owner of upstreams in several regions that sends a request
+// further than its profile allows. Found by schedule 29877, as shifted work
+// beyond the cap.
+func TestOwnerKeepsWithinTheSpillOfAnotherInstancesRequest(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Identity{ID: "i", Zone: "b1"})
+	step := func(b event.Body) []event.Effect { return s.Step(event.Event{At: 1, Body: b}) }
+	step(event.ConfigLoaded{Config: model.Config{Version: 1,
+		Zones:    []model.ZoneInfo{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}},
+		Profiles: []model.Profile{{Name: "p", DeadlineMs: 1000}},
+		Services: []model.Service{{Name: "tabview", Profile: "p"}}}})
+	for _, first := range []bool{true, false} {
+		step(event.UpstreamAnnounced{Announcement: model.Announcement{Upstream: "u", Incarnation: 1, Service: "tabview",
+			Zone: "b1", Address: "a", Slots: 4, Connections: 1, State: model.Serving, First: first}})
+	}
+	grants := func(seq uint64, spill string) int {
+		n := 0
+		for _, e := range step(event.PeerReceived{From: "h", Message: &message.PermitRequest{
+			Attempt: model.AttemptID{Instance: "h", Seq: seq}, Service: "tabview", Zone: "a1", Remaining: 1e9, Spill: spill}}) {
+			if send, ok := e.(event.Send); ok {
+				if _, ok := send.Message.(*message.PermitGrant); ok {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	g.Expect(grants(1, model.SpillZone)).To(Equal(0))
+	g.Expect(grants(2, model.SpillRegion)).To(Equal(0))
+	g.Expect(grants(3, model.SpillAny)).To(Equal(1), "the asks before must not hold it up")
+}
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -136,7 +136,7 @@
 	h.Far--
 	h.Waiting++
 	s.permits.AskFor(at, h.Instance, message.PermitRequest{
-		Attempt: r.Attempt, Service: r.Service, Zone: s.identity.Zone, Avoid: r.Avoid, Shift: r.Shift}, r.Deadline, out)
+		Attempt: r.Attempt, Service: r.Service, Zone: s.identity.Zone, Avoid: r.Avoid, Shift: r.Shift, Spill: r.Spill}, r.Deadline, out)
 	return true
 }
 
@@ -200,19 +200,28 @@
 	}
 }
 
-// grantOne grants a slot to the first waiting request of another instance.
+// grantOne grants a slot to a waiting request of another instance. It reports
+// whether one left the queue.
 func (s *State) grantOne(at model.Time, service model.ServiceName) bool {
-	a := s.permits.FirstAsk(service)
-	if a == nil {
-		return false
+	targets := s.permits.Targets(service)
+	for k := range targets {
+		target := targets[(s.nextTarget+k)%len(targets)]
+		if a := s.permits.FirstAsk(service, target); a != nil && s.grantAsk(at, a) {
+			s.nextTarget++
+			return true
+		}
 	}
+	return false
+}
+
+func (s *State) grantAsk(at model.Time, a *permit.Ask) bool {
 	if limited := s.isLimited(at, a); limited {
 		s.permits.RefuseAsk(a.Attempt, limited, &s.out)
 		return true
 	}
 	for k := range 2 * upstream.Distances {
-		q := upstream.Query{Service: service, Distance: k % upstream.Distances, Region: s.shiftTarget(a.Shift), Avoid: a.Avoid, Spare: k >= upstream.Distances}
-		u := s.upstreams.Choose(at, q)
+		u := s.upstreams.Choose(at, upstream.Query{Service: a.Service, Distance: k % upstream.Distances,
+			Zone: a.Target.Zone, Region: a.Target.Region, Avoid: a.Avoid, Spare: k >= upstream.Distances})
 		if u == nil {
 			continue
 		}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -46,6 +46,8 @@
 	hinting   hinting
 	// othersFirst makes this instance's requests and those of others take turns.
 	othersFirst bool
+	// nextTarget makes the targets of other instances' requests take turns.
+	nextTarget int
 
 	stopping bool
 	// stopAt is when callers' cached look-ups have run out.
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -11,7 +11,8 @@
 	Service model.ServiceName
 	// Distance of the upstream.
 	Distance int
-	// Region of the upstream, "" for any.
+	// Zone and Region of the upstream, "" for any.
+	Zone   model.Zone
 	Region model.Region
 	// Avoid is an upstream to be used only if there is no other, "" for none.
 	Avoid model.UpstreamID
@@ -56,7 +57,7 @@
 		}
 		k++
 		switch {
-		case q.Region != "" && u.Site.Region != q.Region:
+		case q.Region != "" && u.Site.Region != q.Region, q.Zone != "" && u.Announcement.Zone != q.Zone:
 		case u.Announcement.Upstream == q.Avoid:
 			spare = u
 		case observes && u.mayProbe(at):
