--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -66,13 +66,27 @@
 	p.exchanges.Store(e.id, e)
 	defer p.exchanges.Delete(e.id)
 	if err := p.control.Submit(arrived); err != nil {
-		WriteError(w, &result.Error{Code: result.ControlQueueFull})
-		p.records.Request(arrived.Tenant, service, model.Short, result.ControlQueueFull, time.Since(start))
+		// The event was not handed in, so the request cannot run.
+		code := result.ControlQueueFull
+		if p.isStopped() {
+			code = result.Stopping
+		}
+		WriteError(w, &result.Error{Code: code})
+		p.records.Request(arrived.Tenant, service, model.Short, code, time.Since(start))
 		return
 	}
 	e.await(arrived, start)
 }
 
+func (p *Proxy) isStopped() bool {
+	select {
+	case <-p.control.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // describe reads the request and makes the event for it.
 func (e *exchange) describe(service model.ServiceName) (event.RequestArrived, *result.Error) {
 	ev := event.RequestArrived{
@@ -142,23 +156,39 @@
 
 // await carries out the commands until the request has ended.
 func (e *exchange) await(arrived event.RequestArrived, start time.Time) {
+	for {
+		c := e.next()
+		code, class, ended := e.carryOut(c)
+		if !ended {
+			continue
+		}
+		e.proxy.records.Request(arrived.Tenant, arrived.Service, class, code, time.Since(start))
+		if (e.progress.started || c.relay != nil) && code != result.Answered {
+			// The caller must see that the body is not whole.
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+}
+
+// next waits for the next command. When the control goroutine has ended without
+// one, the request may have been dispatched.
+func (e *exchange) next() command {
 	gone := e.r.Context().Done()
 	for {
 		select {
 		case c := <-e.commands:
-			code, class, ended := e.carryOut(c)
-			if !ended {
-				continue
-			}
-			e.proxy.records.Request(arrived.Tenant, arrived.Service, class, code, time.Since(start))
-			if (e.progress.started || c.relay != nil) && code != result.Answered {
-				// The caller must see that the body is not whole.
-				panic(http.ErrAbortHandler)
-			}
-			return
+			return c
 		case <-gone:
 			gone = nil
 			e.proxy.control.Report(event.RequestCanceled{ID: e.id})
+		case <-e.proxy.control.Done():
+			select {
+			case c := <-e.commands:
+				return c
+			default:
+				return command{finish: true, code: result.UpstreamLost}
+			}
 		}
 	}
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -54,6 +54,8 @@
 type Control interface {
 	Submit(event.Body) error
 	Report(event.Body)
+	// Done is closed when the control goroutine has ended.
+	Done() <-chan struct{}
 	// View returns the published view.
 	View() *view.View
 }
--- a/resume_test.go
+++ b/resume_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,47 +11,19 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank"
-	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
-	"github.com/anvilcrank/anvilcrank/pkg/settings"
 )
 
-// startInstance runs one instance with an upstream that answers by handler.
-func startInstance(t *testing.T, handler http.HandlerFunc) *anvilcrank.Instance {
-	g := NewWithT(t)
-	profile := settings.Profile{Name: "p", Class: "short", Repeat: model.RepeatFreely, MaxAttempts: 3,
-		Deadline: settings.Duration(5 * time.Second), QueueLimit: 10, Spill: model.SpillAny}
-	i, err := anvilcrank.New(&settings.Settings{Instance: "i", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		RecordEvents: settings.DefaultRecordEvents,
-		Bootstrap: &settings.Bootstrap{Zones: []settings.Zone{{Zone: "z", Region: "r"}}, Roster: []settings.Member{{ID: "i", Zone: "z"}},
-			Profiles: []settings.Profile{profile}, Services: []settings.Service{{Name: "catalogue", Profile: "p"}}},
-	}, anvilcrank.Options{Logger: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}})
-	g.Expect(err).NotTo(HaveOccurred())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = i.Run(ctx)
-	}()
-	server := httptest.NewServer(handler)
-	t.Cleanup(func() {
-		cancel()
-		<-done
-		server.Close()
-	})
-	for _, first := range []bool{true, false} {
-		body, _ := json.Marshal(model.Announcement{Upstream: "u", Incarnation: 1, Service: "catalogue", Zone: "z",
-			Address: server.Listener.Addr().String(), Slots: 2, Connections: 10, State: model.Serving, First: first})
-		resp, err := http.Post("http://"+i.Address()+"/v1/announce", "application/json", bytes.NewReader(body))
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
-		_ = resp.Body.Close()
-	}
+// startWithUpstream runs an instance with an upstream of the service "reads"
+// that answers by handler.
+func startWithUpstream(t *testing.T, handler http.HandlerFunc) *anvilcrank.Instance {
+	upstream := httptest.NewServer(handler)
+	t.Cleanup(upstream.Close)
+	i, _ := startInstance(t)
+	announce(t, i, "reads", upstream)
 	return i
 }
 
@@ -88,12 +58,8 @@
 	return b.Bytes()
 }
 
-func get(t *testing.T, i *anvilcrank.Instance) (*http.Response, []byte, error) {
-	resp, err := http.Get("http://" + i.Address() + "/s/catalogue/item")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return resp, body, err
+func getItem(t *testing.T, i *anvilcrank.Instance) (*http.Response, string, error) {
+	return get(t, "http://"+i.Address()+"/s/reads/item")
 }
 
 func sameTag(int32) string { return `"tag"` }
@@ -102,26 +68,26 @@
 func TestTruncatedReadIsResumed(t *testing.T) {
 	g := NewWithT(t)
 	want := content()
-	_, body, err := get(t, startInstance(t, breakingHandler(want, 70_000, sameTag)))
+	_, body, err := getItem(t, startWithUpstream(t, breakingHandler(want, 70_000, sameTag)))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(bytes.Equal(body, want)).To(BeTrue())
+	g.Expect(body == string(want)).To(BeTrue())
 }
 
 // Guards against a read that fails although no byte of it was sent on.
 func TestReadThatBreaksBeforeItsBodyIsRetried(t *testing.T) {
 	g := NewWithT(t)
 	want := content()
-	resp, body, err := get(t, startInstance(t, breakingHandler(want, 0, func(n int32) string { return fmt.Sprintf(`"%d"`, n) })))
+	resp, body, err := getItem(t, startWithUpstream(t, breakingHandler(want, 0, func(n int32) string { return fmt.Sprintf(`"%d"`, n) })))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.Header.Get("Etag")).To(Equal(`"2"`))
-	g.Expect(bytes.Equal(body, want)).To(BeTrue())
+	g.Expect(body == string(want)).To(BeTrue())
 }
 
 // Guards against a body that is put together from two versions, or ends as if
 // it were whole.
 func TestChangedContentIsNotResumed(t *testing.T) {
 	g := NewWithT(t)
-	_, _, err := get(t, startInstance(t, breakingHandler(content(), 70_000, func(n int32) string { return fmt.Sprintf(`"%d"`, n) })))
+	_, _, err := getItem(t, startWithUpstream(t, breakingHandler(content(), 70_000, func(n int32) string { return fmt.Sprintf(`"%d"`, n) })))
 	g.Expect(err).To(HaveOccurred())
 }
 
@@ -129,6 +95,6 @@
 // being used to resume.
 func TestWeakTagIsNotResumed(t *testing.T) {
 	g := NewWithT(t)
-	_, _, err := get(t, startInstance(t, breakingHandler(content(), 70_000, func(int32) string { return `W/"tag"` })))
+	_, _, err := getItem(t, startWithUpstream(t, breakingHandler(content(), 70_000, func(int32) string { return `W/"tag"` })))
 	g.Expect(err).To(HaveOccurred())
 }
