Give up attempts that cannot start while their permit is valid

An attempt could wait 2 s for a connection after its permit was granted, and so reach an upstream more than 3 s after a drain. Dispatches now say by when the first byte must go out; a later attempt ends as not run.

--- a/pkg/event/request.go
+++ b/pkg/event/request.go
@@ -114,6 +114,9 @@
 	// Region is the upstream's region, to pace bytes on the link.
 	Region model.Region
 	Class  model.Class
+	// StartBy is when the request must have begun to go out; after that, the slot
+	// may belong to another owner's count, or the upstream be drained.
+	StartBy model.Time
 	// Deadline is when the attempt must have ended.
 	Deadline model.Time
 	// Connections bounds the connections this instance may open to the upstream.
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -41,6 +41,10 @@
 // run sends the request and reports the response headers or the failure.
 func (a *attempt) run() {
 	start := time.Now()
+	if a.dispatch.StartBy != 0 {
+		late := time.AfterFunc(a.dispatch.StartBy.Sub(a.proxy.now()), a.abandonUnstarted)
+		defer late.Stop()
+	}
 	req, err := a.request()
 	if err != nil {
 		a.end(event.AttemptEnded{Result: event.ConnectFailed})
@@ -110,6 +114,17 @@
 	a.connMu.Unlock()
 }
 
+// abandonUnstarted ends an attempt of which nothing was sent in time, because it
+// waits for a connection.
+func (a *attempt) abandonUnstarted() {
+	a.connMu.Lock()
+	started := a.conn != nil && a.conn.count() != a.mark
+	a.connMu.Unlock()
+	if !started {
+		a.cancel()
+	}
+}
+
 // failure classifies an error before the response headers. An attempt of which
 // no byte was written provably did not run.
 func (a *attempt) failure(err error) event.AttemptResult {
--- /dev/null
+++ b/pkg/proxy/start_test.go
@@ -0,0 +1,47 @@
+package proxy_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/proxy"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// Guards against work that reaches an upstream long after its permit was given,
+// because a connection took that long: the upstream may have drained, or its
+// slot have another owner.
+func TestRequestThatCannotStartInTimeIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	c := newStubControl(nil)
+	now := func() model.Time { return model.Time(time.Now().UnixNano()) }
+	stuck := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		select {
+		case <-ctx.Done():
+		case <-c.done:
+		}
+		return nil, net.ErrClosed
+	}
+	defer close(c.done)
+	p := proxy.New("a-1", noRecorder{}, now, stuck)
+	p.SetControl(c)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		p.Serve(httptest.NewRecorder(), httptest.NewRequest("GET", "/s/reads/x", nil), "reads", "/x")
+	}()
+	arrived := (<-c.events).(event.RequestArrived)
+	p.Dispatch(event.Dispatch{Request: arrived.ID, Attempt: model.AttemptID{Seq: 1}, Address: "127.0.0.1:1",
+		Deadline: now().Add(time.Minute), StartBy: now().Add(20 * time.Millisecond), Connections: 2})
+	ended := (<-c.events).(event.AttemptEnded)
+	g.Expect(ended.Result).To(Equal(event.ConnectFailed))
+	p.Finish(event.Finish{Request: arrived.ID, Code: result.ConnectionFailed})
+	<-served
+}
--- a/pkg/request/slots.go
+++ b/pkg/request/slots.go
@@ -32,6 +32,8 @@
 	Address     string
 	Region      model.Region
 	Connections int
+	// StartBy is when the attempt must have begun to go out.
+	StartBy model.Time
 }
 
 // Slots grants slots of upstreams.
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -291,6 +291,7 @@
 		Class:       r.profile.WorkClass(),
 		Deadline:    r.deadline,
 		Connections: grant.Connections,
+		StartBy:     grant.StartBy,
 	})
 }
 
--- a/pkg/state/permits.go
+++ b/pkg/state/permits.go
@@ -83,7 +83,8 @@
 		return
 	}
 	s.requests.Granted(at, m.Attempt, request.SlotGrant{
-		Upstream: m.Upstream, Incarnation: m.Incarnation, Address: m.Address, Region: s.config.RegionOf(m.Zone), Connections: m.Connections}, &s.out)
+		Upstream: m.Upstream, Incarnation: m.Incarnation, Address: m.Address, Region: s.config.RegionOf(m.Zone), Connections: m.Connections,
+		StartBy: m.SentAt.Add(m.Waited + permit.Validity)}, &s.out)
 }
 
 // target returns where the upstream for a request of another instance must be.
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -35,7 +35,9 @@
 		return request.SlotGrant{}, false
 	}
 	l.s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
-	return grantOf(u), true
+	grant := grantOf(u)
+	grant.StartBy = at.Add(permit.Validity)
+	return grant, true
 }
 
 // choose returns the nearest upstream of this instance with a free slot, nil if
