--- a/internal/simulation/nodes.go
+++ b/internal/simulation/nodes.go
@@ -10,7 +10,7 @@
 // boot starts a process of the instance and connects it to the others.
 func (s *sim) boot(n *node) {
 	n.incarnation = model.Incarnation(s.now)
-	n.state = state.New(state.Identity{ID: n.id, Incarnation: n.incarnation, Zone: n.zone, Address: string(n.id), Seed: s.rng.Uint64()})
+	n.state = state.New(state.Identity{ID: n.id, Incarnation: n.incarnation, Zone: n.zone, Address: string(n.id), Seed: s.rng.Uint64()}, nil)
 	n.state.Break(s.faults)
 	n.attempts = map[model.AttemptID]*attempt{}
 	n.timer++
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -49,7 +49,19 @@
 	PeerBadMessage Code = 403
 	PeerQueueFull  Code = 404
 
-	ConfigInForce Code = 501
+	MemberSuspected Code = 405
+	MemberDead      Code = 406
+
+	ConfigInForce    Code = 501
+	ConfigSaveFailed Code = 502
+	ConfigFileBroken Code = 503
+	OperatorChange   Code = 504
+
+	AgreementStorageFailed Code = 601
+	AgreementLeader        Code = 602
+	AgreementSteppedDown   Code = 603
+	AgreementFounded       Code = 604
+	AgreementMembers       Code = 605
 )
 
 // Info describes an event for the catalogue.
@@ -77,7 +89,17 @@
 	{PeerLost, "peer_lost", LevelWarn, "a link to another instance broke"},
 	{PeerBadMessage, "peer_bad_message", LevelWarn, "a message of another instance could not be decoded"},
 	{PeerQueueFull, "peer_queue_full", LevelWarn, "a message to another instance was dropped because its queue is full"},
+	{MemberSuspected, "member_suspected", LevelInfo, "an instance did not answer probes and is suspected to be lost"},
+	{MemberDead, "member_dead", LevelWarn, "a suspected instance did not refute in time and counts as lost"},
 	{ConfigInForce, "config_in_force", LevelInfo, "a configuration came into force"},
+	{ConfigSaveFailed, "config_save_failed", LevelError, "a configuration could not be saved; it is in force all the same"},
+	{ConfigFileBroken, "config_file_broken", LevelError, "the saved configuration is damaged and was not used; peers are asked instead"},
+	{OperatorChange, "operator_change", LevelInfo, "an operator's change got its result"},
+	{AgreementStorageFailed, "agreement_storage_failed", LevelError, "the data folder cannot be used; this member of the control group no longer votes"},
+	{AgreementLeader, "agreement_leader", LevelInfo, "this instance leads the control group"},
+	{AgreementSteppedDown, "agreement_stepped_down", LevelWarn, "this instance no longer leads the control group"},
+	{AgreementFounded, "agreement_founded", LevelInfo, "this instance founded the control group"},
+	{AgreementMembers, "agreement_members", LevelInfo, "the member list of the control group changed"},
 }
 
 var byCode = func() map[Code]*Info {
--- a/pkg/state/shifts_test.go
+++ b/pkg/state/shifts_test.go
@@ -23,7 +23,7 @@
 			Shifts:   []model.Shift{{ID: "s", Service: "tabview", From: "a", To: "b", Cap: limit}},
 		}
 		for _, r := range c.Roster {
-			state := New(Identity{ID: r.ID, Zone: r.Zone})
+			state := New(Identity{ID: r.ID, Zone: r.Zone}, nil)
 			state.Step(event.Event{At: 1, Body: event.ConfigLoaded{Config: c}})
 			for _, share := range state.ownShares(nil) {
 				total += share.Limit
@@ -37,7 +37,7 @@
 // neighbors.
 func TestUpstreamsSpreadOverTheZone(t *testing.T) {
 	g := NewWithT(t)
-	s := New(Identity{ID: "i0", Zone: "z"})
+	s := New(Identity{ID: "i0", Zone: "z"}, nil)
 	for _, id := range []model.InstanceID{"i1", "i2"} {
 		s.Step(event.Event{At: 1, Body: event.PeerConnected{Peer: id, Zone: "z", Address: string(id)}})
 	}
@@ -58,7 +58,7 @@
 // beyond the cap.
 func TestOwnerKeepsWithinTheSpillOfAnotherInstancesRequest(t *testing.T) {
 	g := NewWithT(t)
-	s := New(Identity{ID: "i", Zone: "b1"})
+	s := New(Identity{ID: "i", Zone: "b1"}, nil)
 	step := func(b event.Body) []event.Effect { return s.Step(event.Event{At: 1, Body: b}) }
 	step(event.ConfigLoaded{Config: model.Config{Version: 1,
 		Zones:    []model.ZoneInfo{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}},
