--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -59,6 +59,8 @@
 	hinting   hinting
 	// othersFirst makes this instance's requests and those of others take turns.
 	othersFirst bool
+	// nextTarget makes the targets of other instances' requests take turns.
+	nextTarget int
 
 	startedAt model.Time
 	// servedAt is when each service was last known to have upstreams.
