--- a/internal/simulation/stopping_test.go
+++ b/internal/simulation/stopping_test.go
@@ -41,14 +41,14 @@
 // if that message is lost, the new owner counts all slots as used.
 func TestStopWaitsForLostHandovers(t *testing.T) {
 	g := NewWithT(t)
-	s := newSim(4, nil)
+	s := newSim(4, state.Faults{})
 	n := s.nodes[0]
-	s.play(simStart.Add(2 * time.Second))
-	g.Expect(n.state.upstreams.Owned()).To(BeNumerically(">", 0))
+	s.play(start.Add(2 * time.Second))
+	g.Expect(n.state.Owned()).To(BeNumerically(">", 0))
 	s.step(n, event.StopRequested{})
 	handedAt := s.now.Add(view.LookupTTL)
 	s.play(handedAt)
-	for n.state.upstreams.Owned() > 0 {
+	for n.state.Owned() > 0 {
 		handedAt = handedAt.Add(20 * time.Millisecond)
 		s.play(handedAt)
 		g.Expect(n.state).NotTo(BeNil())
