Add the deployment benchmark and the package it shares with the demo

Change: internal/deployment starts instances and fake upstreams from a plan and compares what callers were told with what ran; the demo and the benchmark both use it. internal/latency delays connections and messages. internal/bench holds both deployments at their sizes and eight scenarios as data. pkg/upstream gets a policy interface with two baselines that send work at once.

--- /dev/null
+++ b/cmd/anvilcrank-bench/main.go
@@ -0,0 +1,95 @@
+// Command anvilcrank-bench measures deployments.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/anvilcrank/anvilcrank/internal/bench"
+	"github.com/anvilcrank/anvilcrank/pkg/upstream"
+)
+
+// Exit codes; docs/api.md lists them.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type args struct {
+	Deployment *deploymentArgs `arg:"subcommand:deployment" help:"run a whole deployment under load in this process"`
+}
+
+// Description implements arg.Described.
+func (args) Description() string {
+	return "anvilcrank-bench measures deployments.\n\nExit codes: 0 done, 1 failed or a violation was seen, 2 wrong usage."
+}
+
+type deploymentArgs struct {
+	Name      string        `arg:"--name" default:"bell" help:"bell or tabsangam"`
+	Policy    string        `arg:"--policy" default:"anvilcrank" help:"anvilcrank, round-robin or least-reported"`
+	Scenario  string        `arg:"--scenario" default:"steady"`
+	Seeds     int           `arg:"--seeds" default:"5" help:"number of seeds"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Duration  time.Duration `arg:"--duration" help:"how long load is offered; 0 is the scenario's default"`
+	TimeScale float64       `arg:"--time-scale" default:"1" help:"multiplies service times and so divides the request rate"`
+	JSON      bool          `arg:"--json" help:"print one JSON object as the last line"`
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	if a.Deployment == nil {
+		p.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	o := a.Deployment.options()
+	if err := o.Validate(); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilcrank-bench:", err)
+		os.Exit(exitUsage)
+	}
+	if err := run(o, a.Deployment.JSON); err != nil {
+		fmt.Fprintln(os.Stderr, "anvilcrank-bench:", err)
+		os.Exit(exitFailure)
+	}
+}
+
+func (a *deploymentArgs) options() bench.Options {
+	return bench.Options{
+		Name:      a.Name,
+		Policy:    upstream.PolicyName(a.Policy),
+		Scenario:  a.Scenario,
+		Seeds:     a.Seeds,
+		Seed:      a.Seed,
+		Duration:  a.Duration,
+		TimeScale: a.TimeScale,
+		Progress:  os.Stderr,
+	}
+}
+
+func run(o bench.Options, asJSON bool) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	summary, err := bench.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		err = json.NewEncoder(os.Stdout).Encode(summary)
+	} else {
+		err = summary.WriteTable(os.Stdout)
+	}
+	if err != nil {
+		return err
+	}
+	if failed := summary.FailedNames(); len(failed) > 0 {
+		return fmt.Errorf("not zero: %s", strings.Join(failed, ", "))
+	}
+	return nil
+}
--- a/instance.go
+++ b/instance.go
@@ -25,6 +25,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
 	"github.com/anvilcrank/anvilcrank/pkg/state"
 	"github.com/anvilcrank/anvilcrank/pkg/telemetry"
+	"github.com/anvilcrank/anvilcrank/pkg/upstream"
 )
 
 // Options are the optional parts of an instance.
@@ -37,6 +38,9 @@
 	Dial proxy.Dialer
 	// Seed starts the random numbers of the reducer; 0 takes the start time.
 	Seed uint64
+	// Policy names the policy that selects upstreams; "" is the default. The
+	// others are baselines for benchmarks.
+	Policy upstream.PolicyName
 	// OnInvariant is called on the control goroutine when an invariant fails,
 	// after it was logged and counted. It must not block.
 	OnInvariant func(event.InvariantFailed)
@@ -74,6 +78,7 @@
 		Zone:        s.Zone,
 		Address:     i.Address(),
 		Seed:        o.Seed,
+		Policy:      o.Policy,
 	}
 	if identity.Seed == 0 {
 		identity.Seed = uint64(identity.Incarnation)
@@ -177,6 +182,10 @@
 // Stop begins a graceful stop: Run returns once everything in flight has ended.
 func (i *Instance) Stop() { i.loop.Report(event.StopRequested{}) }
 
+// LoadConfig brings a configuration that is known to be committed. It comes into
+// force if it is newer than the present one.
+func (i *Instance) LoadConfig(c model.Config) { i.loop.Report(event.ConfigLoaded{Config: c}) }
+
 // Close closes the listeners of an instance that was never run.
 func (i *Instance) Close() {
 	_ = i.listener.Close()
--- /dev/null
+++ b/internal/bench/plans.go
@@ -0,0 +1,137 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/internal/deployment"
+	"github.com/anvilcrank/anvilcrank/internal/fake"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/settings"
+)
+
+const (
+	// connectCost is what a new connection costs besides its round trip.
+	connectCost = time.Millisecond
+	// shortSigma and longSigma spread service times: the 99th percentile is at
+	// about 2.3 and 1.8 times the mean.
+	shortSigma = 0.4
+	longSigma  = 0.3
+	// recordEvents keeps enough for a look at a failed invariant without the
+	// memory that 11 full rings take.
+	recordEvents = 20_000
+	// baselineQueue is the length of the queue at an upstream as a multiple of
+	// its slots, for policies that bind work at once.
+	baselineQueue = 10
+
+	mbit = 1_000_000 / 8
+)
+
+// Names of the deployments.
+const (
+	Bell      = "bell"
+	Tabsangam = "tabsangam"
+)
+
+func shortRead(deadline time.Duration) settings.Profile {
+	return settings.Profile{Name: "short-read", Class: "short", Repeat: model.RepeatFreely, MaxAttempts: 3,
+		Deadline: settings.Duration(deadline), QueueLimit: 500, Spill: model.SpillAny}
+}
+
+func shortWrite(deadline time.Duration) settings.Profile {
+	return settings.Profile{Name: "short-write", Class: "short", Repeat: model.RepeatIfNotRun, MaxAttempts: 3,
+		Deadline: settings.Duration(deadline), QueueLimit: 500, Spill: model.SpillAny}
+}
+
+func longDownload(deadline time.Duration) settings.Profile {
+	return settings.Profile{Name: "long-download", Class: "long", Repeat: model.RepeatIfNotRun, MaxAttempts: 2,
+		Deadline: settings.Duration(deadline), QueueLimit: 50, Spill: model.SpillAny}
+}
+
+// Deadlines of the profiles. Long work takes many times its mean at most, and a
+// run has to wait for it at the end.
+const (
+	shortDeadline = 2 * time.Second
+	longDeadline  = 10 * time.Second
+)
+
+// bell is the deployment of Bell Enquiries. One zone has one instance.
+func bell() deployment.Plan {
+	return deployment.Plan{
+		Zones: []deployment.Zone{
+			{Zone: "gulf-a", Region: "gulf", Instances: 2}, {Zone: "gulf-b", Region: "gulf", Instances: 2},
+			{Zone: "plains-a", Region: "plains", Instances: 2}, {Zone: "plains-b", Region: "plains", Instances: 2},
+			{Zone: "hill-a", Region: "hill-country", Instances: 2}, {Zone: "hill-b", Region: "hill-country", Instances: 1},
+		},
+		Network: deployment.Network{
+			Connect:        connectCost,
+			BetweenZones:   1500 * time.Microsecond,
+			BetweenRegions: 55 * time.Millisecond,
+			ToClients:      3 * time.Millisecond,
+			LinkRate:       4000 * mbit,
+		},
+		Services: []deployment.Service{
+			{
+				Name: "catalogue", Profile: shortRead(shortDeadline), Method: "GET", Upstreams: 20, Slots: 9, Connections: 400,
+				Work: fake.Work{Mean: 40 * time.Millisecond, Sigma: shortSigma}, BodySize: 4 << 10,
+			},
+			{
+				Name: "deposits", Profile: shortWrite(shortDeadline), Method: "POST", Keyed: true, Upstreams: 12, Slots: 8, Connections: 400,
+				Work: fake.Work{Mean: 50 * time.Millisecond, Sigma: shortSigma}, BodySize: 256,
+			},
+			{
+				Name: "drawings", Profile: longDownload(longDeadline), Method: "GET", Upstreams: 12, Slots: 3, Connections: 400,
+				Work: fake.Work{Mean: time.Second, Sigma: longSigma}, BodySize: 512 << 10,
+			},
+		},
+	}
+}
+
+// tabsangam is the deployment of Tabsangam. Two zones have one instance.
+func tabsangam() deployment.Plan {
+	return deployment.Plan{
+		Zones: []deployment.Zone{
+			{Zone: "thamel", Region: "bagmati", Instances: 2}, {Zone: "patan", Region: "bagmati", Instances: 2},
+			{Zone: "lakeside", Region: "gandaki", Instances: 2}, {Zone: "baidam", Region: "gandaki", Instances: 1},
+			{Zone: "butwal", Region: "lumbini", Instances: 2}, {Zone: "bhairahawa", Region: "lumbini", Instances: 1},
+		},
+		Network: deployment.Network{
+			Connect:        connectCost,
+			BetweenZones:   time.Millisecond,
+			BetweenRegions: 12 * time.Millisecond,
+			ToClients:      8 * time.Millisecond,
+			LinkRate:       280 * mbit,
+		},
+		Services: []deployment.Service{
+			{
+				Name: "tabview", Profile: shortRead(shortDeadline), Method: "GET", Upstreams: 20, Slots: 3, Connections: 360,
+				Work: fake.Work{Mean: 30 * time.Millisecond, Sigma: shortSigma}, BodySize: 4 << 10,
+			},
+			{
+				Name: "settlekhata", Profile: shortWrite(shortDeadline), Method: "POST", Keyed: true, Upstreams: 12, Slots: 3, Connections: 360,
+				Work: fake.Work{Mean: 40 * time.Millisecond, Sigma: shortSigma}, BodySize: 256,
+			},
+			{
+				Name: "bahikhata-export", Profile: longDownload(longDeadline), Method: "GET", Upstreams: 12, Slots: 3, Connections: 360,
+				Work: fake.Work{Mean: time.Second, Sigma: longSigma}, BodySize: 512 << 10,
+			},
+		},
+	}
+}
+
+// plan returns the deployment that the options ask for.
+func (o *Options) plan() deployment.Plan {
+	p := bell()
+	if o.Name == Tabsangam {
+		p = tabsangam()
+	}
+	p.Policy = o.Policy
+	p.RecordEvents = recordEvents
+	for i := range p.Services {
+		s := &p.Services[i]
+		s.Work.Mean = time.Duration(float64(s.Work.Mean) * o.timeScale())
+		if isBaseline(o.Policy) {
+			s.QueueLimit = baselineQueue * s.Slots
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/bench/steps.go
@@ -0,0 +1,69 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/internal/fake"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// carryOutSteps carries out the steps of the scenario at their times and waits
+// for restarts that are under way.
+func (r *runner) carryOutSteps(ctx context.Context) {
+	var restarts sync.WaitGroup
+	defer restarts.Wait()
+	for _, s := range r.scenario.steps {
+		if !r.waitUntil(ctx, s.At) {
+			return
+		}
+		r.carryOut(s.Action, &restarts)
+	}
+}
+
+func (r *runner) carryOut(action Action, restarts *sync.WaitGroup) {
+	d := r.deployment
+	switch a := action.(type) {
+	case Slow:
+		r.each(a.Upstreams, func(u *fake.Upstream) { u.SetSlowdown(a.Factor) })
+	case SetReports:
+		r.each(a.Upstreams, func(u *fake.Upstream) { u.SetReports(a.Reports) })
+	case Cool:
+		for _, u := range d.Upstreams {
+			if u.Service() == a.Service && u.Region() == a.Region {
+				u.Cool(a.Cold)
+			}
+		}
+	case DrainUpstream:
+		r.drainedAt[a.Upstream] = time.Now()
+		d.Upstream(a.Upstream).Drain()
+		r.progress("drain of %s", a.Upstream)
+	case ShiftTraffic:
+		d.Configure(func(c *model.Config) { c.Shifts = append(c.Shifts, a.Shift) })
+		r.progress("shift of %s from %s to %s", a.Shift.Service, a.Shift.From, a.Shift.To)
+	case LoseRegion:
+		r.progress("loss of %s", a.Region)
+		d.KillRegion(a.Region)
+	case RestartInstance:
+		r.progress("restart of %s", a.Instance)
+		restarts.Add(1)
+		go func() {
+			defer restarts.Done()
+			if err := d.Restart(a.Instance); err != nil {
+				d.Violation(err.Error())
+			}
+		}()
+	}
+}
+
+func (r *runner) each(ids []model.UpstreamID, f func(*fake.Upstream)) {
+	for _, id := range ids {
+		f(r.deployment.Upstream(id))
+	}
+}
+
+func (r *runner) progress(format string, args ...any) {
+	fmt.Fprintf(r.options.Progress, "%s %s seed %d: %s\n", r.options.Name, r.options.Scenario, r.seed, fmt.Sprintf(format, args...))
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/internal/deployment"
 	"github.com/anvilcrank/anvilcrank/internal/fake"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
@@ -24,20 +25,9 @@
 
 // Report compares what callers were told with what ran.
 type Report struct {
-	Requests       int      `json:"requests"`
-	Answered       int      `json:"answered"`
-	RefusedNotRun  int      `json:"refused_not_run"`
-	OutcomeUnknown int      `json:"outcome_unknown"`
-	Lost           int      `json:"lost"`
-	WrongAnswers   int      `json:"wrong_answers"`
-	DuplicateRuns  int      `json:"duplicate_runs"`
-	FalseNotRun    int      `json:"false_not_run"`
-	CutOff         int      `json:"cut_off"`
-	Violations     int      `json:"violations"`
-	Details        []string `json:"details,omitempty"`
-	// Codes counts the system's own answers by result code.
-	Codes map[string]int `json:"codes,omitempty"`
-	rows  []serviceRow
+	deployment.Counts
+	Details []string `json:"details,omitempty"`
+	rows    []serviceRow
 }
 
 type serviceRow struct {
@@ -47,9 +37,7 @@
 }
 
 // Failed reports whether anything happened that must never happen.
-func (r *Report) Failed() bool {
-	return r.Answered == 0 || r.Lost+r.WrongAnswers+r.DuplicateRuns+r.FalseNotRun+r.CutOff+r.Violations > 0
-}
+func (r *Report) Failed() bool { return r.Answered == 0 || r.Counts.Failed() }
 
 // WriteTable writes the report for people.
 func (r *Report) WriteTable(w io.Writer) error {
@@ -70,7 +58,7 @@
 		{"requests", r.Requests}, {"answered", r.Answered}, {"refused, not run", r.RefusedNotRun},
 		{"outcome unknown", r.OutcomeUnknown}, {"lost", r.Lost}, {"wrong answers", r.WrongAnswers},
 		{"duplicate runs", r.DuplicateRuns}, {"false \"not run\"", r.FalseNotRun}, {"cut off", r.CutOff},
-		{"violations", r.Violations},
+		{"broken by a fault", r.BrokenByFault}, {"violations", r.Violations},
 	} {
 		fmt.Fprintf(t, "%s\t%d\n", c.name, c.count)
 	}
@@ -89,59 +77,49 @@
 	thinkTime = 20 * time.Millisecond
 )
 
-// sent is one request and what its caller was told.
-type sent struct {
-	service model.ServiceName
-	token   string
-	outcome fake.Outcome
-	code    string
-	took    time.Duration
-	repeat  bool // the request may run more than once
-}
-
 // Run runs the demo.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	if o.Progress == nil {
 		o.Progress = io.Discard
 	}
-	d, err := start(o.Seed)
+	d, err := deployment.Start(plan(o.Seed))
 	if err != nil {
 		return nil, err
 	}
-	defer d.stop()
+	defer d.Stop()
 	time.Sleep(settleTime)
-	fmt.Fprintf(o.Progress, "%d instances, %d upstreams\n", len(d.instances), len(d.upstreams))
+	fmt.Fprintf(o.Progress, "%d instances, %d upstreams\n", len(d.Instances()), len(d.Upstreams))
 	ctx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	faults := make(chan struct{})
 	go func() {
 		defer close(faults)
-		d.injectFaults(ctx, o)
+		injectFaults(ctx, d, o)
 	}()
-	results := d.call(ctx, o.Seed)
+	results := call(ctx, d, o.Seed)
 	<-faults
-	return d.report(results), nil
+	return report(d, results), nil
 }
 
 // injectFaults drains an upstream at a third of the time and kills another at
 // two thirds.
-func (d *deployment) injectFaults(ctx context.Context, o Options) {
+func injectFaults(ctx context.Context, d *deployment.Deployment, o Options) {
 	if !pause(ctx, o.Duration/3) {
 		return
 	}
-	drained := d.upstream("catalogue-gulf-a-1")
+	drained := d.Upstream("catalogue-gulf-a-1")
 	drained.Drain()
 	at := time.Now()
 	fmt.Fprintf(o.Progress, "drain of %s\n", drained.ID())
 	if !pause(ctx, o.Duration/3) {
 		return
 	}
-	killed := d.upstream("catalogue-gulf-b-1")
-	killed.Kill()
+	killed := d.Upstream("catalogue-gulf-b-1")
+	d.KillUpstream(killed)
 	fmt.Fprintf(o.Progress, "kill of %s\n", killed.ID())
 	<-ctx.Done()
 	if late := drained.Stats().LastWork.Sub(at); late > maxDrain {
-		d.violation(fmt.Sprintf("%s got new work %v after its drain", drained.ID(), late))
+		d.Violation(fmt.Sprintf("%s got new work %v after its drain", drained.ID(), late))
 	}
 }
 
@@ -159,21 +137,23 @@
 
 // call runs the callers until the context ends, and lets their last requests
 // finish.
-func (d *deployment) call(ctx context.Context, seed uint64) []sent {
+func call(ctx context.Context, d *deployment.Deployment, seed uint64) []deployment.Result {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var all []sent
-	for _, s := range services {
+	var all []deployment.Result
+	for i := range d.Plan.Services {
+		s := &d.Plan.Services[i]
 		for z, zone := range zones {
 			for k := range callersEach {
-				name := fmt.Sprintf("%s-%s-%d", s.name, zone.Zone, k)
-				c := fake.NewCaller(name, zone.Zone, d.addressesFrom(z*instancesEach))
+				c := fake.NewCaller(fake.CallerOptions{
+					Name: fmt.Sprintf("%s-%s-%d", s.Name, zone.Zone, k), Zone: zone.Zone, Region: zone.Region,
+					Seeds: d.AddressesFrom(zone.Zone, k)})
 				rng := rand.New(rand.NewPCG(seed, uint64(z*callersEach+k)))
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
 					defer c.Close()
-					results := runCaller(ctx, c, name, s, rng)
+					results := runCaller(ctx, d, c, s, rng)
 					mu.Lock()
 					all = append(all, results...)
 					mu.Unlock()
@@ -185,78 +165,54 @@
 	return all
 }
 
-func runCaller(ctx context.Context, c *fake.Caller, name string, s service, rng *rand.Rand) []sent {
-	var results []sent
+func runCaller(ctx context.Context, d *deployment.Deployment, c *fake.Caller, s *deployment.Service, rng *rand.Rand) []deployment.Result {
+	var results []deployment.Result
 	for n := 0; ctx.Err() == nil; n++ {
-		to, err := c.Instance(ctx, s.name)
+		to, err := c.Instance(ctx, s.Name)
 		if err != nil {
 			continue
 		}
 		q := fake.Request{
-			Service: s.name,
+			Service: s.Name,
 			Tenant:  model.Tenant(fmt.Sprintf("house-%d", rng.IntN(3))),
-			Method:  s.method,
-			Token:   fmt.Sprintf("%s/%d", name, n),
-			Size:    s.bodySize,
+			Method:  s.Method,
+			Token:   fmt.Sprintf("%s/%d", c.Name(), n),
+			Size:    s.BodySize,
 		}
 		start := time.Now()
-		outcome, code := c.Do(context.WithoutCancel(ctx), to, q)
-		results = append(results, sent{s.name, q.Token, outcome, code, time.Since(start), s.method == "GET"})
+		reply := c.Do(context.WithoutCancel(ctx), to, q)
+		results = append(results, deployment.Result{
+			Service: s.Name, Tenant: q.Tenant, Instance: to.ID, Token: q.Token, Idempotent: s.Idempotent(),
+			Took: time.Since(start), Reply: reply, Faulted: d.Faulted(to.ID, reply)})
 		pause(ctx, time.Duration(rng.ExpFloat64()*float64(thinkTime)))
 	}
 	return results
 }
 
-func (d *deployment) report(results []sent) *Report {
-	r := &Report{Codes: map[string]int{}}
-	for _, s := range services {
-		r.rows = append(r.rows, serviceRow{name: s.name})
+func report(d *deployment.Deployment, results []deployment.Result) *Report {
+	r := &Report{}
+	for i := range d.Plan.Services {
+		r.rows = append(r.rows, serviceRow{name: d.Plan.Services[i].Name})
 	}
-	for _, s := range results {
-		r.add(s, d.journal.Runs(s.token))
-	}
-	for _, u := range d.upstreams {
-		if s := u.Stats(); s.MaxInUse > s.Slots {
-			d.violation(fmt.Sprintf("%s had %d requests in %d slots", u.ID(), s.MaxInUse, s.Slots))
-		}
+	for i := range results {
+		s := &results[i]
+		r.Add(s, d.Journal.Runs(s.Token))
+		r.row(s.Service).add(s)
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r.Violations = len(d.violations)
-	r.Details = d.violations
+	d.CheckSlots()
+	r.Details = d.Violations()
+	r.Violations = len(r.Details)
 	return r
 }
 
-func (r *Report) add(s sent, runs int) {
-	r.Requests++
-	row := r.row(s.service)
-	row.requests++
-	if s.code != "" {
-		r.Codes[s.code]++
-	}
-	if runs > 1 && !s.repeat {
-		r.DuplicateRuns++
-	}
-	switch s.outcome {
-	case fake.Answered:
-		r.Answered++
-		row.answered++
-		row.total += s.took
-		row.worst = max(row.worst, s.took)
-	case fake.RefusedNotRun:
-		r.RefusedNotRun++
-		if runs > 0 {
-			r.FalseNotRun++
-		}
-	case fake.Unknown:
-		r.OutcomeUnknown++
-	case fake.Lost:
-		r.Lost++
-	case fake.Wrong:
-		r.WrongAnswers++
-	case fake.CutOff:
-		r.CutOff++
+func (s *serviceRow) add(r *deployment.Result) {
+	s.requests++
+	if r.Reply.Outcome != fake.Answered {
+		return
 	}
+	s.answered++
+	s.total += r.Took
+	s.worst = max(s.worst, r.Took)
 }
 
 func (r *Report) row(name model.ServiceName) *serviceRow {
--- /dev/null
+++ b/internal/latency/scheduler.go
@@ -0,0 +1,101 @@
+package latency
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// Scheduler calls functions at later times from one goroutine, in the order of
+// their times and, for equal times, in the order they were handed in.
+type Scheduler struct {
+	mu      sync.Mutex
+	calls   callHeap
+	nextSeq uint64
+	changed chan struct{}
+}
+
+// NewScheduler returns a scheduler that runs until the context ends.
+func NewScheduler(ctx context.Context) *Scheduler {
+	s := &Scheduler{changed: make(chan struct{}, 1)}
+	go s.run(ctx)
+	return s
+}
+
+// At calls f at the time. f must not block.
+func (s *Scheduler) At(due time.Time, f func()) {
+	s.mu.Lock()
+	heap.Push(&s.calls, call{due: due, seq: s.nextSeq, f: f})
+	s.nextSeq++
+	first := s.calls[0].seq == s.nextSeq-1
+	s.mu.Unlock()
+	if !first {
+		return
+	}
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Scheduler) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(s.runDue())
+		select {
+		case <-timer.C:
+		case <-s.changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// runDue calls what is due and returns the time until the next call.
+func (s *Scheduler) runDue() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.calls) > 0 {
+		left := time.Until(s.calls[0].due)
+		if left > 0 {
+			return left
+		}
+		f := heap.Pop(&s.calls).(call).f
+		s.mu.Unlock()
+		f()
+		s.mu.Lock()
+	}
+	return time.Hour
+}
+
+type call struct {
+	due time.Time
+	seq uint64
+	f   func()
+}
+
+type callHeap []call
+
+func (h callHeap) Len() int { return len(h) }
+func (h callHeap) Less(i, j int) bool {
+	if !h[i].due.Equal(h[j].due) {
+		return h[i].due.Before(h[j].due)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h callHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *callHeap) Push(x any) { *h = append(*h, x.(call)) }
+
+// Pop implements heap.Interface.
+func (h *callHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	c := old[n]
+	old[n] = call{}
+	*h = old[:n]
+	return c
+}
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -18,7 +18,9 @@
 		return request.SlotGrant{}, false
 	}
 	a := &u.Announcement
-	l.s.permits.Grant(at, a.Upstream, r.Attempt, r.Deadline, out)
+	if !l.s.upstreams.BindsEarly() {
+		l.s.permits.Grant(at, a.Upstream, r.Attempt, r.Deadline, out)
+	}
 	return request.SlotGrant{
 		Upstream:    a.Upstream,
 		Address:     a.Address,
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -21,6 +21,8 @@
 	Address string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
+	// Policy names the policy that selects upstreams; "" is the default.
+	Policy upstream.PolicyName
 }
 
 // State is the whole control state of an instance.
@@ -52,7 +54,7 @@
 		ledger:   &localLedger{},
 		peers:    map[model.InstanceID]view.Instance{},
 	}
-	s.upstreams = upstream.New(s.permits)
+	s.upstreams = upstream.New(s.permits, upstream.NewPolicy(identity.Policy))
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
 	return s
 }
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -2,31 +2,61 @@
 
 import "github.com/anvilcrank/anvilcrank/pkg/model"
 
-// Choose returns the serving upstream of the service that has the smallest
-// share of its slots in use, or nil if none has a free slot. Upstreams that
-// tie take turns.
+// PolicyName names a selection policy.
+type PolicyName string
+
+// Names of the policies.
+const (
+	// LeastUsed takes the upstream with the smallest share of its slots in use
+	// and lets work wait until a slot is free. It is the default.
+	LeastUsed PolicyName = "anvilcrank"
+	// RoundRobin takes upstreams in turn, whatever their load. It is a baseline.
+	RoundRobin PolicyName = "round-robin"
+	// LeastReported takes the upstream that reported the least load. It is a
+	// baseline.
+	LeastReported PolicyName = "least-reported"
+)
+
+// Policy selects among upstreams that may take new work.
+type Policy interface {
+	// Pick returns one of the candidates, which are in identifier order beginning
+	// after the last turn's, or nil if none should take work now.
+	Pick(at model.Time, candidates []*Upstream, slots Slots) *Upstream
+	// BindsEarly reports whether work is sent at once and queues at the upstream.
+	// Slots are not counted then.
+	BindsEarly() bool
+}
+
+// NewPolicy returns the policy with the name; unknown names give the default.
+func NewPolicy(name PolicyName) Policy {
+	switch name {
+	case RoundRobin:
+		return roundRobin{}
+	case LeastReported:
+		return leastReported{}
+	}
+	return leastUsed{}
+}
+
+// BindsEarly reports whether the policy in use sends work at once.
+func (s *State) BindsEarly() bool { return s.policy.BindsEarly() }
+
+// Choose returns the serving upstream of the service that the policy picks, or
+// nil if none should take work now.
 func (s *State) Choose(at model.Time, service model.ServiceName, drained func(*Upstream) bool) *Upstream {
 	p := s.pools[service]
 	if p == nil {
 		return nil
 	}
-	var best *Upstream
-	bestUsed, bestSlots := 0, 1
 	n := len(p.members)
+	p.candidates = p.candidates[:0]
 	for k := range n {
 		u := p.members[(p.next+k)%n]
-		a := &u.Announcement
-		if a.State != model.Serving || at < u.GrantFrom || s.slots.Free(a.Upstream, at) <= 0 || drained(u) {
+		if u.Announcement.State != model.Serving || at < u.GrantFrom || drained(u) {
 			continue
 		}
-		used := s.slots.Used(a.Upstream)
-		if best == nil || used*bestSlots < bestUsed*a.Slots {
-			best, bestUsed, bestSlots = u, used, a.Slots
-		}
-		if bestUsed == 0 {
-			break
-		}
+		p.candidates = append(p.candidates, u)
 	}
 	p.next = (p.next + 1) % n
-	return best
+	return s.policy.Pick(at, p.candidates, s.slots)
 }
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -50,24 +50,28 @@
 
 // State holds the upstreams that this instance owns.
 type State struct {
-	slots Slots
-	owned map[model.UpstreamID]*Upstream
+	slots  Slots
+	policy Policy
+	owned  map[model.UpstreamID]*Upstream
 	// pools lists the owned upstreams of each service in identifier order.
 	pools map[model.ServiceName]*pool
 }
 
 type pool struct {
 	members []*Upstream
+	// candidates is reused by Choose.
+	candidates []*Upstream
 	// next is where the round-robin tie break continues.
 	next int
 }
 
 // New returns an empty state that accounts for slots in slots.
-func New(slots Slots) *State {
+func New(slots Slots, policy Policy) *State {
 	return &State{
-		slots: slots,
-		owned: map[model.UpstreamID]*Upstream{},
-		pools: map[model.ServiceName]*pool{},
+		slots:  slots,
+		policy: policy,
+		owned:  map[model.UpstreamID]*Upstream{},
+		pools:  map[model.ServiceName]*pool{},
 	}
 }
 
