--- a/internal/bench/plans.go
+++ b/internal/bench/plans.go
@@ -23,6 +23,11 @@
 	// its slots, for policies that bind work at once.
 	baselineQueue = 10
 
+	// shortQueue and longQueue bound the requests that wait at one instance. Each
+	// takes two descriptors of this process, which may have 20,000.
+	shortQueue = 100
+	longQueue  = 50
+
 	mbit = 1_000_000 / 8
 )
 
@@ -34,17 +39,17 @@
 
 func shortRead(deadline time.Duration) settings.Profile {
 	return settings.Profile{Name: "short-read", Class: "short", Repeat: model.RepeatFreely, MaxAttempts: 3,
-		Deadline: settings.Duration(deadline), QueueLimit: 500, Spill: model.SpillAny}
+		Deadline: settings.Duration(deadline), QueueLimit: shortQueue, Spill: model.SpillAny}
 }
 
 func shortWrite(deadline time.Duration) settings.Profile {
 	return settings.Profile{Name: "short-write", Class: "short", Repeat: model.RepeatIfNotRun, MaxAttempts: 3,
-		Deadline: settings.Duration(deadline), QueueLimit: 500, Spill: model.SpillAny}
+		Deadline: settings.Duration(deadline), QueueLimit: shortQueue, Spill: model.SpillAny}
 }
 
 func longDownload(deadline time.Duration) settings.Profile {
 	return settings.Profile{Name: "long-download", Class: "long", Repeat: model.RepeatIfNotRun, MaxAttempts: 2,
-		Deadline: settings.Duration(deadline), QueueLimit: 50, Spill: model.SpillAny}
+		Deadline: settings.Duration(deadline), QueueLimit: longQueue, Spill: model.SpillAny}
 }
 
 // Deadlines of the profiles. Long work takes many times its mean at most, and a
