--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
+	"github.com/anvilcrank/anvilcrank/pkg/upstream"
 )
 
 // loopback lets the system choose a port.
@@ -118,23 +119,25 @@
 
 func (d *Deployment) startUpstreams() error {
 	rng := rand.New(rand.NewPCG(d.Plan.Seed, 1))
+	early := upstream.NewPolicy(d.Plan.Policy).BindsEarly()
 	for _, s := range d.Plan.Services {
 		for k := range s.Upstreams {
 			zone := d.Plan.Zones[k%len(d.Plan.Zones)]
 			n := k / len(d.Plan.Zones)
 			u, err := fake.StartUpstream(fake.UpstreamOptions{
-				ID:          upstreamID(s.Name, zone.Zone, n),
-				Service:     s.Name,
-				Zone:        zone.Zone,
-				Region:      zone.Region,
-				Slots:       s.Slots,
-				Connections: s.Connections,
-				Work:        s.Work,
-				BodySize:    s.BodySize,
-				QueueLimit:  s.QueueLimit,
-				Instances:   d.AddressesFrom(zone.Zone, n),
-				Journal:     d.Journal,
-				Seed:        rng.Uint64(),
+				ID:            upstreamID(s.Name, zone.Zone, n),
+				Service:       s.Name,
+				Zone:          zone.Zone,
+				Region:        zone.Region,
+				Slots:         s.Slots,
+				Connections:   s.Connections,
+				Work:          s.Work,
+				BodySize:      s.BodySize,
+				QueueLimit:    s.QueueLimit,
+				Instances:     d.AddressesFrom(zone.Zone, n),
+				Journal:       d.Journal,
+				AnnounceToAll: early,
+				Seed:          rng.Uint64(),
 			})
 			if err != nil {
 				return err
--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -57,8 +57,11 @@
 	BodySize int
 	// Instances are the addresses to announce to, the preferred one first.
 	Instances []string
-	Journal   *Journal
-	Seed      uint64
+	// AnnounceToAll announces to all of them, as upstreams behind several load
+	// balancers do. It is for policies that bind work at once.
+	AnnounceToAll bool
+	Journal       *Journal
+	Seed          uint64
 }
 
 // Upstream is a fake upstream on a loopback socket.
@@ -92,6 +95,8 @@
 	attempts map[string]*fakeAttempt
 	owner    string
 	first    bool
+	// registered is closed when the first announcement was accepted.
+	registered chan struct{}
 }
 
 type fakeAttempt struct {
@@ -119,6 +124,7 @@
 		attempts:    map[string]*fakeAttempt{},
 		owner:       o.Instances[0],
 		first:       true,
+		registered:  make(chan struct{}),
 	}
 	u.slowdown.Store(100)
 	u.server = &http.Server{Handler: u}
@@ -163,6 +169,9 @@
 	u.mu.Unlock()
 }
 
+// Registered is closed when an instance has accepted the upstream.
+func (u *Upstream) Registered() <-chan struct{} { return u.registered }
+
 // SetSlowdown multiplies the service time by the factor.
 func (u *Upstream) SetSlowdown(factor float64) { u.slowdown.Store(int64(factor * 100)) }
 
@@ -222,22 +231,35 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
+	meant := r.Header.Get(proxy.HeaderIncarnation)
+	if meant != "" && meant != strconv.FormatInt(int64(u.incarnation), 10) {
+		refuse(w)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	a, ok := u.begin(ctx, id, cancel)
 	if !ok {
-		w.Header().Set(proxy.HeaderNotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	}
-	defer u.finish(a)
 	token := r.Header.Get(HeaderToken)
 	flow := Flow{Service: u.options.Service, From: model.Region(r.Header.Get(HeaderOrigin)), To: u.options.Region}
 	work, total := u.serviceTime()
 	u.options.Journal.Run(token, flow, work)
-	defer u.options.Journal.Ended(flow)
+	ended := sync.OnceFunc(func() {
+		u.options.Journal.Ended(flow)
+		u.finish(a)
+	})
+	defer ended()
 	w.Header().Set(HeaderToken, token)
 	w.Header().Set(HeaderUpstream, string(u.options.ID))
-	u.work(ctx, w, token, total)
+	u.work(ctx, w, token, total, ended)
+}
+
+// refuse answers a request that did not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(proxy.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // begin takes a slot, or refuses before anything runs.
@@ -328,8 +350,9 @@
 }
 
 // work waits for the service time and writes the answer. A large one is written
-// in chunks over the second half of the time.
-func (u *Upstream) work(ctx context.Context, w http.ResponseWriter, token string, total time.Duration) {
+// in chunks over the second half of the time. The slot is free once the last
+// chunk is handed to the socket, so ended is called just before that.
+func (u *Upstream) work(ctx context.Context, w http.ResponseWriter, token string, total time.Duration, ended func()) {
 	size := u.options.BodySize
 	chunks := 1
 	if size >= minChunkedBody {
@@ -342,12 +365,15 @@
 	w.Header().Set("Content-Length", strconv.Itoa(size))
 	chunk := bytes.Repeat([]byte{bodyPattern(token)}, (size+chunks-1)/chunks)
 	for sent := 0; sent < size; sent += len(chunk) {
-		if _, err := w.Write(chunk[:min(len(chunk), size-sent)]); err != nil {
-			return
-		}
 		if chunks > 1 && !sleep(ctx, total/bodyChunks) {
 			panic(http.ErrAbortHandler)
 		}
+		if sent+len(chunk) >= size {
+			ended()
+		}
+		if _, err := w.Write(chunk[:min(len(chunk), size-sent)]); err != nil {
+			return
+		}
 	}
 }
 
@@ -406,18 +432,35 @@
 	}
 }
 
-// announce sends one announcement and reports whether it was accepted.
+// announce sends an announcement to the owner, or to all instances, and reports
+// whether one was accepted.
 func (u *Upstream) announce(ctx context.Context) bool {
-	u.mu.Lock()
-	if u.reports.Stopped {
-		u.mu.Unlock()
+	a, owner, ok := u.announcement()
+	if !ok {
 		return true
 	}
-	owner := u.owner
+	targets := []string{owner}
+	if u.options.AnnounceToAll {
+		targets = u.options.Instances
+	}
+	accepted := false
+	for _, t := range targets {
+		if u.post(ctx, t, &a) {
+			accepted = true
+		}
+	}
+	return accepted
+}
+
+// announcement makes the present announcement and names its receiver. It
+// reports false while reports have stopped.
+func (u *Upstream) announcement() (model.Announcement, string, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	now := time.Now()
 	u.history.add(sample{at: now, inFlight: u.inUse + len(u.waiting)})
 	inFlight := u.history.at(now.Add(-u.reports.Lag))
-	a := model.Announcement{
+	return model.Announcement{
 		Upstream:    u.options.ID,
 		Incarnation: u.incarnation,
 		Service:     u.options.Service,
@@ -429,13 +472,16 @@
 		First:       u.first,
 		InFlight:    inFlight,
 		Load:        float64(inFlight) / float64(u.options.Slots),
-	}
-	u.mu.Unlock()
+	}, u.owner, !u.reports.Stopped
+}
+
+// post sends an announcement to an instance and reports whether it was accepted.
+func (u *Upstream) post(ctx context.Context, address string, a *model.Announcement) bool {
 	body, err := json.Marshal(a)
 	if err != nil {
 		return false
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+owner+"/v1/announce", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/announce", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -450,8 +496,11 @@
 		return false
 	}
 	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.first {
+		close(u.registered)
+	}
 	u.first = false
 	u.owner = resp.Request.URL.Host
-	u.mu.Unlock()
 	return true
 }
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -2,61 +2,75 @@
 
 import "github.com/anvilcrank/anvilcrank/pkg/model"
 
-// PolicyName names a selection policy.
-type PolicyName string
+// maxSample bounds the upstreams that are compared for one choice, so that the
+// cost of a choice does not grow with their number.
+const maxSample = 8
 
-// Names of the policies.
-const (
-	// LeastUsed takes the upstream with the smallest share of its slots in use
-	// and lets work wait until a slot is free. It is the default.
-	LeastUsed PolicyName = "anvilcrank"
-	// RoundRobin takes upstreams in turn, whatever their load. It is a baseline.
-	RoundRobin PolicyName = "round-robin"
-	// LeastReported takes the upstream that reported the least load. It is a
-	// baseline.
-	LeastReported PolicyName = "least-reported"
-)
+// Query says which upstream is wanted.
+type Query struct {
+	Service model.ServiceName
+	// Distance of the upstream.
+	Distance int
+	// Region of the upstream, "" for any.
+	Region model.Region
+	// Avoid is an upstream to be used only if there is no other, "" for none.
+	Avoid model.UpstreamID
+}
 
-// Policy selects among upstreams that may take new work.
+// Policy selects one of several upstreams with a free slot.
 type Policy interface {
-	// Pick returns one of the candidates, which are in identifier order beginning
-	// after the last turn's, or nil if none should take work now.
-	Pick(at model.Time, candidates []*Upstream, slots Slots) *Upstream
-	// BindsEarly reports whether work is sent at once and queues at the upstream.
-	// Slots are not counted then.
+	// Pick returns the index of the chosen upstream. There is at least one.
+	Pick(at model.Time, candidates []*Upstream) int
+	// Full reports whether the policy compares all upstreams instead of a sample.
+	Full() bool
+	// BindsEarly reports whether work is sent at once, suspect upstreams included,
+	// and queues at the upstream. No slots are counted then.
 	BindsEarly() bool
 }
 
-// NewPolicy returns the policy with the name; unknown names give the default.
-func NewPolicy(name PolicyName) Policy {
-	switch name {
-	case RoundRobin:
-		return roundRobin{}
-	case LeastReported:
-		return leastReported{}
+// Choose returns an upstream with a free slot, nil if there is none.
+func (s *State) Choose(at model.Time, q Query) *Upstream {
+	p := s.pools[q.Service]
+	if p == nil {
+		return nil
+	}
+	var sample [maxSample]*Upstream
+	candidates := s.sample(at, p, q, sample[:0])
+	if len(candidates) == 0 {
+		return nil
 	}
-	return leastUsed{}
+	return candidates[s.Policy.Pick(at, candidates)]
 }
 
-// BindsEarly reports whether the policy in use sends work at once.
-func (s *State) BindsEarly() bool { return s.policy.BindsEarly() }
-
-// Choose returns the serving upstream of the service that the policy picks, or
-// nil if none should take work now.
-func (s *State) Choose(at model.Time, service model.ServiceName, drained func(*Upstream) bool) *Upstream {
-	p := s.pools[service]
-	if p == nil {
-		return nil
+// sample collects upstreams with a free slot. An upstream found full leaves the
+// ready list, so each is looked at once for every slot it gains.
+func (s *State) sample(at model.Time, p *pool, q Query, into []*Upstream) []*Upstream {
+	limit := maxSample
+	if s.Policy.Full() {
+		limit = len(p.ready[q.Distance])
 	}
-	n := len(p.members)
-	p.candidates = p.candidates[:0]
-	for k := range n {
-		u := p.members[(p.next+k)%n]
-		if u.Announcement.State != model.Serving || at < u.GrantFrom || drained(u) {
+	var spare *Upstream
+	start := 0
+	if n := len(p.ready[q.Distance]); n > limit {
+		start = s.rng.IntN(n)
+	}
+	for k := 0; k < len(p.ready[q.Distance]) && len(into) < limit; {
+		list := p.ready[q.Distance]
+		u := list[(start+k)%len(list)]
+		switch {
+		case u.free(at) <= 0:
+			p.unready(u)
 			continue
+		case q.Region != "" && u.Site.Region != q.Region:
+		case u.Announcement.Upstream == q.Avoid || u.health.suspect && !s.Policy.BindsEarly():
+			spare = u
+		default:
+			into = append(into, u)
 		}
-		p.candidates = append(p.candidates, u)
+		k++
+	}
+	if len(into) == 0 && spare != nil {
+		into = append(into, spare)
 	}
-	p.next = (p.next + 1) % n
-	return s.policy.Pick(at, p.candidates, s.slots)
+	return into
 }
