--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -123,8 +123,8 @@
 }
 
 // headOfLine returns the p99 of short work in the half with long work over that
-// in the half without. The warm-up and the same time after the change are left
-// out.
+// in the half without. The warm-up and a fifth of the second half, in which the
+// queues of long work fill, are left out.
 func (r *runner) headOfLine(all []deployment.Result) float64 {
 	without, with := newLatencies(), newLatencies()
 	for i := range all {
@@ -135,7 +135,7 @@
 		case at < r.scenario.warmUp():
 		case at < r.scenario.half():
 			without.add(all[i].Took)
-		case at >= r.scenario.half()+r.scenario.warmUp():
+		case at >= r.scenario.half()+(r.scenario.duration-r.scenario.half())/5:
 			with.add(all[i].Took)
 		}
 	}
--- a/internal/bench/plans.go
+++ b/internal/bench/plans.go
@@ -129,12 +129,13 @@
 	if o.Name == Tabsangam {
 		p = tabsangam()
 	}
-	p.Policy = o.Policy
+	p.Policy, p.BindEarly = policies[o.Policy], o.isBaseline()
 	p.RecordEvents = recordEvents
 	for i := range p.Services {
 		s := &p.Services[i]
 		s.Work.Mean = time.Duration(float64(s.Work.Mean) * o.timeScale())
-		if isBaseline(o.Policy) {
+		s.Keyed = s.Keyed && !o.NoKeys
+		if o.isBaseline() {
 			s.QueueLimit = baselineQueue * s.Slots
 		}
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -15,7 +15,6 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
-	"github.com/anvilcrank/anvilcrank/pkg/upstream"
 )
 
 // loopback lets the system choose a port.
@@ -100,6 +99,7 @@
 		Dial:        d.network.dialer(m.zone),
 		Seed:        d.Plan.Seed + uint64(len(d.members))<<8 + m.incarnation,
 		Policy:      d.Plan.Policy,
+		BindEarly:   d.Plan.BindEarly,
 		OnInvariant: d.invariantFailed,
 	})
 	if err != nil {
@@ -119,7 +119,6 @@
 
 func (d *Deployment) startUpstreams() error {
 	rng := rand.New(rand.NewPCG(d.Plan.Seed, 1))
-	early := upstream.NewPolicy(d.Plan.Policy).BindsEarly()
 	for _, s := range d.Plan.Services {
 		for k := range s.Upstreams {
 			zone := d.Plan.Zones[k%len(d.Plan.Zones)]
@@ -136,7 +135,7 @@
 				QueueLimit:    s.QueueLimit,
 				Instances:     d.AddressesFrom(zone.Zone, n),
 				Journal:       d.Journal,
-				AnnounceToAll: early,
+				AnnounceToAll: d.Plan.BindEarly,
 				Seed:          rng.Uint64(),
 			})
 			if err != nil {
--- a/internal/deployment/plan.go
+++ b/internal/deployment/plan.go
@@ -7,7 +7,6 @@
 	"github.com/anvilcrank/anvilcrank/internal/fake"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
-	"github.com/anvilcrank/anvilcrank/pkg/upstream"
 )
 
 // Plan describes a deployment.
@@ -16,7 +15,9 @@
 	Services []Service
 	Network  Network
 	// Policy names the policy that selects upstreams; "" is the default.
-	Policy upstream.PolicyName
+	Policy string
+	// BindEarly sends work at once, so that it queues at upstreams.
+	BindEarly bool
 	// RecordEvents is how many events each instance keeps for replay.
 	RecordEvents int
 	Seed         uint64
--- a/pkg/permit/held.go
+++ b/pkg/permit/held.go
@@ -27,6 +27,8 @@
 	deadline model.Time
 	// expires is when the owner has surely ended the permit itself.
 	expires model.Time
+	// use is told to the owner with the release.
+	use message.Use
 	// due is when the last message is repeated.
 	due model.Time
 }
@@ -53,7 +55,7 @@
 }
 
 func (s *State) sendRelease(at model.Time, h *held, out *event.Effects) {
-	out.Add(event.Send{To: h.owner, Message: &message.PermitRelease{Attempt: h.attempt}})
+	out.Add(event.Send{To: h.owner, Message: &message.PermitRelease{Attempt: h.attempt, Use: h.use}})
 	s.schedule(at, h)
 }
 
@@ -87,6 +89,11 @@
 // ReceiveGrant handles a grant. It reports whether the attempt may be
 // dispatched now; otherwise the slot goes back at once.
 func (s *State) ReceiveGrant(at model.Time, from model.InstanceID, m *message.PermitGrant, out *event.Effects) bool {
+	if m.Attempt.Incarnation != s.incarnation {
+		// A former process of this instance may have dispatched on the permit, and
+		// the upstream may still be at work.
+		return false
+	}
 	h := s.held[m.Attempt]
 	if h == nil {
 		// Withdrawn and acknowledged; a repeated request was granted afterwards.
@@ -109,6 +116,19 @@
 	return true
 }
 
+// Note keeps what an attempt showed of its upstream for the owner. It reports
+// whether another instance granted the permit.
+func (s *State) Note(attempt model.AttemptID, use message.Use) bool {
+	h := s.held[attempt]
+	if h == nil || h.phase != granted {
+		return false
+	}
+	h.use.Latency = max(h.use.Latency, use.Latency)
+	h.use.Hold = max(h.use.Hold, use.Hold)
+	h.use.Unreachable = h.use.Unreachable || use.Unreachable
+	return true
+}
+
 // giveBack releases a permit of another instance or withdraws the ask for it.
 func (s *State) giveBack(at model.Time, attempt model.AttemptID, out *event.Effects) bool {
 	h := s.held[attempt]
@@ -127,6 +147,12 @@
 		return false
 	}
 	delete(s.held, m.Attempt)
+	for _, hint := range s.hints[h.request.Service] {
+		if hint.Instance == from {
+			// The hint was out of date; a newer one replaces it.
+			hint.Free, hint.Far, hint.Slots = 0, 0, 0
+		}
+	}
 	return true
 }
 
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
 )
 
 // stubControl records events and answers Submit with err.
@@ -35,6 +36,7 @@
 	return c.err
 }
 func (c *stubControl) Report(b event.Body)   { c.events <- b }
+func (c *stubControl) View() *view.View      { return &view.View{} }
 func (c *stubControl) Done() <-chan struct{} { return c.done }
 
 type noRecorder struct{}
--- a/pkg/request/slots.go
+++ b/pkg/request/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -17,6 +18,11 @@
 	// Asked says that another instance was asked already; the request is moved
 	// only to one that has a free slot.
 	Asked model.AttemptID
+	// FreeOnly asks only an instance that has a free slot.
+	FreeOnly bool
+	// Shift is the traffic shift that the request is part of, "" for none. It
+	// goes to the target region of the shift only.
+	Shift string
 }
 
 // SlotGrant is a slot of an upstream, held for one attempt.
@@ -39,6 +45,12 @@
 	// Release ends the hold of an attempt, or withdraws what was asked for it. It
 	// reports whether there was anything.
 	Release(at model.Time, attempt model.AttemptID, out *event.Effects) bool
+	// Shift decides whether the next request of the service is part of a traffic
+	// shift, and returns its identifier or "".
+	Shift(service model.ServiceName) string
+	// Observe tells what an attempt that still holds its slot showed of its
+	// upstream.
+	Observe(at model.Time, attempt model.AttemptID, use message.Use)
 	// Serves reports whether any upstream of the service is known.
 	Serves(service model.ServiceName) bool
 }
@@ -48,6 +60,7 @@
 func (s *State) askFor(at model.Time, r *request, out *event.Effects) bool {
 	q := s.slotRequest(r, s.nextAttempt())
 	q.Asked = r.ask
+	q.FreeOnly = r.ask.Seq != 0
 	if !s.slots.Ask(at, q, out) {
 		return false
 	}
@@ -70,13 +83,23 @@
 // Granted dispatches the request for which another instance granted a slot.
 func (s *State) Granted(at model.Time, attempt model.AttemptID, grant SlotGrant, out *event.Effects) {
 	r := s.asks[attempt]
-	if r == nil || r.phase != queued || at >= r.deadline {
+	if r == nil || at >= r.deadline {
 		s.slots.Release(at, attempt, out)
 		return
 	}
 	delete(s.asks, attempt)
 	r.ask = model.AttemptID{}
-	s.queue(r.arrived.Service).remove(r)
+	if r.phase == shifting {
+		r.queueIndex = -1
+	} else if r.phase == queued {
+		v := s.services[r.arrived.Service]
+		v.queue.charge(r, v.cost(r.arrived.Tenant))
+		v.queue.remove(r)
+	} else if len(r.attempts) != 1 || r.relayed.Seq != 0 || r.canceled || r.attempts[0].upstream == grant.Upstream {
+		// The hedge is not needed any more or would go to the slow upstream.
+		s.slots.Release(at, attempt, out)
+		return
+	}
 	s.send(at, r, attempt, grant, out)
 }
 
@@ -89,19 +112,26 @@
 	}
 	delete(s.asks, attempt)
 	r.ask = model.AttemptID{}
-	s.askFor(at, r, out)
+	switch r.phase {
+	case queued:
+		s.askFor(at, r, out)
+	case shifting:
+		s.admit(at, r, out)
+	}
 }
 
 // AskMore asks for slots for waiting requests after other instances said what
 // they have.
 func (s *State) AskMore(at model.Time, service model.ServiceName, out *event.Effects) {
-	q := s.queues[service]
-	if q == nil {
+	v := s.services[service]
+	if v == nil {
 		return
 	}
-	for _, r := range q.heap {
-		if !s.askFor(at, r, out) {
-			return
+	for _, t := range v.queue.active {
+		for _, r := range t.heap {
+			if !s.askFor(at, r, out) {
+				return
+			}
 		}
 	}
 }
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -33,6 +33,8 @@
 
 const (
 	claiming phase = iota
+	// shifting requests wait for a slot in the target region of a shift only.
+	shifting
 	queued
 	running
 )
@@ -51,7 +53,9 @@
 	// relayed is the attempt whose answer goes to the caller.
 	relayed model.AttemptID
 	// attempts are the open ones.
-	attempts []model.AttemptID
+	attempts []openAttempt
+	// canceled is set once the caller went away.
+	canceled bool
 	// lastRefusal is the code of the last attempt that provably did not run.
 	lastRefusal result.Code
 	queueIndex  int
@@ -61,23 +65,46 @@
 	failedAt model.UpstreamID
 }
 
+// openAttempt is an attempt that has not ended.
+type openAttempt struct {
+	id       model.AttemptID
+	upstream model.UpstreamID
+	sentAt   model.Time
+}
+
 // claimed reports whether the request holds a ledger claim.
 func (r *request) claimed() bool { return r.arrived.Key.Text != "" && !r.idempotent }
 
+// Faults switch off one rule each. Tests use them to show that their checks
+// notice a broken rule.
+type Faults struct {
+	// RepeatUnknown repeats non-idempotent requests that may have run.
+	RepeatUnknown bool
+	// DenyRun tells that requests did not run although they may have.
+	DenyRun bool
+	// NeverExpire lets requests wait beyond their deadline.
+	NeverExpire bool
+}
+
 // State holds the open requests of this instance.
 type State struct {
+	Faults Faults
+
 	self        model.InstanceID
 	incarnation model.Incarnation
 	slots       Slots
 	ledger      Ledger
 	config      *model.Config
 	open        map[model.RequestID]*request
-	queues      map[model.ServiceName]*queue
+	services    map[model.ServiceName]*service
 	// asks are the waiting requests by the attempt for which a slot was asked.
 	asks map[model.AttemptID]*request
 	// ends holds the deadlines of waiting requests.
-	ends    alarm.Queue[model.RequestID]
-	nextSeq uint64
+	ends   alarm.Queue[model.RequestID]
+	hedges alarm.Queue[hedgeDue]
+	// shiftEnds holds the times at which shifted requests stay at home instead.
+	shiftEnds alarm.Queue[model.RequestID]
+	nextSeq   uint64
 }
 
 // New returns an empty state.
@@ -88,7 +115,7 @@
 		slots:       slots,
 		ledger:      ledger,
 		open:        map[model.RequestID]*request{},
-		queues:      map[model.ServiceName]*queue{},
+		services:    map[model.ServiceName]*service{},
 		asks:        map[model.AttemptID]*request{},
 	}
 }
@@ -124,6 +151,7 @@
 		queueIndex:  -1,
 	}
 	s.open[ev.ID] = r
+	s.service(at, ev.Service).budget.request(at)
 	if r.claimed() {
 		r.phase = claiming
 		s.ledger.Claim(at, &r.arrived, out)
@@ -170,7 +198,17 @@
 		s.finish(at, r, result.DeadlineInQueue, out)
 		return
 	}
-	q := s.queue(r.arrived.Service)
+	if r.phase == claiming && s.shift(at, r, out) {
+		return
+	}
+	v := s.service(at, r.arrived.Service)
+	if v.isTooLate(at, r) {
+		// Checked only now: what is said of a keyed request before its claim is
+		// decided could contradict an earlier attempt.
+		s.finish(at, r, result.DeadlineTooShort, out)
+		return
+	}
+	q := &v.queue
 	if q.Len() == 0 && s.dispatch(at, r, out) {
 		return
 	}
@@ -178,7 +216,7 @@
 		s.finish(at, r, result.NoUpstream, out)
 		return
 	}
-	if q.Len() >= r.profile.QueueLimit {
+	if q.Len() >= r.profile.QueueLimit && !s.makeRoom(at, q, r, out) {
 		s.finish(at, r, result.QueueFull, out)
 		return
 	}
@@ -188,13 +226,16 @@
 	s.askFor(at, r, out)
 }
 
-func (s *State) queue(service model.ServiceName) *queue {
-	q := s.queues[service]
-	if q == nil {
-		q = &queue{}
-		s.queues[service] = q
+// makeRoom refuses a waiting request of the tenant that has the most, if that
+// is fairer than to refuse the new one.
+func (s *State) makeRoom(at model.Time, q *queue, r *request, out *event.Effects) bool {
+	other := q.displaced(r.arrived.Tenant)
+	if other == nil {
+		return false
 	}
-	return q
+	s.leaveQueue(at, other, out)
+	s.finish(at, other, result.QueueFull, out)
+	return true
 }
 
 // dispatch sends the request to an upstream of this instance if a slot is free.
@@ -228,12 +269,16 @@
 func (s *State) send(at model.Time, r *request, id model.AttemptID, grant SlotGrant, out *event.Effects) {
 	r.phase = running
 	r.dispatched++
-	r.attempts = append(r.attempts, id)
+	r.attempts = append(r.attempts, openAttempt{id, grant.Upstream, at})
 	r.failedAt = grant.Upstream
-	if r.dispatched > 1 {
+	switch {
+	case len(r.attempts) > 1:
+		out.Add(event.Count{Counter: event.Hedges, Add: 1})
+	case r.dispatched > 1:
 		out.Add(event.Count{Counter: event.Retries, Add: 1})
 	}
-	if r.dispatched > 1 && r.mayHaveRun && !r.idempotent {
+	s.planHedge(at, r, id)
+	if r.dispatched > 1 && r.mayHaveRun && !r.idempotent && !s.Faults.RepeatUnknown {
 		out.Add(event.InvariantFailed{Name: "at_most_once", Detail: "a non-idempotent request that may have run was dispatched again"})
 	}
 	out.Add(event.Dispatch{
@@ -252,35 +297,47 @@
 // PumpOne dispatches the first waiting request of the service if a slot of this
 // instance is free. It reports whether it did.
 func (s *State) PumpOne(at model.Time, service model.ServiceName, out *event.Effects) bool {
-	q := s.queues[service]
-	if q == nil || q.Len() == 0 {
+	v := s.services[service]
+	if v == nil {
 		return false
 	}
-	r := q.first()
-	if r.deadline <= at || !s.dispatch(at, r, out) {
-		return false
+	for v.queue.Len() > 0 {
+		r := v.queue.first(v.cost)
+		if v.isTooLate(at, r) {
+			s.leaveQueue(at, r, out)
+			s.finish(at, r, result.DeadlineTooShort, out)
+			continue
+		}
+		if !s.dispatch(at, r, out) {
+			return false
+		}
+		v.queue.charge(r, v.cost(r.arrived.Tenant))
+		v.queue.remove(r)
+		return true
 	}
-	q.remove(r)
-	return true
+	return false
 }
 
 // Waiting returns the number of requests that wait for the service.
 func (s *State) Waiting(service model.ServiceName) int {
-	if q := s.queues[service]; q != nil {
-		return q.Len()
+	if v := s.services[service]; v != nil {
+		return v.queue.Len()
 	}
 	return 0
 }
 
-// Wake ends the requests whose deadline passed while they waited.
+// Wake sends the hedges that are due and ends the requests whose deadline
+// passed while they waited.
 func (s *State) Wake(at model.Time, out *event.Effects) {
+	s.wakeHedges(at, out)
+	s.wakeShifts(at, out)
 	for {
 		id, ok := s.ends.Pop(at)
 		if !ok {
 			return
 		}
 		r := s.open[id]
-		if r == nil || r.phase != queued {
+		if r == nil || r.phase != queued || s.Faults.NeverExpire {
 			continue
 		}
 		s.leaveQueue(at, r, out)
@@ -290,20 +347,31 @@
 
 // leaveQueue takes a waiting request out of its queue.
 func (s *State) leaveQueue(at model.Time, r *request, out *event.Effects) {
-	s.queue(r.arrived.Service).remove(r)
+	s.services[r.arrived.Service].queue.remove(r)
 	s.withdraw(at, r, out)
 }
 
 // NextWake returns the earliest time at which Wake has something to do, 0 if
 // there is none.
-func (s *State) NextWake() model.Time { return s.ends.Next() }
+func (s *State) NextWake() model.Time {
+	next := s.ends.Next()
+	for _, t := range [...]model.Time{s.hedges.Next(), s.shiftEnds.Next()} {
+		if next == 0 || t != 0 && t < next {
+			next = t
+		}
+	}
+	return next
+}
 
 // finish ends a request with a code of ours. A code of class NotRun is given
 // only if no attempt may have run.
 func (s *State) finish(at model.Time, r *request, code result.Code, out *event.Effects) {
 	delete(s.open, r.arrived.ID)
+	if s.Faults.DenyRun {
+		code = result.ConnectionFailed
+	}
 	notRun := code.Class() == result.NotRun
-	if notRun && r.mayHaveRun {
+	if notRun && r.mayHaveRun && !s.Faults.DenyRun {
 		code = result.UpstreamLost
 		notRun = false
 	}
--- a/pkg/state/early.go
+++ b/pkg/state/early.go
@@ -7,19 +7,15 @@
 	"github.com/anvilcrank/anvilcrank/pkg/upstream"
 )
 
-// newUpstreams makes the sub-reducer for upstreams. Under a policy that binds
-// work early, every instance takes all upstreams that announce themselves, and
-// none counts slots.
+// newUpstreams makes the sub-reducer for upstreams. Where work is bound early,
+// every instance takes all upstreams that announce themselves, and none counts
+// slots.
 func (s *State) newUpstreams() *upstream.State {
-	policy := upstream.NewPolicy(s.identity.Policy)
-	var u *upstream.State
-	if policy.BindsEarly() {
-		u = upstream.New(uncounted{}, alone{s}, s.identity.Incarnation, s.identity.Seed)
-	} else {
-		u = upstream.New(s.permits, s, s.identity.Incarnation, s.identity.Seed)
+	id := &s.identity
+	if id.BindEarly {
+		return upstream.New(uncounted{}, alone{s}, id.Incarnation, id.Seed)
 	}
-	u.Policy = policy
-	return u
+	return upstream.New(s.permits, s, id.Incarnation, id.Seed)
 }
 
 // alone is a deployment in which no other instance wants the upstreams.
@@ -62,3 +58,6 @@
 
 // Used implements permit.Meter.
 func (unbounded) Used() int { return 0 }
+
+// Oldest implements permit.Meter.
+func (unbounded) Oldest() model.Time { return permit.Never }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -1,8 +1,10 @@
 package state
 
 import (
+	"math/rand/v2"
 	"sort"
 
+	"github.com/anvilcrank/anvilcrank/pkg/agreement"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -21,8 +23,15 @@
 	Address string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
-	// Policy names the policy that selects upstreams; "" is the default.
-	Policy upstream.PolicyName
+	// Policy names the selection policy for benches, "" for the usual one.
+	Policy string
+	// BindEarly sends work at once, without counting slots. Benches use it for
+	// baselines whose work queues at upstreams.
+	BindEarly bool
+	// Disk is true if the instance has a data folder.
+	Disk bool
+	// ControlGroup lists the instances that keep the replicated log.
+	ControlGroup []model.InstanceID
 }
 
 // State is the whole control state of an instance.
@@ -35,6 +44,10 @@
 	upstreams *upstream.State
 	permits   *permit.State
 	ledger    *localLedger
+	// agreement is nil on instances outside the control group.
+	agreement *agreement.State
+
+	configuration *configuration
 
 	// peers are the instances with a standing link.
 	peers map[model.InstanceID]view.Instance
@@ -48,24 +61,32 @@
 
 	stopping bool
 	// stopAt is when callers' cached look-ups have run out.
-	stopAt   model.Time
-	stopped  bool
-	timerAt  model.Time
-	viewDone bool
+	stopAt  model.Time
+	stopped bool
+	// handingOver is set once ownership moves to other instances.
+	handingOver bool
+	timerAt     model.Time
+	rng         *rand.Rand
+	viewDone    bool
 }
 
-// New returns the state of an instance that has seen no event.
-func New(identity Identity) *State {
+// New returns the state of an instance that has seen no event. An instance of
+// the control group needs a codec for its log.
+func New(identity Identity, codec ChangeCodec) *State {
 	s := &State{
 		identity: identity,
-		permits:  permit.New(identity.ID),
+		permits:  permit.New(identity.ID, identity.Incarnation),
 		ledger:   &localLedger{},
 		peers:    map[model.InstanceID]view.Instance{},
+		rng:      rand.New(rand.NewPCG(identity.Seed, 3)),
 		longest:  map[model.ServiceName]model.Duration{},
 		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
+	s.agreement = newAgreement(identity)
 	s.upstreams = s.newUpstreams()
+	s.upstreams.Policy = upstream.NewPolicy(identity.Policy)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
+	s.configuration = newConfiguration(s, newLog(s, codec))
 	return s
 }
 
@@ -73,10 +94,12 @@
 // valid until the next call.
 func (s *State) Step(ev event.Event) []event.Effect {
 	s.out.Reset()
+	s.advanceStop(ev.At)
 	s.route(ev.At, ev.Body)
+	s.applyCommitted(ev.At)
 	s.decideClaims(ev.At)
 	s.pump(ev.At)
-	s.sendHints(ev.At)
+	s.tick(ev.At)
 	s.checkStopped(ev.At)
 	s.publish()
 	s.setTimer()
@@ -102,22 +125,30 @@
 	case event.PeerConnected:
 		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
 		s.viewDone = false
+		s.configuration.distribution.Connected(at, b.Peer, b.Incarnation, b.Zone, out)
 	case event.PeerLost:
 		delete(s.peers, b.Peer)
 		s.peerLost(at, b.Peer)
+		s.configuration.distribution.Lost(at, b.Peer, out)
 		s.viewDone = false
 	case event.PeerReceived:
 		s.receive(at, b)
-	case event.ConfigLoaded:
-		s.configure(at, &b.Config)
+	case event.StorageLoaded:
+		s.storageLoaded(at, b)
+	case event.Persisted:
+		s.persisted(at, b)
 	case event.TimerFired:
 		s.timerAt = 0
 		s.wake(at)
 	case event.Started:
+		s.permits.Start(at)
+		s.configuration.distribution.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
 		s.stop(at)
+	default:
+		s.routeConfig(at, body)
 	}
 }
 
@@ -126,6 +157,8 @@
 	if s.receivePermit(at, b) {
 		return
 	}
+	s.configuration.distribution.Receive(at, b.From, b.Message, &s.out)
+	s.receiveAgreement(at, b)
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -133,9 +166,11 @@
 	if s.config != nil && c.Version <= s.config.Version {
 		return
 	}
+	before := s.config
 	s.config = c
 	s.measureDistances()
 	s.requests.Configure(c)
+	s.permits.Configure(at, s.ownShares(before), s.requests)
 	s.upstreams.Reconfigure()
 	s.viewDone = false
 	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
@@ -147,8 +182,10 @@
 // wake handles everything that is due.
 func (s *State) wake(at model.Time) {
 	s.upstreams.Wake(at, &s.out)
-	s.permits.Wake(at, &s.out)
+	s.permits.Wake(at, s.requests, &s.out)
 	s.requests.Wake(at, &s.out)
+	s.configuration.distribution.Wake(at, &s.out)
+	s.wakeAgreement(at)
 }
 
 // decideClaims passes on the ledger's decisions of this step.
@@ -158,27 +195,6 @@
 	}
 }
 
-// stop begins a graceful stop: look-ups stop naming this instance, and callers
-// with a cached answer are served until it has run out.
-func (s *State) stop(at model.Time) {
-	if s.stopping {
-		return
-	}
-	s.stopping = true
-	s.stopAt = at.Add(view.LookupTTL)
-	s.viewDone = false
-	s.out.Add(event.Log{Code: logevent.ProcessStopping})
-}
-
-func (s *State) checkStopped(at model.Time) {
-	if !s.stopping || s.stopped || at < s.stopAt || s.requests.Open() > 0 {
-		return
-	}
-	s.stopped = true
-	s.out.Add(event.Log{Code: logevent.ProcessStopped})
-	s.out.Add(event.Stopped{})
-}
-
 // publish makes a new view if anything it shows has changed.
 func (s *State) publish() {
 	if s.viewDone {
@@ -188,7 +204,10 @@
 	self := view.Instance{ID: s.identity.ID, Address: s.identity.Address, Zone: s.identity.Zone}
 	self.Region = s.config.RegionOf(self.Zone)
 	v := &view.View{Self: self, Config: s.config, Stopping: s.stopping}
-	for _, p := range s.peers {
+	for id, p := range s.peers {
+		if s.hinting.stopping[id] {
+			continue
+		}
 		p.Region = s.config.RegionOf(p.Zone)
 		v.Instances = append(v.Instances, p)
 	}
@@ -201,10 +220,8 @@
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
-	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextHint())
-	if s.stopping && !s.stopped {
-		next = earliest(next, s.stopAt)
-	}
+	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick(), s.nextStop(),
+		s.configuration.distribution.NextWake(), s.agreementWake())
 	if next == 0 || next == s.timerAt {
 		return
 	}
--- a/pkg/upstream/ownership.go
+++ b/pkg/upstream/ownership.go
@@ -133,6 +133,9 @@
 func (s *State) register(at model.Time, a model.Announcement, out *event.Effects) *Upstream {
 	u := s.insert(at, a)
 	u.candidateUntil = at.Add(candidateWindow)
+	if s.Policy.Observes() {
+		u.beginSlowStart(at)
+	}
 	s.own(u, permit.Account{GrantFrom: permit.Never})
 	s.start(at, u, out)
 	out.Add(event.Log{Code: logevent.UpstreamRegistered, Fields: []logevent.Field{
@@ -192,6 +195,9 @@
 
 func (s *State) update(at model.Time, u *Upstream, a model.Announcement, out *event.Effects) {
 	was := u.Announcement
+	if s.Faults.IgnoreDrain {
+		a.State = model.Serving
+	}
 	switch {
 	case a.State == model.Draining:
 		u.drainSeenAt = at
@@ -199,6 +205,7 @@
 		a.State = model.Draining
 	}
 	u.Announcement = a
+	u.health.load, u.health.loadAt = a.Load, at
 	u.forgetAt = at.Add(retention)
 	s.slots.Renew(a.Upstream, at.Add(LeaseDuration-grantMargin))
 	if was.Slots != a.Slots {
@@ -210,6 +217,8 @@
 	p := s.pools[a.Service]
 	if was.State != a.State {
 		p.unready(u)
+	}
+	if was.State != a.State || was.Slots != a.Slots {
 		p.count()
 	}
 	if u.free(at) > 0 {
@@ -245,6 +254,11 @@
 		return
 	}
 	s.remove(u)
+	if s.Faults.KeepAfterHandover {
+		kept := s.insert(at, u.Announcement)
+		kept.forgetAt = at.Add(retention)
+		s.own(kept, permit.Account{GrantFrom: at, GrantUntil: kept.forgetAt})
+	}
 	h := &handedOver{to: from, message: &message.Handover{
 		Upstream: m.Upstream, Incarnation: m.Incarnation, Tenure: m.Tenure, Permits: permits}}
 	s.handed[m.Upstream] = h
@@ -255,7 +269,7 @@
 // request of the present ownership counts: an older one may have missed grants.
 func (s *State) ReceiveHandover(at model.Time, m *message.Handover) {
 	u := s.owned[m.Upstream]
-	if u == nil || u.candidateUntil != 0 || u.tenure == 0 || u.tenure != m.Tenure || u.Announcement.Incarnation != m.Incarnation {
+	if u == nil || u.candidateUntil != 0 || u.tenure == 0 || u.tenure != m.Tenure && !s.Faults.AnyTenure || u.Announcement.Incarnation != m.Incarnation {
 		return
 	}
 	u.tenure = 0
--- a/pkg/upstream/policy.go
+++ b/pkg/upstream/policy.go
@@ -1,28 +1,32 @@
 package upstream
 
-// PolicyName names a selection policy.
-type PolicyName string
+import "github.com/anvilcrank/anvilcrank/pkg/model"
 
-// Names of the policies.
+// Policy selects one of several upstreams with a free slot.
+type Policy interface {
+	// Pick returns the index of the chosen upstream. There is at least one.
+	Pick(at model.Time, candidates []*Upstream) int
+	// Full reports whether the policy compares all upstreams instead of a sample.
+	Full() bool
+	// Observes reports whether suspicion and slow start apply.
+	Observes() bool
+}
+
+// Names of policies.
 const (
-	// PolicyLeastExpected is the default.
-	PolicyLeastExpected PolicyName = "anvilcrank"
-	// PolicyRoundRobin is a baseline for benchmarks.
-	PolicyRoundRobin PolicyName = "round-robin"
-	// PolicyLeastReported is a baseline for benchmarks.
-	PolicyLeastReported PolicyName = "least-reported"
+	PolicyLeastExpected = "least-expected"
+	PolicyRoundRobin    = "round-robin"
+	PolicyLeastLoad     = "least-load"
 )
 
-// Policies lists the names of all policies.
-var Policies = []PolicyName{PolicyLeastExpected, PolicyRoundRobin, PolicyLeastReported}
-
-// NewPolicy returns the policy with the name; other names give the default.
-func NewPolicy(name PolicyName) Policy {
+// NewPolicy returns the policy with the name. Any other name stands for
+// PolicyLeastExpected.
+func NewPolicy(name string) Policy {
 	switch name {
 	case PolicyRoundRobin:
-		return &RoundRobin{}
-	case PolicyLeastReported:
-		return &LeastReported{}
+		return &RoundRobin{last: map[model.ServiceName]model.UpstreamID{}}
+	case PolicyLeastLoad:
+		return &LeastLoad{}
 	}
 	return &LeastExpected{}
 }
--- a/pkg/upstream/policy_roundrobin.go
+++ b/pkg/upstream/policy_roundrobin.go
@@ -2,21 +2,35 @@
 
 import "github.com/anvilcrank/anvilcrank/pkg/model"
 
-// RoundRobin takes the upstreams of a service in turn, whatever their load.
-type RoundRobin struct{ turns map[model.ServiceName]int }
+// RoundRobin picks the upstreams with a free slot in turn, in identifier order.
+// It is a baseline for benches.
+type RoundRobin struct {
+	last map[model.ServiceName]model.UpstreamID
+}
 
 // Full implements Policy.
 func (*RoundRobin) Full() bool { return true }
 
-// BindsEarly implements Policy.
-func (*RoundRobin) BindsEarly() bool { return true }
+// Observes implements Policy.
+func (*RoundRobin) Observes() bool { return false }
 
 // Pick implements Policy.
 func (r *RoundRobin) Pick(_ model.Time, candidates []*Upstream) int {
-	if r.turns == nil {
-		r.turns = map[model.ServiceName]int{}
-	}
 	service := candidates[0].Announcement.Service
-	r.turns[service]++
-	return r.turns[service] % len(candidates)
+	last := r.last[service]
+	next, first := -1, 0
+	for i, u := range candidates {
+		id := u.Announcement.Upstream
+		if id < candidates[first].Announcement.Upstream {
+			first = i
+		}
+		if id > last && (next < 0 || id < candidates[next].Announcement.Upstream) {
+			next = i
+		}
+	}
+	if next < 0 {
+		next = first
+	}
+	r.last[service] = candidates[next].Announcement.Upstream
+	return next
 }
