--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -70,9 +70,10 @@
 		tenants:  map[tenantKey]*latencies{},
 	}
 	for i := range all {
-		m.counts.Add(&all[i], r.deployment.Journal.Runs(all[i].Token))
+		m.counts.Add(&all[i], r.deployment.Journal)
 		r.addLatency(m, &all[i])
 	}
+	m.counts.AddKeys(r.deployment.Journal)
 	m.figures[headroom] = r.usefulShare(all)
 	m.figures[maxLinkWait] = float64(r.deployment.MaxLinkWait().Microseconds()) / 1000
 	m.figures[generatorLag] = r.lag.percentile(99)
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -205,6 +205,7 @@
 		Region:     zone.Region,
 		Token:      q.Token,
 		Idempotent: service.Idempotent(),
+		Keyed:      service.Keyed,
 		Intended:   a.at,
 	}
 	result.Instance, result.Reply = r.try(ctx, caller, q)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -55,7 +55,7 @@
 		name  string
 		count int
 	}{
-		{"requests", r.Requests}, {"answered", r.Answered}, {"refused, not run", r.RefusedNotRun},
+		{"requests", r.Requests}, {"resent with the same key", r.Resent}, {"answered", r.Answered}, {"refused, not run", r.RefusedNotRun},
 		{"outcome unknown", r.OutcomeUnknown}, {"lost", r.Lost}, {"wrong answers", r.WrongAnswers},
 		{"duplicate runs", r.DuplicateRuns}, {"false \"not run\"", r.FalseNotRun}, {"cut off", r.CutOff},
 		{"broken by a fault", r.BrokenByFault}, {"violations", r.Violations},
@@ -71,12 +71,18 @@
 const (
 	// callersEach is the number of callers of each service in each zone.
 	callersEach = 4
-	// settleTime lets links stand and upstreams announce themselves.
-	settleTime = 700 * time.Millisecond
+	// settleTime lets links stand, upstreams announce themselves, and the floor
+	// of the ledger pass: replicas that just started grant no key issued within
+	// MaxClockSkew of their start.
+	settleTime = model.MaxClockSkew + 300*time.Millisecond
 	// thinkTime is the mean pause between the requests of a caller.
 	thinkTime = 20 * time.Millisecond
 )
 
+// Every resendEvery-th keyed request is sent again at another instance, in turn
+// at the same time and after the answer.
+const resendEvery = 5
+
 // Run runs the demo.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	if o.Progress == nil {
@@ -150,10 +156,11 @@
 					Seeds: d.AddressesFrom(zone.Zone, k)})
 				rng := rand.New(rand.NewPCG(seed, uint64(z*callersEach+k)))
 				wg.Add(1)
+				caller := &caller{Caller: c, deployment: d, service: s, rng: rng}
 				go func() {
 					defer wg.Done()
 					defer c.Close()
-					results := runCaller(ctx, d, c, s, rng)
+					results := caller.run(ctx)
 					mu.Lock()
 					all = append(all, results...)
 					mu.Unlock()
@@ -165,30 +172,6 @@
 	return all
 }
 
-func runCaller(ctx context.Context, d *deployment.Deployment, c *fake.Caller, s *deployment.Service, rng *rand.Rand) []deployment.Result {
-	var results []deployment.Result
-	for n := 0; ctx.Err() == nil; n++ {
-		to, err := c.Instance(ctx, s.Name)
-		if err != nil {
-			continue
-		}
-		q := fake.Request{
-			Service: s.Name,
-			Tenant:  model.Tenant(fmt.Sprintf("house-%d", rng.IntN(3))),
-			Method:  s.Method,
-			Token:   fmt.Sprintf("%s/%d", c.Name(), n),
-			Size:    s.BodySize,
-		}
-		start := time.Now()
-		reply := c.Do(context.WithoutCancel(ctx), to, q)
-		results = append(results, deployment.Result{
-			Service: s.Name, Tenant: q.Tenant, Instance: to.ID, Token: q.Token, Idempotent: s.Idempotent(),
-			Took: time.Since(start), Reply: reply, Faulted: d.Faulted(to.ID, reply)})
-		pause(ctx, time.Duration(rng.ExpFloat64()*float64(thinkTime)))
-	}
-	return results
-}
-
 func report(d *deployment.Deployment, results []deployment.Result) *Report {
 	r := &Report{}
 	for i := range d.Plan.Services {
@@ -196,9 +179,10 @@
 	}
 	for i := range results {
 		s := &results[i]
-		r.Add(s, d.Journal.Runs(s.Token))
+		r.Add(s, d.Journal)
 		r.row(s.Service).add(s)
 	}
+	r.AddKeys(d.Journal)
 	d.CheckSlots()
 	r.Details = d.Violations()
 	r.Violations = len(r.Details)
--- a/internal/deployment/counts.go
+++ b/internal/deployment/counts.go
@@ -16,6 +16,12 @@
 	Token    string
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// Keyed requests carry an idempotency key; Resent ones were sent before with
+	// the same key.
+	Keyed, Resent bool
+	// RanBefore says that a request with the token had begun to run before this
+	// one was sent.
+	RanBefore bool
 	// Intended is when the request was to be sent, since the start of the load.
 	Intended time.Duration
 	// Took is the time from the intended start to the end of the answer.
@@ -34,9 +40,13 @@
 	OutcomeUnknown int `json:"outcome_unknown"`
 	Lost           int `json:"lost"`
 	WrongAnswers   int `json:"wrong_answers"`
-	DuplicateRuns  int `json:"duplicate_runs"`
-	FalseNotRun    int `json:"false_not_run"`
-	CutOff         int `json:"cut_off"`
+	// DuplicateRuns counts keys, and requests without one, that ran more than
+	// once.
+	DuplicateRuns int `json:"duplicate_runs"`
+	// Resent counts the requests sent again with the same key.
+	Resent      int `json:"resent"`
+	FalseNotRun int `json:"false_not_run"`
+	CutOff      int `json:"cut_off"`
 	// BrokenByFault counts requests that broke because a fault ended the instance
 	// or the upstream they were at.
 	BrokenByFault int `json:"broken_by_fault"`
@@ -45,16 +55,22 @@
 	Codes map[string]int `json:"codes,omitempty"`
 }
 
-// Add counts a result. runs is how often the request ran.
-func (c *Counts) Add(r *Result, runs int) {
+// AddKeys counts the keys that ran more than once.
+func (c *Counts) AddKeys(j *fake.Journal) { c.DuplicateRuns += j.DuplicateKeys() }
+
+// Add counts a result and compares it with what ran.
+func (c *Counts) Add(r *Result, j *fake.Journal) {
 	c.Requests++
+	if r.Resent {
+		c.Resent++
+	}
 	if r.Reply.Code != "" {
 		if c.Codes == nil {
 			c.Codes = map[string]int{}
 		}
 		c.Codes[r.Reply.Code]++
 	}
-	if runs > 1 && !r.Idempotent {
+	if j.Runs(r.Token) > 1 && !r.Idempotent && !r.Keyed {
 		c.DuplicateRuns++
 	}
 	switch r.Reply.Outcome {
@@ -62,7 +78,8 @@
 		c.Answered++
 	case fake.RefusedNotRun:
 		c.RefusedNotRun++
-		if runs > 0 {
+		// A resend at another instance may run after this refusal.
+		if r.RanBefore || j.RunsBy(r.Token, r.Instance) > 0 {
 			c.FalseNotRun++
 		}
 	case fake.Unknown:
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -38,9 +38,10 @@
 	ReplayAnswer(event.ReplayAnswer)
 }
 
-// Peers sends messages to other instances. Send must not block.
+// Peers sends messages to other instances. Its methods must not block.
 type Peers interface {
 	Send(to model.InstanceID, m message.Message)
+	Connect(address string)
 }
 
 // Storage carries out writes to the data folder. Persist must not block.
@@ -229,6 +230,8 @@
 		l.handlers.Peers.Send(e.To, e.Message)
 	case event.Persist:
 		l.handlers.Storage.Persist(e)
+	case event.Connect:
+		l.handlers.Peers.Connect(e.Address)
 	case event.SetTimer:
 		l.timer.Reset(l.clock.Until(e.At))
 	case event.Publish:
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -44,4 +44,5 @@
 	ConfigLoaded{}, BootstrapOffered{}, ConfigSaved{},
 	ChangeProposed{}, StatusRequested{}, HistoryRequested{},
 	StorageLoaded{}, Persisted{},
+	OutcomeRequested{},
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -2,11 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 
 	"github.com/anvilcrank/anvilcrank/pkg/agreement"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/ledger"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/membership"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/permit"
 	"github.com/anvilcrank/anvilcrank/pkg/request"
@@ -21,6 +22,8 @@
 	Zone        model.Zone
 	// Address is where this instance takes callers' requests.
 	Address string
+	// PeerAddress is where this instance takes links.
+	PeerAddress string
 	// Seed starts the random numbers of the reducer.
 	Seed uint64
 	// Policy names the selection policy for benches, "" for the usual one.
@@ -43,7 +46,8 @@
 	requests  *request.State
 	upstreams *upstream.State
 	permits   *permit.State
-	ledger    *localLedger
+	ledger    *ledger.State
+	members   *membership.State
 	// agreement is nil on instances outside the control group.
 	agreement *agreement.State
 
@@ -76,7 +80,8 @@
 	s := &State{
 		identity: identity,
 		permits:  permit.New(identity.ID, identity.Incarnation),
-		ledger:   &localLedger{},
+		ledger:   ledger.New(identity.ID, identity.Incarnation),
+		members:  newMembership(&identity),
 		peers:    map[model.InstanceID]view.Instance{},
 		rng:      rand.New(rand.NewPCG(identity.Seed, 3)),
 		longest:  map[model.ServiceName]model.Duration{},
@@ -124,13 +129,13 @@
 		s.upstreams.Announce(at, b, out)
 	case event.PeerConnected:
 		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
-		s.viewDone = false
+		s.members.Connected(at, connectedMember(&b), out)
 		s.configuration.distribution.Connected(at, b.Peer, b.Incarnation, b.Zone, out)
 	case event.PeerLost:
 		delete(s.peers, b.Peer)
+		s.members.Lost(b.Peer)
 		s.peerLost(at, b.Peer)
 		s.configuration.distribution.Lost(at, b.Peer, out)
-		s.viewDone = false
 	case event.PeerReceived:
 		s.receive(at, b)
 	case event.StorageLoaded:
@@ -140,9 +145,13 @@
 	case event.TimerFired:
 		s.timerAt = 0
 		s.wake(at)
+	case event.OutcomeRequested:
+		s.ledger.Query(at, b, out)
 	case event.Started:
 		s.permits.Start(at)
 		s.configuration.distribution.Start(at)
+		s.ledger.Start(at)
+		s.members.Start(at)
 		out.Add(event.Log{Code: logevent.ProcessStarted, Fields: []logevent.Field{
 			logevent.F("instance", s.identity.ID), logevent.F("zone", s.identity.Zone)}})
 	case event.StopRequested:
@@ -154,11 +163,14 @@
 
 // receive routes a message of another instance.
 func (s *State) receive(at model.Time, b event.PeerReceived) {
-	if s.receivePermit(at, b) {
-		return
+	switch {
+	case s.receivePermit(at, b):
+	case s.ledger.Receive(at, b.From, b.Message, &s.out):
+	case s.members.Receive(at, b.From, b.Message, &s.out):
+	default:
+		s.configuration.distribution.Receive(at, b.From, b.Message, &s.out)
+		s.receiveAgreement(at, b)
 	}
-	s.configuration.distribution.Receive(at, b.From, b.Message, &s.out)
-	s.receiveAgreement(at, b)
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -172,6 +184,7 @@
 	s.requests.Configure(c)
 	s.permits.Configure(at, s.ownShares(before), s.requests)
 	s.upstreams.Reconfigure()
+	s.ledger.Configure(at, c)
 	s.viewDone = false
 	s.out.Add(event.Log{Code: logevent.ConfigInForce, Fields: []logevent.Field{logevent.F("version", c.Version)}})
 	for _, svc := range c.Services {
@@ -184,44 +197,28 @@
 	s.upstreams.Wake(at, &s.out)
 	s.permits.Wake(at, s.requests, &s.out)
 	s.requests.Wake(at, &s.out)
+	s.ledger.Wake(at, &s.out)
+	s.members.Wake(at, &s.out)
 	s.configuration.distribution.Wake(at, &s.out)
 	s.wakeAgreement(at)
 }
 
-// decideClaims passes on the ledger's decisions of this step.
-func (s *State) decideClaims(at model.Time) {
-	for _, d := range s.ledger.take() {
-		s.requests.ClaimDecided(at, d, &s.out)
-	}
-}
-
 // publish makes a new view if anything it shows has changed.
 func (s *State) publish() {
-	if s.viewDone {
+	if !s.members.TakeChanged() && s.viewDone {
 		return
 	}
 	s.viewDone = true
 	self := view.Instance{ID: s.identity.ID, Address: s.identity.Address, Zone: s.identity.Zone}
 	self.Region = s.config.RegionOf(self.Zone)
-	v := &view.View{Self: self, Config: s.config, Stopping: s.stopping}
-	for id, p := range s.peers {
-		if s.hinting.stopping[id] {
-			continue
-		}
-		p.Region = s.config.RegionOf(p.Zone)
-		v.Instances = append(v.Instances, p)
-	}
-	if !s.stopping {
-		v.Instances = append(v.Instances, self)
-	}
-	sort.Slice(v.Instances, func(i, j int) bool { return v.Instances[i].ID < v.Instances[j].ID })
+	v := &view.View{Self: self, Config: s.config, Instances: s.servingInstances(), Stopping: s.stopping}
 	s.out.Add(event.Publish{View: v})
 }
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
 func (s *State) setTimer() {
 	next := earliest(s.upstreams.NextWake(), s.permits.NextWake(), s.requests.NextWake(), s.nextTick(), s.nextStop(),
-		s.configuration.distribution.NextWake(), s.agreementWake())
+		s.ledger.NextWake(), s.members.NextWake(), s.configuration.distribution.NextWake(), s.agreementWake())
 	if next == 0 || next == s.timerAt {
 		return
 	}
