--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// settleTime lets links stand and upstreams announce themselves.
-	settleTime       = time.Second
+	// settleTime lets links stand and upstreams announce themselves, and passes the
+	// floor of the ledger: keys issued in the first 2 s of a replica are refused.
+	settleTime       = 3 * time.Second
 	progressInterval = 5 * time.Second
 	// maxTries bounds the instances a caller turns to when it cannot connect.
 	maxTries = 4
