--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -44,7 +44,7 @@
 	d.mu.Lock()
 	d.loads[name] = l
 	d.mu.Unlock()
-	caller := fake.NewCaller(name, model.Zone(o["zone"]), seeds)
+	caller := fake.NewCaller(fake.CallerOptions{Name: name, Zone: model.Zone(o["zone"]), Seeds: seeds})
 	go func() {
 		defer close(l.done)
 		defer caller.Close()
@@ -71,8 +71,8 @@
 		q.Key = model.NewKey(zone, now, fmt.Sprintf("%s%08d", name, l.sent))
 		q.Token = q.Key
 	}
-	if outcome, code := c.Do(context.Background(), to, q); outcome != fake.Answered {
-		l.failed = append(l.failed, fmt.Sprintf("request %d at %s: outcome %d code %q", l.sent, to.ID, outcome, code))
+	if reply := c.Do(context.Background(), to, q); reply.Outcome != fake.Answered {
+		l.failed = append(l.failed, fmt.Sprintf("request %d at %s: outcome %d code %q", l.sent, to.ID, reply.Outcome, reply.Code))
 	}
 }
 
@@ -119,7 +119,7 @@
 	if err := parseDuration(o, "eventually", &eventually); err != nil {
 		return err
 	}
-	caller := fake.NewCaller("sequence", model.Zone(to.zone), []string{to.address()})
+	caller := fake.NewCaller(fake.CallerOptions{Name: "sequence", Zone: model.Zone(to.zone), Seeds: []string{to.address()}})
 	defer caller.Close()
 	limit := time.Now().Add(eventually)
 	fast := 0
@@ -127,12 +127,12 @@
 		start := time.Now()
 		token := fmt.Sprintf("sequence-%d-%d", start.UnixNano(), k)
 		q := fake.Request{Service: model.ServiceName(args[2]), Method: args[1], Tenant: "scenario", Token: token, Size: defaultSize}
-		outcome, code := caller.Do(context.Background(), view.Instance{Address: to.address()}, q)
-		if outcome != fake.Answered {
+		reply := caller.Do(context.Background(), view.Instance{Address: to.address()}, q)
+		if reply.Outcome != fake.Answered {
 			if k == 0 && time.Now().Before(limit) {
 				continue
 			}
-			return fmt.Errorf("call %d: outcome %d code %q", k, outcome, code)
+			return fmt.Errorf("call %d: outcome %d code %q", k, reply.Outcome, reply.Code)
 		}
 		if within == 0 || time.Since(start) <= within {
 			fast++
