--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,62 @@
+package bench_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/internal/bench"
+)
+
+// A run at full size without faults has to report every field and no violation.
+func TestShortSteadyRun(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs whole deployments")
+	}
+	for name, services := range map[string][]string{
+		bench.Bell:      {"catalogue", "deposits", "drawings"},
+		bench.Tabsangam: {"tabview", "settlekhata", "bahikhata-export"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s, err := bench.Run(context.Background(), bench.Options{
+				Name: name, Policy: "anvilcrank", Scenario: bench.Steady, Seeds: 1, Seed: 1, Duration: 2 * time.Second, TimeScale: 2})
+			g.Expect(err).NotTo(HaveOccurred())
+			data, err := json.Marshal(s)
+			g.Expect(err).NotTo(HaveOccurred())
+			var out map[string]any
+			g.Expect(json.Unmarshal(data, &out)).To(Succeed())
+			for _, field := range []string{"answered", "refused_not_run", "outcome_unknown", "lost", "wrong_answers",
+				"duplicate_runs", "false_not_run", "cut_off", "violations", "headroom", "drain_last_new_work_s",
+				"hol_ratio", "max_slot_use", "max_region_use", "spread"} {
+				g.Expect(out).To(HaveKey(field))
+			}
+			for _, service := range services {
+				g.Expect(out["services"]).To(HaveKeyWithValue(service, And(
+					HaveKey("p50_ms"), HaveKey("p99_ms"), HaveKey("p999_ms"), HaveKey("tenants"))))
+			}
+			g.Expect(out["answered"]).To(BeNumerically(">", 0))
+			g.Expect(s.FailedNames()).To(BeEmpty(), "%s", data)
+		})
+	}
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	g := NewWithT(t)
+	good := bench.Options{Name: bench.Bell, Policy: "anvilcrank", Scenario: bench.Steady, Seeds: 1}
+	g.Expect(good.Validate()).To(Succeed())
+	for _, spoil := range []func(*bench.Options){
+		func(o *bench.Options) { o.Name = "x" },
+		func(o *bench.Options) { o.Policy = "x" },
+		func(o *bench.Options) { o.Scenario = "x" },
+		func(o *bench.Options) { o.Seeds = 0 },
+		func(o *bench.Options) { o.Duration = -1 },
+	} {
+		bad := good
+		spoil(&bad)
+		g.Expect(bad.Validate()).NotTo(Succeed())
+	}
+}
--- a/internal/fake/journal.go
+++ b/internal/fake/journal.go
@@ -2,19 +2,47 @@
 
 import (
 	"hash/fnv"
+	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
 // Journal records which requests ran, by the token and the idempotency key that
-// each carries.
+// each carries, and how many ran at once in each region and for each flow.
 type Journal struct {
-	mu     sync.Mutex
-	runs   map[string]int
-	runsBy map[runBy]int
-	keys   map[string]int
+	mu      sync.Mutex
+	runs    map[string]runs
+	runsBy  map[runBy]int
+	keys    map[string]int
+	flows   map[Flow]*gauge
+	regions map[model.Region]*gauge
+}
+
+// Run is a request that begins to run.
+type Run struct {
+	Token string
+	// Key is "" for a request without one.
+	Key string
+	// Attempt is the Anvilcrank-Attempt header.
+	Attempt string
+	Flow    Flow
+	// Work is the time the request holds a slot when nothing slows it down.
+	Work time.Duration
+}
+
+// Flow is the work of a service that arrives in one region and runs in another.
+type Flow struct {
+	Service  model.ServiceName
+	From, To model.Region
+}
+
+// runs are the runs of one request.
+type runs struct {
+	count int
+	work  time.Duration
 }
 
 // runBy is a request as one instance sent it to an upstream.
@@ -23,22 +51,54 @@
 	instance model.InstanceID
 }
 
+// gauge counts what goes on at once.
+type gauge struct{ now, most int }
+
+func (g *gauge) add(n int) {
+	g.now += n
+	g.most = max(g.most, g.now)
+}
+
 // NewJournal returns an empty journal.
 func NewJournal() *Journal {
-	return &Journal{runs: map[string]int{}, runsBy: map[runBy]int{}, keys: map[string]int{}}
+	return &Journal{
+		runs:    map[string]runs{},
+		runsBy:  map[runBy]int{},
+		keys:    map[string]int{},
+		flows:   map[Flow]*gauge{},
+		regions: map[model.Region]*gauge{},
+	}
 }
 
-// Run records that the request with the token began to run. The key is "" for a
-// request without one; the attempt is its Anvilcrank-Attempt header.
-func (j *Journal) Run(token, key, attempt string) {
-	instance, _, _ := strings.Cut(attempt, "/")
+// Run records that a request began to run. Ended must follow.
+func (j *Journal) Run(r Run) {
+	instance, _, _ := strings.Cut(r.Attempt, "/")
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.runs[token]++
-	j.runsBy[runBy{token, model.InstanceID(instance)}]++
-	if key != "" {
-		j.keys[key]++
+	j.runs[r.Token] = runs{count: j.runs[r.Token].count + 1, work: r.Work}
+	j.runsBy[runBy{r.Token, model.InstanceID(instance)}]++
+	if r.Key != "" {
+		j.keys[r.Key]++
 	}
+	j.add(r.Flow, 1)
+}
+
+// Ended records that a run has ended.
+func (j *Journal) Ended(flow Flow) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.add(flow, -1)
+}
+
+func (j *Journal) add(flow Flow, n int) {
+	if j.flows[flow] == nil {
+		j.flows[flow] = &gauge{}
+	}
+	if j.regions[flow.To] == nil {
+		j.regions[flow.To] = &gauge{}
+	}
+	j.flows[flow].add(n)
+	j.regions[flow.To].add(n)
 }
 
 // RunsBy returns how often the request with the token ran for the instance.
@@ -66,9 +126,40 @@
 func (j *Journal) Runs(token string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.runs[token]
+	return j.runs[token].count
+}
+
+// Work returns the undisturbed slot time of the request with the token.
+func (j *Journal) Work(token string) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.runs[token].work
+}
+
+// MostInFlow returns the most requests of a flow that ran at once.
+func (j *Journal) MostInFlow(flow Flow) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if g := j.flows[flow]; g != nil {
+		return g.most
+	}
+	return 0
+}
+
+// MostInRegion returns the most requests that ran at once in a region.
+func (j *Journal) MostInRegion(region model.Region) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if g := j.regions[region]; g != nil {
+		return g.most
+	}
+	return 0
 }
 
+// entityTag returns the tag of the answer to a request. It tells a caller whose
+// answer it got, and is kept with recorded answers.
+func entityTag(token string) string { return strconv.Quote(token) }
+
 // bodyPattern returns the byte that fills the answer to a request, so that a
 // caller notices another request's answer.
 func bodyPattern(token string) byte {
--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -163,7 +163,7 @@
 		Zone:        model.Zone(at.zone),
 		Slots:       defaultSlots,
 		Connections: defaultConnections,
-		ServiceTime: defaultServiceTime,
+		Work:        fake.Work{Mean: defaultServiceTime},
 		BodySize:    defaultSize,
 		Journal:     d.journal,
 		Instances:   []string{at.address()},
@@ -174,7 +174,7 @@
 	if err := parseInt(o, "size", &u.BodySize); err != nil {
 		return err
 	}
-	if err := parseDuration(o, "time", &u.ServiceTime); err != nil {
+	if err := parseDuration(o, "time", &u.Work.Mean); err != nil {
 		return err
 	}
 	for _, i := range d.instances {
--- a/pkg/state/slots.go
+++ b/pkg/state/slots.go
@@ -34,7 +34,9 @@
 	if u == nil {
 		return request.SlotGrant{}, false
 	}
-	l.s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
+	if !l.s.identity.BindEarly {
+		l.s.permits.Grant(at, u.Announcement.Upstream, r.Attempt, r.Deadline, out)
+	}
 	grant := grantOf(u)
 	grant.StartBy = at.Add(permit.Validity)
 	return grant, true
@@ -49,7 +51,7 @@
 		if u := s.upstreams.Choose(at, q); u != nil {
 			return u
 		}
-		if s.freeHint(at, r.Service, distance) != nil {
+		if !s.identity.BindEarly && s.freeHint(at, r.Service, distance) != nil {
 			return nil
 		}
 	}
@@ -118,6 +120,9 @@
 // this instance if it owns upstreams of the service, or else at another.
 func (l *slots) Ask(at model.Time, r request.SlotRequest, out *event.Effects) bool {
 	s := l.s
+	if s.identity.BindEarly {
+		return false
+	}
 	var h *permit.Hint
 	if r.Shift != "" {
 		h = s.shiftHint(at, r.Service, r.Shift)
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -28,6 +28,9 @@
 	Seed uint64
 	// Policy names the selection policy for benches, "" for the usual one.
 	Policy string
+	// BindEarly sends work at once, without counting slots. Benches use it for
+	// baselines whose work queues at upstreams.
+	BindEarly bool
 	// Disk is true if the instance has a data folder.
 	Disk bool
 	// ControlGroup lists the instances that keep the replicated log.
@@ -91,7 +94,7 @@
 		hinting:  hinting{stopping: map[model.InstanceID]bool{}},
 	}
 	s.agreement = newAgreement(identity)
-	s.upstreams = upstream.New(s.permits, s, identity.Incarnation, identity.Seed)
+	s.upstreams = s.newUpstreams()
 	s.upstreams.Policy = upstream.NewPolicy(identity.Policy)
 	s.requests = request.New(identity.ID, identity.Incarnation, &slots{s}, s.ledger)
 	s.configuration = newConfiguration(s, newLog(s, codec))
