Script the operators' failures

Cause: control state had no scenario over real processes.

Look-ups leave out instances, zones and regions that operators drain, which operator-drain found missing.

--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -81,7 +82,9 @@
 		}
 		return nil
 	}),
-	"start":        command("start NAME...", 1, each((*deployment).start)),
+	"start": command("start NAME...", 1, func(_ *testscript.TestScript, d *deployment, args []string) error {
+		return d.start(args)
+	}),
 	"crash":        command("crash NAME...", 1, signal(syscall.SIGKILL)),
 	"freeze":       command("freeze NAME...", 1, signal(syscall.SIGSTOP)),
 	"thaw":         command("thaw NAME...", 1, signal(syscall.SIGCONT)),
@@ -129,6 +132,11 @@
 		time.Sleep(wait)
 		return err
 	}),
+	"changes": command("changes COUNT INSTANCE", 2, changes),
+	"leader":  command("leader VARIABLE INSTANCE", 2, leader),
+	"loseDisk": command("loseDisk NAME", 1, each(func(d *deployment, name string) error {
+		return os.RemoveAll(filepath.Join(d.dir, "data-"+name))
+	})),
 	"await":  command("await DURATION REGEXP PROGRAM ARG...", 3, await),
 	"newkey": command("newkey VARIABLE ZONE", 2, newKey),
 }
@@ -141,6 +149,53 @@
 	}
 }
 
+// leader puts the name of the leader, as an instance knows it, into a variable.
+func leader(ts *testscript.TestScript, d *deployment, args []string) error {
+	i, err := d.instance(args[1])
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		out, _ := exec.Command(filepath.Join(d.binary, "anvilcrank"), "status", "--instance", i.address(), "--json").Output()
+		var status struct {
+			Leader  string `json:"leader"`
+			Current bool   `json:"current"`
+		}
+		if json.Unmarshal(out, &status) == nil && status.Current && status.Leader != "" {
+			ts.Setenv(args[0], status.Leader)
+			ts.Setenv(args[0]+"_address", d.addressOf(status.Leader))
+			if other := d.memberBesides(status.Leader); other != nil {
+				ts.Setenv("other", other.name)
+				ts.Setenv("other_address", other.address())
+			}
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("%s knows no leader after %v", args[1], readyTimeout)
+}
+
+// changes makes a number of changes one after the other.
+func changes(_ *testscript.TestScript, d *deployment, args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	i, err := d.instance(args[1])
+	if err != nil {
+		return err
+	}
+	for k := range n {
+		verb := []string{"add", "remove"}[k%2]
+		out, err := exec.Command(filepath.Join(d.binary, "anvilcrank"), "drain", verb, "--instance", i.address(), "upstream", "nothing").CombinedOutput()
+		if err != nil {
+			return fmt.Errorf("change %d: %w: %s", k, err, out)
+		}
+	}
+	return nil
+}
+
 // newKey puts a new idempotency key into a variable.
 func newKey(ts *testscript.TestScript, _ *deployment, args []string) error {
 	now := model.Time(time.Now().UnixNano())
--- a/internal/scenario/deployment.go
+++ b/internal/scenario/deployment.go
@@ -149,8 +149,47 @@
 	return nil, fmt.Errorf("no instance %q", name)
 }
 
-// start runs an instance and waits until it serves.
-func (d *deployment) start(name string) error {
+// addressOf returns the address of an instance, "" if there is none of the name.
+func (d *deployment) addressOf(name string) string {
+	if i, err := d.instance(name); err == nil {
+		return i.address()
+	}
+	return ""
+}
+
+// memberBesides returns a member of the control group other than the named one,
+// nil if there is none.
+func (d *deployment) memberBesides(name string) *instance {
+	for _, i := range d.instances {
+		if i.disk && i.name != name {
+			return i
+		}
+	}
+	return nil
+}
+
+// start runs instances and waits until they serve. A control group needs all of
+// its instances to begin.
+func (d *deployment) start(names []string) error {
+	for _, name := range names {
+		if err := d.launch(name); err != nil {
+			return err
+		}
+	}
+	for _, name := range names {
+		i, err := d.instance(name)
+		if err != nil {
+			return err
+		}
+		if err := i.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// launch starts the process of an instance.
+func (d *deployment) launch(name string) error {
 	i, err := d.instance(name)
 	if err != nil {
 		return err
@@ -167,7 +206,7 @@
 	}
 	i.exited = make(chan error, 1)
 	go func(p *exec.Cmd, exited chan error) { exited <- p.Wait() }(i.process, i.exited)
-	return i.awaitReady()
+	return nil
 }
 
 func (i *instance) awaitReady() error {
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -30,6 +30,11 @@
 //	lookup DURATION REGEXP INSTANCE SERVICE
 //	                          ask until the names in the answer match
 //	pause DURATION            wait
+//	leader VARIABLE INSTANCE  put the leader's name into a variable and its address
+//	                          into VARIABLE_address; other and other_address get
+//	                          those of another member
+//	changes COUNT INSTANCE    make changes one after the other
+//	loseDisk NAME...          delete the data folder of an instance that is down
 //	newkey VARIABLE ZONE      make an idempotency key
 //	runs NAME COUNT           how often upstreams ran the request
 //	await DURATION REGEXP PROGRAM ARG...
--- a/pkg/state/membership.go
+++ b/pkg/state/membership.go
@@ -4,6 +4,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/membership"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/view"
 )
 
@@ -30,13 +31,22 @@
 }
 
 // servingInstances returns the instances that look-ups may name, in identifier
-// order.
+// order. Those that operators drain are left out.
 func (s *State) servingInstances() []view.Instance {
 	members := s.members.Serving()
-	list := make([]view.Instance, len(members))
+	list := make([]view.Instance, 0, len(members))
 	for i := range members {
 		m := &members[i]
-		list[i] = view.Instance{ID: m.ID, Address: m.Address, Zone: m.Zone, Region: s.config.RegionOf(m.Zone)}
+		instance := view.Instance{ID: m.ID, Address: m.Address, Zone: m.Zone, Region: s.config.RegionOf(m.Zone)}
+		if !s.isInstanceDrained(&instance) {
+			list = append(list, instance)
+		}
 	}
 	return list
 }
+
+func (s *State) isInstanceDrained(i *view.Instance) bool {
+	return s.config.IsDrained(model.DrainInstance, string(i.ID)) ||
+		s.config.IsDrained(model.DrainZone, string(i.Zone)) ||
+		s.config.IsDrained(model.DrainRegion, string(i.Region))
+}
