--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -43,3 +44,22 @@
 	}
 	testscript.Run(t, scenario.Params("testdata", binary))
 }
+
+// Guards against operator pages whose commands do not work as written.
+func TestOperationsPages(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	pages, err := filepath.Glob("../../docs/operations/*.md")
+	if err != nil || len(pages) < 7 {
+		t.Fatalf("%d pages: %v", len(pages), err)
+	}
+	for _, page := range pages {
+		t.Run(filepath.Base(page), func(t *testing.T) {
+			t.Parallel()
+			if err := scenario.RunPage(page, t.TempDir(), binary); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
