Add anvilcrank-bench report

Cause: comparing deployments, scenarios and policies meant reading JSON by hand.

Change: one command runs them and writes a self-contained HTML page with plots and the same as JSON, with progress on the terminal.

--- a/cmd/anvilcrank-bench/main.go
+++ b/cmd/anvilcrank-bench/main.go
@@ -23,6 +23,7 @@
 
 type args struct {
 	Deployment *deploymentArgs `arg:"subcommand:deployment" help:"run a whole deployment under load in this process"`
+	Report     *reportArgs     `arg:"subcommand:report" help:"run deployments and write one page with plots"`
 }
 
 // Description implements arg.Described.
@@ -45,21 +46,31 @@
 func main() {
 	var a args
 	p := arg.MustParse(&a)
-	if a.Deployment == nil {
+	switch {
+	case a.Report != nil:
+		exitOn(a.Report.run(), exitFailure)
+	case a.Deployment != nil:
+		runDeployment(a.Deployment)
+	default:
 		p.WriteHelp(os.Stderr)
 		os.Exit(exitUsage)
 	}
-	o := a.Deployment.options()
-	if err := o.Validate(); err != nil {
-		fmt.Fprintln(os.Stderr, "anvilcrank-bench:", err)
-		os.Exit(exitUsage)
-	}
-	if err := run(o, a.Deployment.JSON); err != nil {
+}
+
+// exitOn ends the program with the code if there is an error.
+func exitOn(err error, code int) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "anvilcrank-bench:", err)
-		os.Exit(exitFailure)
+		os.Exit(code)
 	}
 }
 
+func runDeployment(a *deploymentArgs) {
+	o := a.options()
+	exitOn(o.Validate(), exitUsage)
+	exitOn(run(o, a.JSON), exitFailure)
+}
+
 func (a *deploymentArgs) options() bench.Options {
 	return bench.Options{
 		Name:      a.Name,
--- /dev/null
+++ b/internal/bench/services.go
@@ -0,0 +1,22 @@
+package bench
+
+import (
+	"sort"
+	"strings"
+)
+
+// Services lists the services with latency figures, in name order.
+func (s *Summary) Services() []string {
+	var names []string
+	for name := range s.values {
+		rest, ok := strings.CutPrefix(name, "services.")
+		if !ok {
+			continue
+		}
+		if service, figure, _ := strings.Cut(rest, "."); figure == "p99_ms" {
+			names = append(names, service)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/report/html.go
@@ -0,0 +1,187 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 3 * vg.Inch
+	// groupWidth is the room for the bars of one scenario.
+	groupWidth = 48
+)
+
+var colors = []color.Color{
+	color.RGBA{R: 0x1f, G: 0x6f, B: 0xb4, A: 0xff},
+	color.RGBA{R: 0xd9, G: 0x7b, B: 0x1c, A: 0xff},
+	color.RGBA{R: 0x5a, G: 0x9a, B: 0x3c, A: 0xff},
+}
+
+// chart is one figure of all scenarios of a deployment, a bar for each policy.
+type chart struct {
+	Title string
+	// SVG is made by the plotting library and holds no text of callers.
+	SVG template.HTML
+}
+
+// section is the part of the page for one deployment.
+type section struct {
+	Name   string
+	Charts []chart
+	Header []string
+	Cells  [][]string
+}
+
+var page = template.Must(template.New("report").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>anvilcrank measurements</title>
+<style>body{font-family:sans-serif;margin:2em;max-width:60em}table{border-collapse:collapse}
+td,th{border:1px solid #ccc;padding:.2em .6em;text-align:right}td:first-child,td:nth-child(2){text-align:left}</style></head><body>
+<h1>anvilcrank measurements</h1>
+<p>Started {{.Started}}; medians of {{.Seeds}} seeds; counts of what must never happen are those of the worst seed.</p>
+{{range .Sections}}<h2>{{.Name}}</h2>
+{{range .Charts}}<h3>{{.Title}}</h3>
+{{.SVG}}
+{{end}}<table><tr>{{range .Header}}<th>{{.}}</th>{{end}}</tr>
+{{range .Cells}}<tr>{{range .}}<td>{{.}}</td>{{end}}</tr>
+{{end}}</table>
+{{end}}</body></html>
+`))
+
+// WriteHTML writes the report as one page without any other file.
+func (r *Report) WriteHTML(w io.Writer) error {
+	var sections []section
+	for _, name := range r.distinct(func(row *Row) string { return row.Name }) {
+		s, err := r.section(name)
+		if err != nil {
+			return err
+		}
+		sections = append(sections, s)
+	}
+	return page.Execute(w, map[string]any{
+		"Started":  r.Started.Format("2006-01-02 15:04 MST"),
+		"Seeds":    r.Seeds,
+		"Sections": sections,
+	})
+}
+
+// distinct lists the values of the rows in the order of their first row.
+func (r *Report) distinct(of func(*Row) string) []string {
+	var list []string
+	for i := range r.Rows {
+		if v := of(&r.Rows[i]); !slices.Contains(list, v) {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// tableFigures are the columns of the table.
+var tableFigures = []string{"answered", "refused_not_run", "outcome_unknown", "lost", "wrong_answers", "duplicate_runs",
+	"false_not_run", "cut_off", "violations", "headroom", "drain_last_new_work_s", "hol_ratio", "max_slot_use", "max_region_use"}
+
+func (r *Report) section(name string) (section, error) {
+	s := section{Name: name, Header: append([]string{"scenario", "policy"}, tableFigures...)}
+	figures := []string{"headroom", "drain_last_new_work_s", "hol_ratio"}
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		if row.Name != name {
+			continue
+		}
+		cells := []string{row.Scenario, row.Policy}
+		for _, f := range tableFigures {
+			cells = append(cells, figureText(row, f))
+		}
+		s.Cells = append(s.Cells, cells)
+		for _, service := range row.Summary.Services() {
+			for _, p := range []string{"p50_ms", "p99_ms", "p999_ms"} {
+				if f := "services." + service + "." + p; !slices.Contains(figures, f) {
+					figures = append(figures, f)
+				}
+			}
+		}
+	}
+	for _, f := range figures {
+		c, ok, err := r.chart(name, f)
+		if err != nil {
+			return s, err
+		}
+		if ok {
+			s.Charts = append(s.Charts, c)
+		}
+	}
+	return s, nil
+}
+
+func figureText(row *Row, figure string) string {
+	v, ok := row.Summary.Value(figure)
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf("%.4g", v)
+}
+
+// chart draws a figure of a deployment. It reports false if no row has it.
+func (r *Report) chart(name, figure string) (chart, bool, error) {
+	scenarios := r.distinct(func(row *Row) string { return row.Scenario })
+	policies := r.distinct(func(row *Row) string { return row.Policy })
+	p := plot.New()
+	p.Y.Min = 0
+	p.Legend.Top = true
+	found := false
+	width := vg.Points(groupWidth / float64(len(policies)))
+	for k, policy := range policies {
+		values := make(plotter.Values, len(scenarios))
+		for i := range r.Rows {
+			row := &r.Rows[i]
+			if row.Name != name || row.Policy != policy {
+				continue
+			}
+			if v, ok := row.Summary.Value(figure); ok {
+				values[slices.Index(scenarios, row.Scenario)] = v
+				found = true
+			}
+		}
+		bars, err := plotter.NewBarChart(values, width)
+		if err != nil {
+			return chart{}, false, fmt.Errorf("chart %s: %w", figure, err)
+		}
+		bars.Color = colors[k%len(colors)]
+		bars.LineStyle.Width = 0
+		bars.Offset = width * vg.Length(2*k-len(policies)+1) / 2
+		p.Add(bars)
+		p.Legend.Add(policy, bars)
+	}
+	if !found {
+		return chart{}, false, nil
+	}
+	p.NominalX(scenarios...)
+	svg, err := render(p)
+	return chart{Title: strings.TrimPrefix(figure, "services."), SVG: svg}, true, err
+}
+
+// render returns the plot as an svg element.
+func render(p *plot.Plot) (template.HTML, error) {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", fmt.Errorf("render plot: %w", err)
+	}
+	text := out.String()
+	if i := strings.Index(text, "<svg"); i >= 0 {
+		text = text[i:]
+	}
+	return template.HTML(text), nil
+}
--- /dev/null
+++ b/internal/report/run.go
@@ -0,0 +1,66 @@
+package report
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/internal/bench"
+)
+
+// Options select what is run.
+type Options struct {
+	Names     []string
+	Scenarios []string
+	Policies  []string
+	Seeds     int
+	Seed      uint64
+	// Duration of each scenario, 0 for its default.
+	Duration time.Duration
+	// Progress takes lines on what happens.
+	Progress io.Writer
+}
+
+// Row is the result of one scenario of a deployment under a policy.
+type Row struct {
+	Name     string         `json:"name"`
+	Scenario string         `json:"scenario"`
+	Policy   string         `json:"policy"`
+	Summary  *bench.Summary `json:"figures"`
+}
+
+// Report holds all rows in the order in which they ran.
+type Report struct {
+	Started time.Time `json:"started"`
+	Seeds   int       `json:"seeds"`
+	Rows    []Row     `json:"rows"`
+}
+
+// Run runs every combination, one after the other.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	r := &Report{Started: time.Now().UTC(), Seeds: o.Seeds}
+	total := len(o.Names) * len(o.Scenarios) * len(o.Policies)
+	for _, name := range o.Names {
+		for _, scenario := range o.Scenarios {
+			for _, policy := range o.Policies {
+				fmt.Fprintf(o.Progress, "row %d of %d: %s %s %s\n", len(r.Rows)+1, total, name, scenario, policy)
+				b := bench.Options{Name: name, Scenario: scenario, Policy: policy,
+					Seeds: o.Seeds, Seed: o.Seed, Duration: o.Duration, Progress: o.Progress}
+				if err := b.Validate(); err != nil {
+					return nil, err
+				}
+				summary, err := bench.Run(ctx, b)
+				if err != nil {
+					return nil, fmt.Errorf("%s %s %s: %w", name, scenario, policy, err)
+				}
+				r.Rows = append(r.Rows, Row{Name: name, Scenario: scenario, Policy: policy, Summary: summary})
+			}
+		}
+	}
+	return r, nil
+}
+
+// WriteJSON writes the report as one JSON object.
+func (r *Report) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
