Name the latest committed version in the status

Change: the status at the leader names the latest committed version, and changes take theirs from it.

Conclusion: an operator's changes follow each other.

--- a/cmd/anvilcrank/commands.go
+++ b/cmd/anvilcrank/commands.go
@@ -37,11 +37,11 @@
 		x.ID = newChangeID()
 	}
 	if x.Expected == 0 {
-		var c model.Config
-		if err := a.get("config", 0, &c); err != nil {
+		present, err := a.presentVersion()
+		if err != nil {
 			return err
 		}
-		x.Expected = c.Version
+		x.Expected = present
 	}
 	answer, err := a.propose(&x, a.DryRun)
 	if err != nil {
@@ -65,6 +65,21 @@
 	}, report.failure())
 }
 
+// presentVersion returns the latest version that the leader confirms, or the one
+// in force at an instance if no leader answers. The version in force may be
+// older than the operator's own last change.
+func (a *changeArgs) presentVersion() (model.Version, error) {
+	var s api.StatusAnswer
+	if err := a.get("status", 0, &s); err == nil && s.Current {
+		return s.Version, nil
+	}
+	var c model.Config
+	if err := a.get("config", 0, &c); err != nil {
+		return 0, err
+	}
+	return c.Version, nil
+}
+
 // changeReport is the JSON output of a change.
 type changeReport struct {
 	ChangeID string `json:"change_id"`
--- a/pkg/distribution/state.go
+++ b/pkg/distribution/state.go
@@ -78,6 +78,9 @@
 type Machine interface {
 	DryRun(c *change.Change) (change.Result, *model.Config)
 	History(limit int) []change.Entry
+	// Version returns the latest committed version, 0 if there is none. It may
+	// not be in force yet.
+	Version() model.Version
 }
 
 // State is the distribution state of one instance.
--- a/pkg/distribution/status.go
+++ b/pkg/distribution/status.go
@@ -32,7 +32,7 @@
 		Current: control.Member && control.Leading && control.Current,
 		Leader:  hint.Leader,
 		Term:    hint.Term,
-		Version: s.Version(),
+		Version: max(s.Version(), s.machine.Version()),
 		Members: hint.Members,
 	}
 	roster := s.roster()
--- a/pkg/state/config.go
+++ b/pkg/state/config.go
@@ -61,6 +61,14 @@
 	return c.machine.DryRun(x)
 }
 
+// Version implements distribution.Machine.
+func (c *configuration) Version() model.Version {
+	if config := c.machine.Config(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
 // History implements distribution.Machine.
 func (c *configuration) History(limit int) []change.Entry { return c.machine.History(limit) }
 
