Measure how each mechanism grows with the deployment

Cause: only the block table had benchmarks, so nothing showed at which size the other mechanisms leave the bounds of the design scale.

Change: internal/capacity measures series over the real reducers with in-memory links and virtual time: block table, lookup from the view, preferred owner, one second of an instance with n links, membership, distribution of a change, status at the leader, ledger keys and groups, agreement. TestSlopes -slopes prints the measured points, a least squares fit and its residual, and marks extrapolated costs. The benchmarks of the block table moved into the same form; their lookup test is unchanged.

--- /dev/null
+++ b/internal/capacity/series.go
@@ -0,0 +1,100 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+)
+
+// Metric is one cost that a series reports.
+type Metric struct {
+	// Unit is "ns/op" or the unit passed to testing.B.ReportMetric.
+	Unit   string
+	Growth Growth
+}
+
+// Series measures one mechanism at several sizes.
+type Series struct {
+	Name string
+	// Variable is what grows.
+	Variable string
+	Sizes    []int
+	// Design is the size at the design scale. If it is not in Sizes, the cost at
+	// it is extrapolated.
+	Design  int
+	Metrics []Metric
+	Bench   func(b *testing.B, size int)
+}
+
+// NodeSizes are the numbers of instances that most series measure.
+var NodeSizes = []int{50, 200, 800, 1600}
+
+// DesignNodes is the number of instances at the design scale.
+const DesignNodes = 4800
+
+// AllSeries lists the series of docs/CAPACITY.md.
+func AllSeries() []Series {
+	return slices.Concat(blockSeries(), instanceSeries(), memberSeries(), distributionSeries(), groupSeries())
+}
+
+// Row is the fit of one metric of a series.
+type Row struct {
+	Series *Series
+	Metric Metric
+	Points []Point
+	Fit    Fit
+}
+
+// Measure runs a series and fits its metrics.
+func Measure(s *Series) ([]Row, error) {
+	rows := make([]Row, len(s.Metrics))
+	for i, m := range s.Metrics {
+		rows[i] = Row{Series: s, Metric: m}
+	}
+	for _, n := range s.Sizes {
+		r := testing.Benchmark(func(b *testing.B) { s.Bench(b, n) })
+		if r.N == 0 {
+			return nil, fmt.Errorf("series %s failed at %d", s.Name, n)
+		}
+		for i, m := range s.Metrics {
+			rows[i].Points = append(rows[i].Points, Point{float64(n), cost(&r, m.Unit)})
+		}
+	}
+	for i := range rows {
+		var err error
+		if rows[i].Fit, err = FitLine(rows[i].Metric.Growth, rows[i].Points); err != nil {
+			return nil, fmt.Errorf("series %s, %s: %w", s.Name, rows[i].Metric.Unit, err)
+		}
+	}
+	return rows, nil
+}
+
+func cost(r *testing.BenchmarkResult, unit string) float64 {
+	if unit == "ns/op" {
+		return float64(r.T.Nanoseconds()) / float64(r.N)
+	}
+	return r.Extra[unit]
+}
+
+// Print writes a row as a line of a Markdown table.
+func (r *Row) Print(w io.Writer) error {
+	points := ""
+	for i, p := range r.Points {
+		if i > 0 {
+			points += ", "
+		}
+		points += fmt.Sprintf("%.0f: %.4g", p.X, p.Y)
+	}
+	how := "extrapolated"
+	if slices.Contains(r.Series.Sizes, r.Series.Design) {
+		how = "inside the fit"
+	}
+	_, err := fmt.Fprintf(w, "| %s | %s | %s | %.4g + %.4g * %s | %.1f%% | %d %s: %.4g (%s) |\n",
+		r.Series.Name, r.Metric.Unit, points, r.Fit.Base, r.Fit.Slope, r.Fit.Growth.Name, 100*r.Fit.Residual,
+		r.Series.Design, r.Series.Variable, r.Fit.At(float64(r.Series.Design)), how)
+	return err
+}
+
+// TableHead is the head of the table that Print fills.
+const TableHead = "| series | metric | measured | fit | residual | at the design scale |\n|---|---|---|---|---|---|\n"
