--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/internal/deployment"
 	"github.com/anvilcrank/anvilcrank/internal/fake"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/view"
@@ -14,28 +15,27 @@
 // caller sends the requests of one fake caller.
 type caller struct {
 	*fake.Caller
-	name    string
-	service service
-	journal *fake.Journal
-	rng     *rand.Rand
+	deployment *deployment.Deployment
+	service    *deployment.Service
+	rng        *rand.Rand
 }
 
 // run sends one request after the other until the context ends.
-func (c *caller) run(ctx context.Context) []sent {
-	var results []sent
+func (c *caller) run(ctx context.Context) []deployment.Result {
+	var results []deployment.Result
 	for n := 0; ctx.Err() == nil; n++ {
-		to, err := c.Instance(ctx, c.service.name)
+		to, err := c.Instance(ctx, c.service.Name)
 		if err != nil {
 			continue
 		}
 		q := fake.Request{
-			Service: c.service.name,
+			Service: c.service.Name,
 			Tenant:  model.Tenant(fmt.Sprintf("house-%d", c.rng.IntN(3))),
-			Method:  c.service.method,
-			Token:   fmt.Sprintf("%s/%d", c.name, n),
-			Size:    c.service.bodySize,
+			Method:  c.service.Method,
+			Token:   fmt.Sprintf("%s/%d", c.Name(), n),
+			Size:    c.service.BodySize,
 		}
-		if c.service.method == "GET" {
+		if c.service.Method == "GET" {
 			results = append(results, c.send(ctx, to, q))
 		} else {
 			results = append(results, c.sendKeyed(ctx, to, q, n)...)
@@ -47,7 +47,7 @@
 
 // sendKeyed sends a request with a key, and some again at another instance: at
 // the same time, or after the answer.
-func (c *caller) sendKeyed(ctx context.Context, to view.Instance, q fake.Request, n int) []sent {
+func (c *caller) sendKeyed(ctx context.Context, to view.Instance, q fake.Request, n int) []deployment.Result {
 	key, err := c.NewKey(ctx, q.Service, fmt.Sprintf("%016x", c.rng.Uint64()))
 	if err != nil {
 		return nil
@@ -55,36 +55,38 @@
 	q.Key = key
 	another, err := c.Another(ctx, q.Service)
 	if err != nil || n%resendEvery != 0 {
-		return []sent{c.send(ctx, to, q)}
+		return []deployment.Result{c.send(ctx, to, q)}
 	}
 	if n%(2*resendEvery) == 0 {
 		first := c.send(ctx, to, q)
-		return []sent{first, c.resend(ctx, another, q)}
+		return []deployment.Result{first, c.resend(ctx, another, q)}
 	}
-	second := make(chan sent)
+	second := make(chan deployment.Result)
 	go func() { second <- c.resend(ctx, another, q) }()
 	first := c.send(ctx, to, q)
-	return []sent{first, <-second}
+	return []deployment.Result{first, <-second}
 }
 
-func (c *caller) resend(ctx context.Context, to view.Instance, q fake.Request) sent {
+func (c *caller) resend(ctx context.Context, to view.Instance, q fake.Request) deployment.Result {
 	s := c.send(ctx, to, q)
-	s.resent = true
+	s.Resent = true
 	return s
 }
 
 // send sends a request once and lets it finish when the context ends.
-func (c *caller) send(ctx context.Context, to view.Instance, q fake.Request) sent {
-	s := sent{
-		service:   q.Service,
-		token:     q.Token,
-		repeat:    q.Method == "GET",
-		keyed:     q.Key != "",
-		instance:  to.ID,
-		ranBefore: c.journal.Runs(q.Token) > 0,
+func (c *caller) send(ctx context.Context, to view.Instance, q fake.Request) deployment.Result {
+	s := deployment.Result{
+		Service:    q.Service,
+		Tenant:     q.Tenant,
+		Instance:   to.ID,
+		Token:      q.Token,
+		Idempotent: c.service.Idempotent(),
+		Keyed:      q.Key != "",
+		RanBefore:  c.deployment.Journal.Runs(q.Token) > 0,
 	}
 	start := time.Now()
-	s.outcome, s.code = c.Do(context.WithoutCancel(ctx), to, q)
-	s.took = time.Since(start)
+	s.Reply = c.Do(context.WithoutCancel(ctx), to, q)
+	s.Faulted = c.deployment.Faulted(to.ID, s.Reply)
+	s.Took = time.Since(start)
 	return s
 }
--- /dev/null
+++ b/internal/deployment/counts_test.go
@@ -0,0 +1,96 @@
+package deployment_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/internal/deployment"
+	"github.com/anvilcrank/anvilcrank/internal/fake"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
+)
+
+// count counts one result after the given runs.
+func count(r deployment.Result, runs ...fake.Run) *deployment.Counts {
+	j := fake.NewJournal()
+	for _, run := range runs {
+		j.Run(run)
+	}
+	var c deployment.Counts
+	c.Add(&r, j)
+	c.AddKeys(j)
+	return &c
+}
+
+// A benchmark that misses a second run would report a broken ledger as sound.
+func TestDuplicateRunsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	run := fake.Run{Token: "t", Attempt: "a-1/1/1"}
+	write := deployment.Result{Token: "t"}
+	g.Expect(count(write, run).Failed()).To(BeFalse())
+	g.Expect(count(write, run, run).DuplicateRuns).To(Equal(1))
+
+	read := deployment.Result{Token: "t", Idempotent: true}
+	g.Expect(count(read, run, run).Failed()).To(BeFalse())
+
+	run.Key = "k"
+	keyed := deployment.Result{Token: "t", Keyed: true}
+	g.Expect(count(keyed, run, run).DuplicateRuns).To(Equal(1))
+}
+
+// A refusal that says "not run" of work that ran must not pass as a refusal.
+func TestFalseNotRunIsCounted(t *testing.T) {
+	g := NewWithT(t)
+	refused := deployment.Result{Token: "t", Instance: "a-1", Reply: fake.Reply{Outcome: fake.RefusedNotRun}}
+	g.Expect(count(refused).Failed()).To(BeFalse())
+	g.Expect(count(refused, fake.Run{Token: "t", Attempt: "a-1/1/1"}).FalseNotRun).To(Equal(1))
+	refused.RanBefore = true
+	g.Expect(count(refused).FalseNotRun).To(Equal(1))
+}
+
+// Only a connection that a fault broke is excused.
+func TestBrokenAnswersAreExcusedByFaultsOnly(t *testing.T) {
+	g := NewWithT(t)
+	cut := deployment.Result{Reply: fake.Reply{Outcome: fake.CutOff}}
+	g.Expect(count(cut).CutOff).To(Equal(1))
+	g.Expect(count(deployment.Result{Reply: fake.Reply{Outcome: fake.Lost}}).Lost).To(Equal(1))
+	cut.Faulted = true
+	g.Expect(count(cut).Failed()).To(BeFalse())
+	g.Expect(count(cut).BrokenByFault).To(Equal(1))
+}
+
+// The fake caller has to notice truncated answers and those of other requests.
+func TestCallersNoticeWrongAndTruncatedAnswers(t *testing.T) {
+	for name, tt := range map[string]struct {
+		tag      string
+		declared int
+		sent     string
+		want     fake.Outcome
+	}{
+		"whole answer":         {`"a"`, 4, strings.Repeat("\x2c", 4), fake.Answered},
+		"truncated answer":     {`"a"`, 8, strings.Repeat("\x2c", 4), fake.CutOff},
+		"other request's tag":  {`"b"`, 4, strings.Repeat("\x2c", 4), fake.Wrong},
+		"other request's body": {`"a"`, 4, strings.Repeat("x", 4), fake.Wrong},
+		"short answer":         {`"a"`, 2, strings.Repeat("\x2c", 2), fake.Wrong},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Etag", tt.tag)
+				w.Header().Set("Content-Length", strconv.Itoa(tt.declared))
+				_, _ = w.Write([]byte(tt.sent))
+			}))
+			defer s.Close()
+			c := fake.NewCaller(fake.CallerOptions{})
+			defer c.Close()
+			reply := c.Do(context.Background(), view.Instance{Address: s.Listener.Addr().String()},
+				fake.Request{Method: "GET", Token: "a", Size: 4})
+			g.Expect(reply.Outcome).To(Equal(tt.want))
+		})
+	}
+}
--- a/internal/scenario/call.go
+++ b/internal/scenario/call.go
@@ -56,11 +56,12 @@
 	d.mu.Lock()
 	d.calls[name] = c
 	d.mu.Unlock()
-	caller := fake.NewCaller(name, model.Zone(to.zone), []string{to.address()})
+	caller := fake.NewCaller(fake.CallerOptions{Name: name, Zone: model.Zone(to.zone), Seeds: []string{to.address()}})
 	go func() {
 		defer close(c.done)
 		defer caller.Close()
-		c.outcome, c.code = caller.Do(context.Background(), view.Instance{Address: to.address()}, q)
+		reply := caller.Do(context.Background(), view.Instance{Address: to.address()}, q)
+		c.outcome, c.code = reply.Outcome, reply.Code
 	}()
 	return nil
 }
--- a/pkg/state/stopping.go
+++ b/pkg/state/stopping.go
@@ -35,6 +35,12 @@
 	s.handingOver = s.stopping && at >= s.stopAt
 }
 
+// HandingOver reports whether ownership moves to other instances.
+func (s *State) HandingOver() bool { return s.handingOver }
+
+// Owned returns the number of upstreams that this instance owns.
+func (s *State) Owned() int { return s.upstreams.Owned() }
+
 // checkStopped ends the process when nothing is left to wait for: requests of
 // this instance, long downloads included, upstreams without another owner, and
 // permits whose release must be passed on.
@@ -42,7 +48,7 @@
 	if !s.handingOver || s.stopped || s.requests.Open() > 0 {
 		return
 	}
-	if len(s.peers) > 0 && at < s.stopAt.Add(handoverLimit) && s.upstreams.Owned() > 0 {
+	if len(s.peers) > 0 && at < s.stopAt.Add(handoverLimit) && (s.upstreams.Owned() > 0 || !s.upstreams.HandoversSettled(at)) {
 		return
 	}
 	if len(s.peers) > 0 && s.permits.Unsettled() > 0 || s.ledger.Unsettled() > 0 {
