Do not wait for permits that were handed to their holder

Cause: in a rolling restart every stop took 15 s. A stopping owner waits for the permits of other instances to be released through it. When the upstream moves to the instance that holds such a permit, the new owner frees the slot itself and sends nothing, so the former owner waited until the permit ran out at the deadline of 10 s.

Ruled out: look-ups that name a stopped instance (none of the lost requests had been sent to an instance; the look-up itself failed), one zone with a single instance (callers of all zones were hit), and open requests, owned upstreams or ledger updates as the reason for the wait (all 0 from 0.5 s after the handover on).

Change: such permits do not count as unsettled.

--- a/pkg/permit/accounts.go
+++ b/pkg/permit/accounts.go
@@ -288,11 +288,12 @@
 }
 
 // Unsettled returns the number of permits that other instances hold and of
-// releases that are not acknowledged.
+// releases that are not acknowledged. A permit that was handed over to its own
+// holder needs nobody to pass on its release, and none comes.
 func (s *State) Unsettled() int {
 	n := 0
 	for _, p := range s.expiry {
-		if p.holder != s.self {
+		if p.holder != s.self && p.holder != p.newOwner {
 			n++
 		}
 	}
--- a/pkg/permit/permit_test.go
+++ b/pkg/permit/permit_test.go
@@ -112,3 +112,17 @@
 	next.ReceiveRelease(start, "former", released[0], out)
 	g.Expect(m.Free(start)).To(Equal(2))
 }
+
+// Guards against a stop that waits until the deadline of work whose permit was
+// handed over to its own holder: nobody sends the release of such a permit here.
+func TestPermitHandedToItsHolderIsSettled(t *testing.T) {
+	g := NewWithT(t)
+	for to, unsettled := range map[model.InstanceID]int{"holder": 0, "other": 1} {
+		former := permit.New("former", 1)
+		former.Own(permit.Account{Upstream: "u", Slots: 1, GrantUntil: permit.Never})
+		former.TakeOver(start, "u", []message.HeldPermit{{Attempt: attempt(1), Holder: "holder", Left: time.Minute}})
+		_, ok := former.HandOver(start, "u", to)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(former.Unsettled()).To(Equal(unsettled), "handed over to %s", to)
+	}
+}
