Count the stop's TTL from the last acknowledgement

Cause: a stopping instance served for 5 s after its stop request, while an instance that heard of the stop later could still name it in look-ups that are cached for 5 s: one outside the first 8 that were told, one behind a slow or broken path, or one that restarts in the meantime. The greeting of a link does not say that the sender leaves, so a restarted instance named it until the next membership message.

Change: up to 16 members are told directly and acknowledge; the TTL counts from the last acknowledgement. Members that do not answer, and those reached through others, are given the time in which news spreads. An instance known only from its greeting is not named and not passed on.

--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -157,7 +157,7 @@
 		want := n - 1
 		if leaving != dead {
 			want--
-			w.do(leaving, w.nodes[leaving].Leave)
+			w.do(leaving, func(out *event.Effects) { w.nodes[leaving].Leave(w.now, out) })
 		}
 		w.run(20 * time.Second)
 		w.loss = 0
@@ -180,6 +180,36 @@
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
 }
 
+// Guards against an instance that names a leaving one because it has connected
+// after the others were told, and against a stop that does not wait for an
+// instance that has not heard of it.
+func TestLeavingInstanceIsNotNamed(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(1, 11)
+	w.cut = func(from, to int) bool { return from == 4 && to == 7 }
+	w.do(4, func(out *event.Effects) { w.nodes[4].Leave(w.now, out) })
+	w.run(200 * time.Millisecond)
+	_, known := w.nodes[4].LeaveKnown(w.now)
+	g.Expect(known).To(BeFalse())
+	w.cut = nil
+	healed := w.now
+	w.run(2 * time.Second)
+	since, known := w.nodes[4].LeaveKnown(w.now)
+	g.Expect(known).To(BeTrue())
+	g.Expect(since).To(BeNumerically(">", healed))
+	g.Expect(w.wrongViews(10)).To(BeEmpty())
+
+	// The greeting does not say that the instance leaves.
+	w.start(9)
+	greeting := message.Member{ID: id(4), Incarnation: w.nodes[4].self.Incarnation, Zone: w.nodes[4].self.Zone, PeerAddress: string(id(4))}
+	for range 20 {
+		w.do(9, func(out *event.Effects) { w.nodes[9].Connected(w.now, greeting, out) })
+		g.Expect(w.nodes[9].Serving()).NotTo(ContainElement(HaveField("ID", id(4))))
+		w.run(100 * time.Millisecond)
+	}
+	g.Expect(w.wrongViews(10)).To(BeEmpty())
+}
+
 // Guards against a live instance that does not hear of its own suspicion.
 func TestFalseSuspicionIsRefuted(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/membership/news.go
+++ b/pkg/membership/news.go
@@ -26,6 +26,12 @@
 	}
 }
 
+// dropNews takes back what queueNews did.
+func (s *State) dropNews(m *member) {
+	m.queued = false
+	s.news = slices.DeleteFunc(s.news, func(other *member) bool { return other == m })
+}
+
 // updates returns the news for one message, the least sent first. If the
 // receiver is believed to be lost, it is told so, to let it refute that.
 func (s *State) updates(to model.InstanceID) []message.Member {
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -28,8 +28,9 @@
 	// retryDeadEvery is the number of probes from one ping of a dead member to
 	// the next. It joins the sides of a healed partition.
 	retryDeadEvery = 10
-	// leaveFanOut is how many members are told at once that this one leaves.
-	leaveFanOut = 8
+	// leaveFanOut is how many members are told directly that this one leaves. It
+	// covers all members of the deployments of today.
+	leaveFanOut = 16
 	// maxLate is how late a probe may be due. Beyond it this process itself was
 	// frozen, and silence of others proves nothing.
 	maxLate = probeInterval / 2
@@ -103,6 +104,7 @@
 func (s *State) tick(at model.Time, out *event.Effects) {
 	s.endProbe(at, out)
 	s.expire(at, out)
+	s.repeatLeave(out)
 	s.probes.ticks++
 	if id := s.nextTarget(); id != "" {
 		s.probes.target = id
@@ -260,6 +262,7 @@
 
 func (s *State) receiveAck(at model.Time, from model.InstanceID, m *message.MemberAck, out *event.Effects) {
 	s.mergeAll(at, m.Updates, out)
+	s.acknowledged(at, from, m.Seq)
 	p := &s.probes
 	if p.target != "" && m.Seq == p.targetSeq {
 		p.target = ""
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -22,6 +22,10 @@
 	// sent counts the messages that carried the latest news of it.
 	sent   int
 	queued bool
+	// greeted is set while only the greeting of its link is known. That does not
+	// say whether the member leaves, so it is neither named to callers nor passed
+	// on.
+	greeted bool
 }
 
 // State is the view of all instances that this one has.
@@ -40,6 +44,7 @@
 
 	probes prober
 	sync   syncer
+	leave  leave
 }
 
 // New returns the state of an instance that knows only itself.
@@ -61,9 +66,10 @@
 	s.probes.nextTick = at.Add(model.Duration(s.rng.Int64N(int64(probeInterval))))
 }
 
-// Connected handles a new link to an instance.
+// Connected handles a new link to an instance. The ping brings the record of an
+// instance that was not known.
 func (s *State) Connected(at model.Time, m message.Member, out *event.Effects) {
-	s.merge(at, m, out)
+	s.greet(at, m, out)
 	s.ping(m.ID, out)
 	if !s.sync.joined {
 		s.requestPage(m.ID, out)
@@ -77,19 +83,6 @@
 	}
 }
 
-// Leave announces that this instance takes no new callers: to some members at
-// once, and through them to the others.
-func (s *State) Leave(out *event.Effects) {
-	if s.self.Leaving {
-		return
-	}
-	s.self.Leaving = true
-	s.revise(s.self.Revision + 1)
-	for _, id := range s.pick(leaveFanOut, func(m *member) bool { return m.Status == message.MemberAlive }) {
-		s.ping(id, out)
-	}
-}
-
 // revise raises the revision of this instance and spreads it.
 func (s *State) revise(to uint32) {
 	s.self.Revision = to
@@ -135,6 +128,11 @@
 		s.add(at, m, out)
 		return
 	}
+	if cur.greeted && m.Incarnation >= cur.Incarnation {
+		cur.greeted = false
+		s.changed = true
+		s.queueNews(cur)
+	}
 	if !isNewer(&m, &cur.Member) {
 		return
 	}
@@ -144,6 +142,19 @@
 	s.replace(at, cur, m, out)
 }
 
+// greet takes in an instance from the greeting of its link. A process that was
+// not known counts as greeted only.
+func (s *State) greet(at model.Time, m message.Member, out *event.Effects) {
+	cur := s.members[m.ID]
+	known := cur != nil && cur.Incarnation >= m.Incarnation && !cur.greeted
+	s.merge(at, m, out)
+	if cur = s.members[m.ID]; cur != nil && !known {
+		cur.greeted = true
+		s.changed = true
+		s.dropNews(cur)
+	}
+}
+
 // isNewer reports whether a says more recent things than b.
 func isNewer(a, b *message.Member) bool {
 	switch {
@@ -218,7 +229,7 @@
 func (s *State) Serving() []message.Member {
 	list := make([]message.Member, 0, len(s.order)+1)
 	for _, id := range s.order {
-		if m := s.members[id]; m.Status == message.MemberAlive && !m.Leaving {
+		if m := s.members[id]; m.Status == message.MemberAlive && !m.Leaving && !m.greeted {
 			list = append(list, m.Member)
 		}
 	}
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -55,7 +55,9 @@
 		end = i + min(pageSize, len(s.order))
 	}
 	for ; i < end; i++ {
-		page.Members = append(page.Members, s.members[s.order[i%len(s.order)]].Member)
+		if m := s.members[s.order[i%len(s.order)]]; !m.greeted {
+			page.Members = append(page.Members, m.Member)
+		}
 	}
 	out.Add(event.Send{To: from, Message: page})
 }
--- a/pkg/state/stopping.go
+++ b/pkg/state/stopping.go
@@ -20,19 +20,27 @@
 		return
 	}
 	s.stopping = true
-	s.stopAt = at.Add(view.LookupTTL)
 	s.viewDone = false
 	// The other instances learn of it with the next tick.
 	s.hinting.sentAt, s.hinting.next = 0, 0
-	s.members.Leave(&s.out)
+	s.members.Leave(at, &s.out)
 	s.out.Add(event.Log{Code: logevent.ProcessStopping})
 }
 
 // advanceStop begins to hand over the upstreams once callers' cached look-ups
-// have run out. From then on, announcements are redirected, and the new owners
+// have run out. Their time counts from when the last other instance has stopped
+// naming this one. From then on, announcements are redirected, and the new owners
 // ask for the counts.
 func (s *State) advanceStop(at model.Time) {
-	s.handingOver = s.stopping && at >= s.stopAt
+	if !s.stopping || s.handingOver {
+		return
+	}
+	if s.stopAt == 0 {
+		if known, ok := s.members.LeaveKnown(at); ok {
+			s.stopAt = known.Add(view.LookupTTL)
+		}
+	}
+	s.handingOver = s.stopAt != 0 && at >= s.stopAt
 }
 
 // HandingOver reports whether ownership moves to other instances.
@@ -66,6 +74,7 @@
 	case !s.stopping || s.stopped:
 		return 0
 	case !s.handingOver:
+		// Until stopAt is known, acknowledgements and the probes drive the stop.
 		return s.stopAt
 	}
 	return s.nextTick()
