--- a/pkg/change/state_test.go
+++ b/pkg/change/state_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/change"
@@ -42,7 +42,7 @@
 }
 
 // Each row guards against the failure in its name.
-func TestResultOfOneChange(t *testing.T) {
+var _ = Describe("result of one change", func() {
 	shift := &model.Shift{ID: "x", Service: "s", From: "r", To: "q", Percent: 10, Cap: 4}
 	badShift := &model.Shift{ID: "x", Service: "s", From: "r", To: "nowhere", Percent: 10, Cap: 4}
 	for name, tc := range map[string]struct {
@@ -75,8 +75,8 @@
 		"operation without its field":  {2, change.Operation{Kind: change.SetShift}, result.MalformedChange},
 		"operation with another field": {2, change.Operation{Kind: change.SetProfile, Profile: profile("n"), Name: "n"}, result.MalformedChange},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
+		It(name, func() {
+			g := NewWithT(GinkgoTB())
 			s := started()
 			c := newChange("tested", tc.expected, tc.operation)
 			dry, _ := s.DryRun(c)
@@ -87,24 +87,24 @@
 			g.Expect(s.Version() == 3).To(Equal(tc.code == result.Answered))
 		})
 	}
-}
+})
 
 // Guards against two winners of a race, and against a loser that is not told
 // who won after still more changes.
-func TestLoserIsToldTheWinner(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("loser is told the winner", func() {
+	g := NewWithT(GinkgoTB())
 	s := started()
 	g.Expect(s.Apply(5, addProfile("winner", 2)).Version).To(BeEquivalentTo(5))
 	g.Expect(s.Apply(6, addProfile("later", 5)).Version).To(BeEquivalentTo(6))
 	r := s.Apply(7, addProfile("loser", 2))
 	g.Expect(r.Code).To(Equal(result.VersionConflict))
 	g.Expect(r.Winner).To(Equal(change.Summary{Version: 5, ID: "change-winner", Author: "ada"}))
-}
+})
 
 // Guards against a resent change that is applied twice, that gets another
 // result the second time, or that hides another change under its id.
-func TestChangeIDIsIdempotent(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("change ID is idempotent", func() {
+	g := NewWithT(GinkgoTB())
 	s := started()
 	c := addProfile("same", 2)
 	want := s.Apply(2, c)
@@ -116,11 +116,11 @@
 	other.Operation.Profile = profile("different")
 	g.Expect(s.Apply(5, &other).Code).To(Equal(result.ChangeIDReused))
 	g.Expect(s.History(10)).To(HaveLen(3))
-}
+})
 
 // Guards against growth without bound, and against forgetting an id too early.
-func TestBoundsOfMemory(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("bounds of memory", func() {
+	g := NewWithT(GinkgoTB())
 	s := started()
 	for i := range change.MaxResults {
 		r := s.Apply(uint64(i+2), newChange(fmt.Sprint(i), s.Version(), change.Operation{Kind: change.SetLinks}))
@@ -131,24 +131,24 @@
 	g.Expect(snap.Results[0].ID).To(Equal("change-0"))
 	g.Expect(snap.History).To(HaveLen(change.MaxHistory))
 	g.Expect(snap.Kept).To(HaveLen(change.MaxKept))
-}
+})
 
 // Guards against a roll back that reuses the old version number, or that does
 // not bring back the content.
-func TestRollBackIsANewVersion(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("roll back is a new version", func() {
+	g := NewWithT(GinkgoTB())
 	s := started()
 	s.Apply(2, addProfile("extra", 2))
 	r := s.Apply(3, newChange("back", 3, change.Operation{Kind: change.RollBack, Version: 2}))
 	g.Expect(r.Code).To(Equal(result.Answered), r.Detail)
 	g.Expect(r.Version).To(BeEquivalentTo(4))
 	g.Expect(s.Config().Profiles).To(Equal(first().Profiles))
-}
+})
 
 // Guards against a member that differs from the others after it was restored
 // from encoded bytes.
-func TestRestoredStateContinuesEqually(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("restored state continues equally", func() {
+	g := NewWithT(GinkgoTB())
 	s := started()
 	s.Apply(2, addProfile("one", 2))
 	snap := s.Snapshot()
@@ -167,12 +167,12 @@
 	}
 	g.Expect(restored.Config().Profiles).To(Equal(s.Config().Profiles))
 	g.Expect(restored.History(10)).To(Equal(s.History(10)))
-}
+})
 
 // Guards against damage to an earlier version that shares its lists with later
 // ones.
-func TestEarlierVersionsStayUnchanged(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("earlier versions stay unchanged", func() {
+	g := NewWithT(GinkgoTB())
 	s := started()
 	before := s.Config()
 	changed := profile("p")
@@ -180,4 +180,4 @@
 	s.Apply(2, newChange("edit", 2, change.Operation{Kind: change.SetProfile, Profile: changed}))
 	g.Expect(before.Profiles[0].QueueLimit).To(Equal(10))
 	g.Expect(s.Config().Profiles[0].QueueLimit).To(Equal(99))
-}
+})
--- a/pkg/codec/codec_test.go
+++ b/pkg/codec/codec_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/codec"
@@ -13,20 +14,20 @@
 )
 
 // Guards against a message field that is lost on the way to another instance.
-func TestMessageRoundTrip(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("message round trip", func() {
+	g := NewWithT(GinkgoTB())
 	in := &message.Hello{From: "gulf-a-1", Incarnation: 7, Zone: "gulf-a", Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2"}
 	data, err := codec.EncodeMessage(in)
 	g.Expect(err).NotTo(HaveOccurred())
 	out, err := codec.DecodeMessage(data)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(out).To(Equal(in))
-}
+})
 
 // Guards against membership messages that take more of the 15 KB/s a node may
 // spend than planned, and against a lost field of a member.
-func TestMembershipMessagesAreSmall(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("membership messages are small", func() {
+	g := NewWithT(GinkgoTB())
 	m := message.Member{ID: "bhairahawa-entry-12", Incarnation: 1 << 60, Revision: 3, Status: message.MemberSuspect,
 		Leaving: true, Zone: "bhairahawa", Address: "255.255.255.255:65535", PeerAddress: "255.255.255.255:65534"}
 	in := &message.MemberPing{Seq: 1 << 40, From: m, Updates: slices.Repeat([]message.Member{m}, 8)}
@@ -36,11 +37,11 @@
 	out, err := codec.DecodeMessage(data)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(out).To(Equal(in))
-}
+})
 
 // Guards against an event type that cannot be recorded and replayed.
-func TestEveryEventRoundTrips(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("every event round trips", func() {
+	g := NewWithT(GinkgoTB())
 	for _, body := range event.Bodies {
 		if _, ok := body.(event.PeerReceived); ok {
 			body = event.PeerReceived{From: "a", Message: &message.Hello{From: "a"}}
@@ -52,7 +53,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(out).To(Equal(in))
 	}
-}
+})
 
 // Guards against a crash on bytes that a broken or hostile peer sends.
 func FuzzDecodeMessage(f *testing.F) {
--- a/pkg/control/storer_test.go
+++ b/pkg/control/storer_test.go
@@ -1,8 +1,7 @@
 package control_test
 
 import (
-	"testing"
-
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/control"
@@ -17,7 +16,8 @@
 func (r reports) Report(b event.Body) { r <- b }
 
 // Guards against a failed write that is reported as synced.
-func TestWriteErrorIsReported(t *testing.T) {
+var _ = It("write error is reported", func() {
+	t := GinkgoTB()
 	g := NewWithT(t)
 	folder, err := storage.Folder(t.TempDir())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -31,4 +31,4 @@
 	s.Close() // the next write meets a closed file
 	s.Persist(event.Persist{Seq: 2})
 	g.Expect((<-r).(event.Persisted).Failure).To(ContainSubstring("closed"))
-}
+})
--- a/pkg/distribution/sim_test.go
+++ b/pkg/distribution/sim_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/change"
@@ -79,7 +80,7 @@
 
 // newSim starts instances of which the first three are members of the control
 // group; every second one has a disk.
-func newSim(t *testing.T, seed uint64, size int) *sim {
+func newSim(t testing.TB, seed uint64, size int) *sim {
 	s := &sim{g: NewWithT(t), rng: rand.New(rand.NewPCG(seed, 7)), now: 1e9, leader: "i-00",
 		blocked: map[[2]model.InstanceID]bool{}, results: map[string]change.Result{}, winners: map[model.Version]string{},
 		appended: map[model.Time]bool{}}
@@ -306,9 +307,10 @@
 // Guards against versions that go back, two winners of one version, two results
 // of one id, a refused change that took effect, and an instance that stays
 // behind after the faults heal. Bound: 5 s after the heal, at 11 instances.
-func TestRandomFaults(t *testing.T) {
+var _ = Describe("random faults", func() {
 	for seed := range uint64(20) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+		It(fmt.Sprint("seed ", seed), func() {
+			t := GinkgoTB()
 			s := newSim(t, seed, 11)
 			s.run(time.Second)
 			s.faults = true
@@ -343,12 +345,13 @@
 			s.g.Expect(s.checkReplies()).To(BeNumerically(">", 0))
 		})
 	}
-}
+})
 
 // Guards against a push that is slower than its target of 1 s without faults,
 // and against a status that waits although the version is in force everywhere,
 // or that does not name the instance that lacks it.
-func TestStatusNamesWhoLacksTheVersion(t *testing.T) {
+var _ = It("status names who lacks the version", func() {
+	t := GinkgoTB()
 	s := newSim(t, 3, 11)
 	s.run(time.Second)
 	asker := s.nodes[9]
@@ -380,11 +383,12 @@
 	for _, i := range ask(time.Second).Instances {
 		s.g.Expect(i.Version == version).To(Equal(i.Instance != lagging.id), "%s", i.Instance)
 	}
-}
+})
 
 // Guards against a lost answer that is told as a refusal, and against an
 // isolated instance that claims to be current.
-func TestLostAnswerIsUnknown(t *testing.T) {
+var _ = It("lost answer is unknown", func() {
+	t := GinkgoTB()
 	s := newSim(t, 4, 5)
 	s.run(time.Second)
 	asker := s.nodes[4]
@@ -399,4 +403,4 @@
 	s.g.Expect(asker.replies[0].(event.StatusReply).Status.Current).To(BeFalse())
 	s.g.Expect(asker.replies[1].(event.ChangeReply).Result.Code).To(Equal(result.ChangeUnknown))
 	s.g.Expect(s.results).To(HaveKey("change-1"))
-}
+})
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -46,7 +46,7 @@
 
 // TestFailures names each case for the failure it guards against. Each makes
 // some trouble for a key and returns the last request with it.
-func TestFailures(t *testing.T) {
+var _ = Describe("failures", func() {
 	for _, c := range []struct {
 		name string
 		code result.Code
@@ -162,7 +162,8 @@
 			return n.send(c2, key, 1, time.Second)
 		}},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		It(c.name, func() {
+			t := GinkgoTB()
 			RegisterTestingT(t)
 			n := newNetwork(1)
 			key := n.key(n.now, "key")
@@ -175,13 +176,13 @@
 			Expect(n.violations).To(BeEmpty())
 		})
 	}
-}
+})
 
 // Guards against racing requests that take votes from each other, so that none
 // of them runs although every replica is there.
-func TestRacingRequestsAreAllAnswered(t *testing.T) {
+var _ = It("racing requests are all answered", func() {
 	for seed := range uint64(100) {
-		g := NewWithT(t)
+		g := NewWithT(GinkgoTB())
 		n := newNetwork(seed)
 		n.maxDelay = 60 * time.Millisecond
 		n.answerLater(10)
@@ -198,24 +199,24 @@
 		}
 		g.Expect(ran).To(Equal(1), "seed %d", seed)
 	}
-}
+})
 
 // Guards against a key from the future that runs, and against a question about
 // a fresh key that is answered with anything but "not known".
-func TestFutureKeyIsRefused(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("future key is refused", func() {
+	g := NewWithT(GinkgoTB())
 	n := newNetwork(1)
 	r := n.send(c1, n.key(n.now.Add(3*time.Second), "key"), 1, time.Second)
 	n.run(time.Second)
 	g.Expect(r.code).To(Equal(result.KeyFromFuture))
 	g.Expect(n.ask(n.key(n.now, "fresh"))).To(Equal("not_known"))
-}
+})
 
 // Guards against a late duplicate that revives an abandoned claim, also when it
 // was overtaken by its abandonment, and against an abandonment by another
 // claimant.
-func TestAbandonedClaimStaysAbandoned(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("abandoned claim stays abandoned", func() {
+	g := NewWithT(GinkgoTB())
 	n := newNetwork(1)
 	r := newReplica(&faults{})
 	r.start(epoch)
@@ -231,12 +232,12 @@
 	g.Expect(claim(model.Claimant{Instance: "b1"}).Vote).To(Equal(message.VoteTaken))
 	r.abandon(n.now, key, two)
 	g.Expect(claim(two)).To(BeNil())
-}
+})
 
 // Guards against a replica that grows without bound, or that forgets a claim
 // within the retention and grants the key again.
-func TestMemoryIsBoundedAndForgottenClaimsRaiseTheFloor(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("memory is bounded and forgotten claims raise the floor", func() {
+	g := NewWithT(GinkgoTB())
 	n := newNetwork(1)
 	r := newReplica(&faults{})
 	r.start(epoch)
@@ -256,4 +257,4 @@
 	g.Expect(r.claim(n.now, first, &message.LedgerClaim{Key: first.Text}, true).Vote).To(Equal(message.VoteUnknown))
 	r.claim(n.now.Add(2*model.KeyRetention), n.key(n.now.Add(2*model.KeyRetention), "new"), &message.LedgerClaim{Key: "new"}, true)
 	g.Expect(r.entries).To(HaveLen(1))
-}
+})
--- a/pkg/ledger/random_test.go
+++ b/pkg/ledger/random_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
+
+	. "github.com/onsi/ginkgo/v2"
 )
 
 // schedulesVariable names the environment variable for long runs.
@@ -16,7 +18,7 @@
 
 const ciSchedules = 3000
 
-func schedules(t *testing.T) uint64 {
+func schedules(t testing.TB) uint64 {
 	text := os.Getenv(schedulesVariable)
 	if text == "" {
 		return ciSchedules
@@ -98,7 +100,8 @@
 
 // Guards against a key that runs twice, an answer "not run" for a request that
 // may have run, and an answer of another request, under random faults.
-func TestRandomSchedulesKeepAtMostOnce(t *testing.T) {
+var _ = It("random schedules keep at most once", func() {
+	t := GinkgoTB()
 	codes := map[result.Code]int{}
 	for seed := range schedules(t) {
 		n := runSchedule(seed, faults{})
@@ -117,17 +120,18 @@
 		}
 	}
 	t.Log(codes)
-}
+})
 
 // Guards against checks that notice nothing: each broken rule must fail a run.
-func TestRandomSchedulesNoticeBrokenRules(t *testing.T) {
+var _ = Describe("random schedules notice broken rules", func() {
 	for name, f := range map[string]faults{
 		"no floor":                    {noFloor: true},
 		"minority grant":              {minorityGrant: true},
 		"abandon by another claimant": {abandonByOthers: true},
 		"forgotten claim":             {forgetClaims: true},
 	} {
-		t.Run(name, func(t *testing.T) {
+		It(name, func() {
+			t := GinkgoTB()
 			for seed := range uint64(ciSchedules) {
 				if v := runSchedule(seed, f).violations; len(v) > 0 {
 					t.Logf("seed %d: %s", seed, v[0])
@@ -137,11 +141,12 @@
 			t.Fatal("no run failed")
 		})
 	}
-}
+})
 
 // Guards against a ledger that depends on anything but its inputs, such as the
 // order of a map.
-func TestSchedulesAreRepeatable(t *testing.T) {
+var _ = It("schedules are repeatable", func() {
+	t := GinkgoTB()
 	for k := range 5 {
 		seed := uint64(100 + k)
 		a := fmt.Sprint(runSchedule(seed, faults{minorityGrant: true}).violations)
@@ -150,4 +155,4 @@
 			t.Fatalf("seed %d: %s, then %s", seed, a, b)
 		}
 	}
-}
+})
--- a/pkg/linkbudget/linkbudget_test.go
+++ b/pkg/linkbudget/linkbudget_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -20,8 +20,8 @@
 }
 
 // Guards against instances that together use more than the link's budget.
-func TestSharesAddUpToTheBudget(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("shares add up to the budget", func() {
+	g := NewWithT(GinkgoTB())
 	c := config()
 	total := map[[2]model.Region]int64{}
 	for _, r := range c.Roster {
@@ -36,7 +36,7 @@
 		g.Expect(sum).To(BeNumerically(">", c.Links[0].BytesPerSecond-3))
 	}
 	g.Expect(Shares(c, "i4")).To(BeEmpty())
-}
+})
 
 // passed counts the bytes that a stream of chunks could send within a time.
 func passed(b *bucket, chunk int, within time.Duration) int {
@@ -53,31 +53,31 @@
 }
 
 // Guards against a rate that is exceeded, or not reached, over a second.
-func TestBucketKeepsItsRate(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("bucket keeps its rate", func() {
+	g := NewWithT(GinkgoTB())
 	b := &bucket{}
 	b.setRate(model.Time(time.Hour), 1_000_000)
 	n := passed(b, 10_000, time.Second)
 	g.Expect(n).To(BeNumerically("<=", 1_000_000+50_000))
 	g.Expect(n).To(BeNumerically(">=", 1_000_000))
-}
+})
 
 // Guards against a change of the budget that hands out a second burst, and
 // against bytes that were taken in advance being forgotten.
-func TestNewRateKeepsWhatWasTaken(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("new rate keeps what was taken", func() {
+	g := NewWithT(GinkgoTB())
 	at := model.Time(time.Hour)
 	b := &bucket{}
 	b.setRate(at, 1000)
 	b.take(at, 1050)
 	b.setRate(at, 2000)
 	g.Expect(b.take(at, 1000)).To(Equal(time.Second))
-}
+})
 
 // Guards against a long body that takes the whole share, and against traffic
 // inside a region being paced.
-func TestLongBodiesLeaveRoom(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("long bodies leave room", func() {
+	g := NewWithT(GinkgoTB())
 	at := model.Time(time.Hour)
 	p := NewPacer(func() model.Time { return at })
 	p.Configure(config(), "i1")
@@ -87,4 +87,4 @@
 	g.Expect(p.Wait(ctx, "b", "a", model.Long, 40_000)).To(Succeed())
 	g.Expect(p.Wait(ctx, "b", "a", model.Long, 10_000)).To(MatchError(context.Canceled))
 	g.Expect(p.Wait(ctx, "b", "a", model.Short, 9_000)).To(Succeed())
-}
+})
--- a/pkg/logevent/docs_test.go
+++ b/pkg/logevent/docs_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"os"
 	"strings"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
@@ -34,22 +34,22 @@
 }
 
 // Guards against an event that operators meet and the catalogue does not list.
-func TestDocsListEveryEvent(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("docs list every event", func() {
+	g := NewWithT(GinkgoTB())
 	if *update {
 		g.Expect(os.WriteFile(page, []byte(render()), 0o644)).To(Succeed())
 	}
 	data, err := os.ReadFile(page)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(data)).To(Equal(render()))
-}
+})
 
 // Guards against two events under one number.
-func TestNumbersAreUnique(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("numbers are unique", func() {
+	g := NewWithT(GinkgoTB())
 	seen := map[logevent.Code]bool{}
 	for _, i := range logevent.Table {
 		g.Expect(seen[i.Code]).To(BeFalse(), "event %d", int(i.Code))
 		seen[i.Code] = true
 	}
-}
+})
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -142,7 +142,8 @@
 // Guards against suspicions that are not refuted, dead instances that stay
 // listed, restarts that are not noticed, and planned stops that are not
 // announced, at random places and with lost messages.
-func TestRandomRunsConverge(t *testing.T) {
+var _ = It("random runs converge", func() {
+	t := GinkgoTB()
 	for seed := range uint64(30) {
 		RegisterTestingT(t)
 		n := 5 + int(seed%16)
@@ -167,24 +168,24 @@
 		w.run(10 * time.Second)
 		Expect(w.wrongViews(want+1)).To(BeEmpty(), "seed %d", seed)
 	}
-}
+})
 
 // Guards against a live instance that counts as dead because one path to it is
 // broken, in one direction.
-func TestBrokenPathIsNotALostInstance(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("broken path is not a lost instance", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	w.cut = func(from, to int) bool { return from == 2 && to == 3 }
 	w.run(time.Minute)
 	g.Expect(w.deaths).To(BeZero())
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
-}
+})
 
 // Guards against an instance that names a leaving one because it has connected
 // after the others were told, and against a stop that does not wait for an
 // instance that has not heard of it.
-func TestLeavingInstanceIsNotNamed(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("leaving instance is not named", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 11)
 	w.cut = func(from, to int) bool { return from == 4 && to == 7 }
 	w.do(4, func(out *event.Effects) { w.nodes[4].Leave(w.now, out) })
@@ -208,11 +209,11 @@
 		w.run(100 * time.Millisecond)
 	}
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
-}
+})
 
 // Guards against a live instance that does not hear of its own suspicion.
-func TestFalseSuspicionIsRefuted(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("false suspicion is refuted", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	suspect := w.nodes[3].self
 	suspect.Status = message.MemberSuspect
@@ -222,12 +223,12 @@
 	g.Expect(w.nodes[3].self.Revision).To(BeNumerically(">", suspect.Revision))
 	g.Expect(w.deaths).To(BeZero())
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
-}
+})
 
 // Guards against two sides of a healed partition that never find each other
 // again.
-func TestHealedPartitionJoinsAgain(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("healed partition joins again", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	w.cut = func(from, to int) bool { return from%5 == 0 != (to%5 == 0) }
 	w.run(time.Minute)
@@ -236,20 +237,21 @@
 	w.cut = nil
 	w.run(30 * time.Second)
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
-}
+})
 
 // Guards against a frozen process that declares the others dead when it goes on.
-func TestFrozenProcessSuspectsNobody(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("frozen process suspects nobody", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	s := w.nodes[4]
 	s.probes.target = id(5)
 	w.do(4, func(out *event.Effects) { s.Wake(w.now.Add(20*time.Second), out) })
 	g.Expect(s.Serving()).To(HaveLen(10))
-}
+})
 
 // Guards against messages that grow in number or size with the instances.
-func TestRateDoesNotGrowWithInstances(t *testing.T) {
+var _ = It("rate does not grow with instances", func() {
+	t := GinkgoTB()
 	g := NewWithT(t)
 	for _, n := range []int{10, 50, 200} {
 		w := newNetwork(1, n)
@@ -268,4 +270,4 @@
 		g.Expect(most).To(BeNumerically("<", 5*60))
 		g.Expect(w.largest).To(BeNumerically("<=", maxUpdates))
 	}
-}
+})
--- a/pkg/result/docs_test.go
+++ b/pkg/result/docs_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"os"
 	"strings"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -36,20 +36,20 @@
 }
 
 // Guards against a code that callers meet and the docs do not list.
-func TestDocsListEveryCode(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("docs list every code", func() {
+	g := NewWithT(GinkgoTB())
 	if *update {
 		g.Expect(os.WriteFile(page, []byte(render()), 0o644)).To(Succeed())
 	}
 	data, err := os.ReadFile(page)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(data)).To(Equal(render()))
-}
+})
 
 // Guards against two meanings of one code and against a refusal whose HTTP status
 // tells clients something else than its class.
-func TestTableIsConsistent(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("table is consistent", func() {
+	g := NewWithT(GinkgoTB())
 	seen := map[result.Code]bool{}
 	names := map[string]bool{}
 	for _, i := range result.Table {
@@ -65,4 +65,4 @@
 			g.Expect(i.Status).To(Equal(503))
 		}
 	}
-}
+})
--- a/pkg/settings/group_test.go
+++ b/pkg/settings/group_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"errors"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 // Guards against a control group that cannot work and is noticed only when a
 // member is lost.
-func TestControlGroupIsChecked(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("control group is checked", func() {
+	g := NewWithT(GinkgoTB())
 	const roster = "\ndata: d\nbootstrap: {roster: [{id: a, zone: x}, {id: b, zone: x}, {id: c, zone: y}]}"
 	for text, want := range map[string]string{
 		"[a, b, c]\ndata: d": "", "[b]": "", "[a, b, c]": "data", "[a, b]\ndata: d": "control_group",
@@ -24,4 +24,4 @@
 		}
 		g.Expect(key.Key).To(Equal(want), "%s: %v", text, err)
 	}
-}
+})
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
@@ -26,7 +27,7 @@
 `
 
 // Guards against settings errors that do not say where they are.
-func TestErrorsNameFileLineAndKey(t *testing.T) {
+var _ = Describe("errors name file line and key", func() {
 	cases := []struct {
 		name, old, new string
 		line           int
@@ -40,8 +41,8 @@
 		{"zone missing", "zone: gulf-a\nlisten", "listen", 1, "zone"},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
+		It(c.name, func() {
+			g := NewWithT(GinkgoTB())
 			text := strings.Replace(valid, c.old, c.new, 1)
 			g.Expect(text).NotTo(Equal(valid))
 			_, err := settings.Parse("a.yaml", []byte(text))
@@ -52,11 +53,11 @@
 			g.Expect(key.Key).To(Equal(c.key), "%v", err)
 		})
 	}
-}
+})
 
 // Guards against example settings that no longer load.
-func TestExamplesLoad(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("examples load", func() {
+	g := NewWithT(GinkgoTB())
 	files, err := filepath.Glob("../../examples/*.yaml")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(files).NotTo(BeEmpty())
@@ -64,16 +65,16 @@
 		_, err := settings.Load(f)
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-}
+})
 
 // Guards against a rate whose bits are taken for bytes.
-func TestRateIsInBytes(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("rate is in bytes", func() {
+	g := NewWithT(GinkgoTB())
 	var r settings.Rate
 	g.Expect(r.UnmarshalText([]byte("280Mbit/s"))).To(Succeed())
 	g.Expect(r).To(Equal(settings.Rate(35_000_000)))
 	g.Expect(r.UnmarshalText([]byte("280MB/s"))).NotTo(Succeed())
-}
+})
 
 // Guards against a crash on any settings file.
 func FuzzParse(f *testing.F) {
--- a/pkg/storage/configfile_test.go
+++ b/pkg/storage/configfile_test.go
@@ -3,8 +3,8 @@
 import (
 	"os"
 	"path/filepath"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -13,7 +13,8 @@
 
 // Guards against a saved configuration that is lost, or half read after a torn
 // write, truncation or a flipped bit.
-func TestConfigFileIsWholeOrRejected(t *testing.T) {
+var _ = It("config file is whole or rejected", func() {
+	t := GinkgoTB()
 	g := NewWithT(t)
 	dir := t.TempDir()
 	c, err := storage.LoadConfig(dir)
@@ -38,4 +39,4 @@
 		_, err = storage.LoadConfig(dir)
 		g.Expect(err).To(MatchError(storage.ErrDamaged), "flipped at %d", i)
 	}
-}
+})
--- a/pkg/storage/storage_test.go
+++ b/pkg/storage/storage_test.go
@@ -8,8 +8,8 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -68,7 +68,8 @@
 // Guards against a confirmed write that is lost, and against a write that is
 // half read, after crashes that tear unsynced data, short writes, failed syncs
 // and full disks.
-func TestCrashKeepsConfirmedWrites(t *testing.T) {
+var _ = It("crash keeps confirmed writes", func() {
+	t := GinkgoTB()
 	torn, failed := 0, 0
 	for seed := range uint64(600) {
 		m := newMemory(seed)
@@ -109,7 +110,7 @@
 	if torn == 0 || failed == 0 {
 		t.Fatalf("%d torn and %d failed writes: the test shows nothing", torn, failed)
 	}
-}
+})
 
 // isInstall reports whether the contents are an unconfirmed snapshot joined with
 // the log before it, which is what a crash between the two files leaves.
@@ -122,7 +123,8 @@
 // Guards against a changed or shortened file that is read as if it were whole.
 // Only ErrCorrupt, the last state and, for a log cut within its last write, the
 // state before are right.
-func TestDamageIsDetected(t *testing.T) {
+var _ = It("damage is detected", func() {
+	t := GinkgoTB()
 	m := newMemory(5)
 	s, err := storage.Open(m)
 	if err != nil {
@@ -159,11 +161,12 @@
 			read(name, whole[:at], fmt.Sprint("cut at ", at), len(h)-2)
 		}
 	}
-}
+})
 
 // Guards against two processes that write to one folder, and against a folder
 // that is read by another process before the first has ended.
-func TestOneProcessPerFolder(t *testing.T) {
+var _ = It("one process per folder", func() {
+	t := GinkgoTB()
 	g := NewWithT(t)
 	f, err := storage.Folder(t.TempDir())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -178,4 +181,4 @@
 	g.Expect(again.Contents().Hard.Term).To(Equal(uint64(7)))
 	g.Expect(again.Contents().Disk).To(Equal(first.Contents().Disk))
 	g.Expect(again.Close()).To(Succeed())
-}
+})
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"fmt"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -18,8 +18,8 @@
 
 // Guards against memory that grows with every name a caller makes up, and
 // against names that break the exposition format.
-func TestNamesFromCallersAreBounded(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("names from callers are bounded", func() {
+	g := NewWithT(GinkgoTB())
 	tel := telemetry.New("a-1", &log.Logger{Handler: discard.New()})
 	tel.Request("quote\"\n", "s", model.Short, result.Answered, time.Millisecond)
 	for n := range 2000 {
@@ -31,4 +31,4 @@
 	g.Expect(text).To(ContainSubstring(`tenant="quote__"`))
 	g.Expect(text).To(ContainSubstring(`tenant="other",service="other"`))
 	g.Expect(strings.Count(text, "request_seconds_count")).To(BeNumerically("<=", 300))
-}
+})
--- a/pkg/view/lookup_test.go
+++ b/pkg/view/lookup_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -28,8 +29,8 @@
 }
 
 // Guards against callers sent out of their zone, or all to one instance.
-func TestLookupPrefersTheCallersZoneAndSpreadsClients(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("lookup prefers the callers zone and spreads clients", func() {
+	g := NewWithT(GinkgoTB())
 	v := testView()
 	first := map[model.InstanceID]int{}
 	for n := range 200 {
@@ -44,14 +45,14 @@
 	}
 	g.Expect(first["b-0"]).To(BeNumerically(">", 50))
 	g.Expect(first["b-1"]).To(BeNumerically(">", 50))
-}
+})
 
 // Guards against a key zone that the deployment does not know.
-func TestLookupWithUnknownZoneUsesTheInstancesZone(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("lookup with unknown zone uses the instances zone", func() {
+	g := NewWithT(GinkgoTB())
 	g.Expect(testView().Lookup("reads", "nowhere", "x").KeyZone).To(Equal(model.Zone("c")))
 	g.Expect(testView().Lookup("nothing", "a", "x")).To(BeNil())
-}
+})
 
 func BenchmarkLookup(b *testing.B) {
 	v := testView()
