--- a/internal/capacity/fanout.go
+++ b/internal/capacity/fanout.go
@@ -36,6 +36,9 @@
 // History implements distribution.Machine.
 func (control) History(int) []change.Entry { return nil }
 
+// Version implements distribution.Machine.
+func (control) Version() model.Version { return 0 }
+
 // Install implements distribution.Installer.
 func (control) Install(model.Time, *model.Config, *event.Effects) {}
 
