--- a/instance.go
+++ b/instance.go
@@ -43,6 +43,9 @@
 	// OnInvariant is called on the control goroutine when an invariant fails,
 	// after it was logged and counted. It must not block.
 	OnInvariant func(event.InvariantFailed)
+	// OnConfig is called on the control goroutine when another configuration is
+	// in force. It must not block or change the configuration.
+	OnConfig func(*model.Config)
 }
 
 // Instance is one entry instance.
@@ -108,6 +111,7 @@
 		Peers:           i.peers,
 		Telemetry:       i.telemetry,
 		InvariantFailed: i.invariantFailed,
+		Published:       i.configObserver(),
 	}
 	if identity.Disk {
 		i.configWriter = storage.NewConfigWriter(s.Data, links.Report)
@@ -205,6 +209,9 @@
 	})
 }
 
+// SentPeerBytes returns the size of all messages sent to other instances.
+func (i *Instance) SentPeerBytes() uint64 { return i.peers.SentBytes() }
+
 // Stop begins a graceful stop: Run returns once everything in flight has ended.
 func (i *Instance) Stop() { i.loop.Report(event.StopRequested{}) }
 
--- a/instanceconfig.go
+++ b/instanceconfig.go
@@ -12,8 +12,10 @@
 	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
 	"github.com/anvilcrank/anvilcrank/pkg/storage"
+	"github.com/anvilcrank/anvilcrank/pkg/view"
 )
 
 // loadConfig hands in the saved configuration and the bootstrap settings, and
@@ -52,6 +54,21 @@
 	return nil
 }
 
+// configObserver returns a function that passes each other configuration to
+// OnConfig, or nil if nobody observes.
+func (i *Instance) configObserver() func(*view.View) {
+	if i.options.OnConfig == nil {
+		return nil
+	}
+	var last *model.Config
+	return func(v *view.View) {
+		if v.Config != nil && v.Config != last {
+			last = v.Config
+			i.options.OnConfig(last)
+		}
+	}
+}
+
 // adminOptions says who may use the administration API.
 func adminOptions(s *settings.Settings, clock *control.Clock) api.AdminOptions {
 	o := api.AdminOptions{Open: s.IsLoopback(), Now: clock.Now}
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -69,6 +69,9 @@
 	Config ConfigStore
 	// Storage is nil on instances outside the control group.
 	Storage Storage
+	// Published is called after a view was published; nil ignores it. It must
+	// not block.
+	Published func(*view.View)
 	// InvariantFailed is called when an invariant of the reducer fails.
 	InvariantFailed func(event.InvariantFailed)
 }
@@ -236,6 +239,9 @@
 		l.timer.Reset(l.clock.Until(e.At))
 	case event.Publish:
 		l.view.Store(e.View)
+		if l.handlers.Published != nil {
+			l.handlers.Published(e.View)
+		}
 	case event.Log:
 		l.handlers.Telemetry.Log(e)
 	case event.Count:
--- a/pkg/peer/manager.go
+++ b/pkg/peer/manager.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -60,6 +61,8 @@
 	client  *http.Client
 	scheme  string
 
+	// sent counts the bytes of encoded messages.
+	sent    atomic.Uint64
 	mu      sync.Mutex
 	links   map[model.InstanceID]*link
 	dialing map[string]bool
@@ -181,7 +184,7 @@
 
 // greet exchanges Hello messages on a connection this side dialed.
 func (m *Manager) greet(ctx context.Context, conn *websocket.Conn) (*message.Hello, error) {
-	if err := writeMessage(ctx, conn, &m.hello); err != nil {
+	if _, err := writeMessage(ctx, conn, &m.hello); err != nil {
 		return nil, err
 	}
 	return readHello(ctx, conn)
@@ -206,9 +209,11 @@
 	for {
 		select {
 		case msg := <-l.queue:
-			if err := writeMessage(ctx, conn, msg); err != nil {
+			n, err := writeMessage(ctx, conn, msg)
+			if err != nil {
 				return
 			}
+			m.sent.Add(uint64(n))
 		case <-ping.C:
 			pingCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 			err := conn.Ping(pingCtx)
@@ -246,6 +251,9 @@
 	}
 }
 
+// SentBytes returns the size of all messages sent on links, without greetings.
+func (m *Manager) SentBytes() uint64 { return m.sent.Load() }
+
 // ServeHTTP takes links from other instances.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, err := websocket.Accept(w, r, nil)
@@ -269,7 +277,7 @@
 		m.badMessage("", err)
 		return
 	}
-	if err := writeMessage(helloCtx, conn, &m.hello); err != nil {
+	if _, err := writeMessage(helloCtx, conn, &m.hello); err != nil {
 		return
 	}
 	if remote.PeerAddress != "" {
@@ -298,14 +306,15 @@
 		logevent.F("peer", from), logevent.F("error", err.Error())}})
 }
 
-func writeMessage(ctx context.Context, conn *websocket.Conn, msg message.Message) error {
+// writeMessage returns the size of the encoded message.
+func writeMessage(ctx context.Context, conn *websocket.Conn, msg message.Message) (int, error) {
 	data, err := codec.EncodeMessage(msg)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return conn.Write(ctx, websocket.MessageBinary, data)
+	return len(data), conn.Write(ctx, websocket.MessageBinary, data)
 }
 
 func readMessage(ctx context.Context, conn *websocket.Conn) (message.Message, error) {
