Test the configuration benchmark in each fault mode

A member counts as repaired only once its promotion is committed: the log line tells of the proposal, and a leader that was ended before the commit left a group of two voters with one of them lost.

--- /dev/null
+++ b/internal/configbench/configbench_test.go
@@ -0,0 +1,58 @@
+package configbench
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// Guards against a bench that cannot run one of its fault modes, that reports
+// other keys than documented, and against faults of the product that show after
+// a few changes.
+func TestReportOfEachMode(t *testing.T) {
+	for _, mode := range []string{FaultsNone, FaultsPartition, FaultsCrash, FaultsRepairThenLoss} {
+		t.Run(mode, func(t *testing.T) {
+			g := NewWithT(t)
+			r, err := Run(context.Background(), Options{Instances: 4, Group: 3, Changes: 5, Away: 5, Faults: mode, Seed: 1, Interval: 20 * time.Millisecond})
+			g.Expect(err).NotTo(HaveOccurred())
+			data, err := json.Marshal(r)
+			g.Expect(err).NotTo(HaveOccurred())
+			var keys map[string]any
+			g.Expect(json.Unmarshal(data, &keys)).To(Succeed())
+			for _, key := range []string{"accepted", "conflicts", "in_force_p50_ms", "in_force_p99_ms", "in_force_max_ms",
+				"reverted", "lost_accepted", "double_applied", "control_cpu_share", "control_bytes_per_second", "violations"} {
+				g.Expect(keys).To(HaveKey(key))
+			}
+			g.Expect(r.Accepted).To(BeNumerically(">=", 5))
+			g.Expect(r.Failed()).To(BeFalse(), "%v", r.Details)
+		})
+	}
+}
+
+// Guards against checks that see no fault: an accepted change that is missing, a
+// change applied twice, two winners and a version that goes back.
+func TestChecksFindFaults(t *testing.T) {
+	g := NewWithT(t)
+	tr := newTracker()
+	now := time.Now()
+	config := func(v model.Version, value int64) *model.Config {
+		return &model.Config{Version: v, Links: []model.Link{{BytesPerSecond: value}}}
+	}
+	tr.installed("a", config(3, 1))
+	tr.installed("a", config(2, 7))
+	tr.accept(accepted{id: "one", version: 3, base: 2, value: 1, at: now})
+	tr.accept(accepted{id: "one", version: 4, base: 2, value: 1, at: now})
+	tr.accept(accepted{id: "two", version: 5, base: 2, value: 2, at: now})
+	r := &Report{}
+	r.fill(tr)
+	g.Expect(r.Reverted).To(Equal(1))
+	g.Expect(r.LostAccepted).To(Equal(2))
+	g.Expect(r.DoubleApplied).To(Equal(1))
+	g.Expect(r.Failed()).To(BeTrue())
+	g.Expect(r.Details).To(ContainElement("changes one and two both replaced version 2"))
+}
--- a/internal/configbench/faults.go
+++ b/internal/configbench/faults.go
@@ -71,9 +71,9 @@
 
 // awaitAccept measures the time until a change is accepted that was first sent
 // after the loss.
-func (f *faults) awaitAccept(ctx context.Context, since time.Time) {
+func (f *faults) awaitAccept(ctx context.Context, since time.Time) time.Duration {
 	var at time.Time
-	if f.tracker.await(ctx, healLimit, func() bool {
+	if !f.tracker.await(ctx, healLimit, func() bool {
 		for n := len(f.tracker.accepts) - 1; n >= 0 && f.tracker.accepts[n].at.After(since); n-- {
 			if a := f.tracker.accepts[n]; a.sent.After(since) {
 				at = a.at
@@ -81,8 +81,10 @@
 		}
 		return !at.IsZero()
 	}) {
-		f.leaderLoss = append(f.leaderLoss, at.Sub(since))
+		f.tracker.violation("no change was accepted for %v after a loss", healLimit)
+		return healLimit
 	}
+	return at.Sub(since)
 }
 
 // partition isolates the leader in every second round and another instance in
@@ -103,7 +105,7 @@
 	ends := time.After(faultTime)
 	if k == leader && send && receive {
 		f.watchIsolated(ctx, k, at)
-		f.awaitAccept(ctx, at)
+		f.leaderLoss = append(f.leaderLoss, f.awaitAccept(ctx, at))
 	}
 	select {
 	case <-ends:
@@ -140,7 +142,7 @@
 	at := f.tracker.faultBegins()
 	f.cluster.kill(k)
 	if k == leader {
-		f.awaitAccept(ctx, at)
+		f.leaderLoss = append(f.leaderLoss, f.awaitAccept(ctx, at))
 	}
 	if err := f.cluster.restart(k); err != nil {
 		return err
@@ -168,7 +170,7 @@
 	}
 	at := f.tracker.faultBegins()
 	f.cluster.kill(second)
-	f.awaitAccept(ctx, at)
+	f.leaderLoss = append(f.leaderLoss, f.awaitAccept(ctx, at))
 	if err := f.cluster.restart(second); err != nil {
 		return err
 	}
@@ -191,6 +193,9 @@
 	if !f.tracker.await(ctx, healLimit, func() bool { return f.tracker.voters[id] }) {
 		f.tracker.violation("%s did not return to the control group within %v", id, healLimit)
 	}
+	// The log line tells of the proposal. A change that is sent after it and
+	// accepted proves that the proposal is committed.
+	f.awaitAccept(ctx, time.Now())
 	f.promotion = append(f.promotion, time.Since(at))
 	return f.heals(ctx)
 }
