End the wait for a leader that was replaced

Cause: a change that had gone to a leader which was then isolated waited there for the whole ChangeTimeout of 2 s, and instances outside the control group learned of the new leader only from a comparison with a random peer, so that resent changes went to the former one again.

A new leader now compares versions with all live peers, which carries the hint, and requests that wait for a replaced leader, or at one that stepped down, end with 4003 at once. Operators send them again with the same id.

--- a/pkg/agreement/lease.go
+++ b/pkg/agreement/lease.go
@@ -27,6 +27,14 @@
 	return 0
 }
 
+// LeadingTerm returns the term in which this member leads, 0 if it does not.
+func (s *State) LeadingTerm() uint64 {
+	if s.role != Leader {
+		return 0
+	}
+	return s.term
+}
+
 // stepDownAt returns when the leader gives up unless a majority answers. A new
 // leader has one lease to collect the first answers.
 func (s *State) stepDownAt(at model.Time) model.Time {
--- a/pkg/distribution/calls.go
+++ b/pkg/distribution/calls.go
@@ -47,7 +47,9 @@
 	call event.CallID
 	from model.InstanceID
 	// via is the next hop, empty while the request waits here.
-	via      model.InstanceID
+	via model.InstanceID
+	// term is the latest term known when the request was passed on.
+	term     uint64
 	digest   change.BodyDigest
 	deadline model.Time
 }
@@ -126,7 +128,7 @@
 		s.refuse(at, p, out)
 		return
 	}
-	p.via = to
+	p.via, p.term = to, s.leaderHint(at).Term
 	s.wait(p)
 	m := p.request
 	m.Hops++
@@ -313,6 +315,32 @@
 	}
 }
 
+// AnnounceLeader tells all live peers that this instance leads. Instances outside
+// the control group would otherwise send changes to the former leader until a
+// comparison with a random peer tells them.
+func (s *State) AnnounceLeader(at model.Time, out *event.Effects) {
+	for _, peer := range s.peers {
+		s.compareWith(at, peer, false, out)
+	}
+}
+
+// FollowLeader ends requests whose leader has been replaced or has stepped down.
+// Their answers may be lost; an operator who is told so at once sends the change
+// again instead of waiting for ChangeTimeout. It is called after every event.
+func (s *State) FollowLeader(at model.Time, out *event.Effects) {
+	if len(s.calls.order) == 0 {
+		return
+	}
+	hint, leading := s.leaderHint(at), s.control.Status(at).Leading
+	for _, p := range slices.Clone(s.calls.order) {
+		replaced := p.via != "" && hint.Leader != "" && hint.Leader != p.via && hint.Term > p.term
+		steppedDown := p.via == "" && p.request.Request == message.RequestChange && !leading
+		if replaced || steppedDown {
+			s.giveUp(at, p, out)
+		}
+	}
+}
+
 // giveUp ends a request without an answer. A change may still be committed, so
 // it is never refused here.
 func (s *State) giveUp(at model.Time, p *pending, out *event.Effects) {
--- a/pkg/distribution/sim_test.go
+++ b/pkg/distribution/sim_test.go
@@ -233,7 +233,10 @@
 			if s.blocked[[2]model.InstanceID{from.id, e.To}] {
 				return
 			}
-			to.step(func(out *event.Effects) { to.state.Receive(s.now, from.id, e.Message, out) })
+			to.step(func(out *event.Effects) {
+				to.state.Receive(s.now, from.id, e.Message, out)
+				to.state.FollowLeader(s.now, out)
+			})
 		})
 	}
 }
@@ -400,3 +403,28 @@
 	s.g.Expect(asker.replies[1].(event.ChangeReply).Result.Code).To(Equal(result.ChangeUnknown))
 	s.g.Expect(s.results).To(HaveKey("change-1"))
 }
+
+// Guards against an operator who waits for a leader that was isolated after it
+// took the change, although another one leads already.
+func TestReplacedLeaderEndsTheWait(t *testing.T) {
+	s := newSim(t, 4, 5)
+	s.run(time.Second)
+	for _, n := range s.nodes[1:] {
+		s.blocked[[2]model.InstanceID{"i-00", n.id}] = true
+		s.blocked[[2]model.InstanceID{n.id, "i-00"}] = true
+	}
+	former, asker, outside := s.nodes[0], s.nodes[1], s.nodes[4]
+	s.propose(asker, s.nextChange(1))
+	s.propose(former, s.nextChange(2))
+	s.propose(outside, s.nextChange(3))
+	s.leader, s.term = "i-01", 1
+	for _, n := range []*node{former, asker} {
+		n.step(func(out *event.Effects) { n.state.FollowLeader(s.now, out) })
+	}
+	asker.step(func(out *event.Effects) { asker.state.AnnounceLeader(s.now, out) })
+	s.run(10 * time.Millisecond)
+	for _, n := range []*node{former, asker, outside} {
+		s.g.Expect(n.replies).To(HaveLen(1))
+		s.g.Expect(n.replies[0].(event.ChangeReply).Result.Code).To(Equal(result.ChangeUnknown))
+	}
+}
--- a/pkg/state/config.go
+++ b/pkg/state/config.go
@@ -18,6 +18,8 @@
 	distribution.Control
 	// Take returns what was committed since the last call, in log order.
 	Take() []committed
+	// LeadingTerm returns the term in which this instance leads, 0 if it does not.
+	LeadingTerm() uint64
 	// Compact may replace the entries that the machine has applied by a snapshot.
 	Compact(machine *change.State, out *event.Effects)
 }
@@ -41,6 +43,8 @@
 	bootstrap *event.BootstrapOffered
 	// proposedIn is the term in which the bootstrap was proposed.
 	proposedIn uint64
+	// announcedIn is the term in which this instance announced that it leads.
+	announcedIn uint64
 }
 
 func newConfiguration(s *State, log controlLog) *configuration {
@@ -103,6 +107,11 @@
 		r := c.machine.Apply(e.position, e.change)
 		c.distribution.Decided(at, e.change, r, c.machine.Config(), &s.out)
 	}
+	if term := c.log.LeadingTerm(); term > c.announcedIn {
+		c.announcedIn = term
+		c.distribution.AnnounceLeader(at, &s.out)
+	}
+	c.distribution.FollowLeader(at, &s.out)
 	c.log.Compact(c.machine, &s.out)
 }
 
@@ -265,6 +274,12 @@
 	l.agreement.Compact(l.compacted, data, out)
 }
 
+// LeadingTerm implements controlLog.
+func (l *agreedLog) LeadingTerm() uint64 { return l.agreement.LeadingTerm() }
+
+// LeadingTerm implements controlLog. A local leader never changes.
+func (l *localLog) LeadingTerm() uint64 { return 0 }
+
 // Compact implements controlLog.
 func (l *localLog) Compact(*change.State, *event.Effects) {}
 
