--- a/cmd/anvilcrank-bench/main.go
+++ b/cmd/anvilcrank-bench/main.go
@@ -24,6 +24,7 @@
 type args struct {
 	Deployment *deploymentArgs `arg:"subcommand:deployment" help:"run a whole deployment under load in this process"`
 	Report     *reportArgs     `arg:"subcommand:report" help:"run deployments and write one page with plots"`
+	Config     *configArgs     `arg:"subcommand:config" help:"change the configuration under faults"`
 }
 
 // Description implements arg.Described.
@@ -47,6 +48,8 @@
 	var a args
 	p := arg.MustParse(&a)
 	switch {
+	case a.Config != nil:
+		exitOn(a.Config.run(), exitFailure)
 	case a.Report != nil:
 		exitOn(a.Report.run(), exitFailure)
 	case a.Deployment != nil:
--- a/pkg/state/permits.go
+++ b/pkg/state/permits.go
@@ -158,23 +158,38 @@
 // sendHints tells the other instances what this one owns, soon after a change
 // and otherwise now and then.
 func (s *State) sendHints(at model.Time) {
-	offers := s.upstreams.Offers(at)
-	for i := range offers {
-		offers[i].Far = min(offers[i].Free, s.farRoom(offers[i].Service))
-		offers[i].Waiting = s.requests.Waiting(offers[i].Service) + s.permits.Waiting(offers[i].Service)
-	}
+	offers := s.offers(at)
 	if sameOffers(offers, s.hinting.last) && at < s.hinting.sentAt.Add(maxHintInterval) {
 		return
 	}
 	s.hinting.last = offers
 	s.hinting.sentAt = at
-	s.hinting.seq++
-	m := &message.Availability{Seq: s.hinting.seq, Stopping: s.stopping, Offers: offers}
+	m := s.availability(offers)
 	for _, p := range s.Peers() {
 		s.out.Add(event.Send{To: p, Message: m})
 	}
 }
 
+// sendHintsTo tells an instance with a new link at once.
+func (s *State) sendHintsTo(at model.Time, peer model.InstanceID) {
+	s.out.Add(event.Send{To: peer, Message: s.availability(s.offers(at))})
+}
+
+func (s *State) availability(offers []message.Offer) *message.Availability {
+	s.hinting.seq++
+	return &message.Availability{Seq: s.hinting.seq, Stopping: s.stopping, Offers: offers}
+}
+
+// offers lists what this instance has of each service.
+func (s *State) offers(at model.Time) []message.Offer {
+	offers := s.upstreams.Offers(at)
+	for i := range offers {
+		offers[i].Far = min(offers[i].Free, s.farRoom(offers[i].Service))
+		offers[i].Waiting = s.requests.Waiting(offers[i].Service) + s.permits.Waiting(offers[i].Service)
+	}
+	return offers
+}
+
 func sameOffers(a, b []message.Offer) bool {
 	if len(a) != len(b) {
 		return false
