Answer look-ups and select ledger groups without walking the roster

Cause: docs/CAPACITY.md showed that a look-up walked all instances up to six times, and that a roster change sorted the whole roster for each zone.

Change: views group their instances when they are published; a ledger group is selected in one pass.

--- a/internal/capacity/instance.go
+++ b/internal/capacity/instance.go
@@ -161,12 +161,13 @@
 }
 
 func benchViewLookup(b *testing.B, n int) {
-	v := &view.View{Config: configOf(n)}
+	config := configOf(n)
+	var instances []view.Instance
 	for k := range n {
 		m := memberAt(k)
-		v.Instances = append(v.Instances, view.Instance{ID: m.ID, Address: m.Address, Zone: m.Zone, Region: v.Config.RegionOf(m.Zone)})
+		instances = append(instances, view.Instance{ID: m.ID, Address: m.Address, Zone: m.Zone, Region: config.RegionOf(m.Zone)})
 	}
-	v.Self = v.Instances[0]
+	v := view.New(instances[0], config, instances, false)
 	k := 0
 	for b.Loop() {
 		if v.Lookup(serviceName, zoneName(k), "192.0.2.1") == nil {
--- a/pkg/model/config.go
+++ b/pkg/model/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 )
@@ -241,27 +242,35 @@
 // in identifier order. Fewer than LedgerGroupSize are returned only when the
 // roster is smaller.
 func (c *Config) LedgerGroup(home Zone) []InstanceID {
-	region := c.RegionOf(home)
-	rank := func(r RosterEntry) int {
+	regions := make(map[Zone]Region, len(c.Zones))
+	for _, z := range c.Zones {
+		regions[z.Zone] = z.Region
+	}
+	type candidate struct {
+		id   InstanceID
+		rank int
+	}
+	// The first replicas found so far, in order.
+	var first []candidate
+	for _, r := range c.Roster {
+		k := candidate{id: r.ID, rank: 2}
 		switch {
 		case r.Zone == home:
-			return 0
-		case c.RegionOf(r.Zone) == region:
-			return 1
+			k.rank = 0
+		case regions[r.Zone] == regions[home]:
+			k.rank = 1
 		}
-		return 2
-	}
-	entries := append([]RosterEntry(nil), c.Roster...)
-	sort.Slice(entries, func(i, j int) bool {
-		if a, b := rank(entries[i]), rank(entries[j]); a != b {
-			return a < b
+		at := sort.Search(len(first), func(i int) bool {
+			return first[i].rank > k.rank || first[i].rank == k.rank && first[i].id > k.id
+		})
+		if at < LedgerGroupSize {
+			first = slices.Insert(first, at, k)
+			first = first[:min(len(first), LedgerGroupSize)]
 		}
-		return entries[i].ID < entries[j].ID
-	})
-	n := min(LedgerGroupSize, len(entries))
-	ids := make([]InstanceID, n)
+	}
+	ids := make([]InstanceID, len(first))
 	for i := range ids {
-		ids[i] = entries[i].ID
+		ids[i] = first[i].id
 	}
 	return ids
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -219,8 +219,7 @@
 	s.viewDone = true
 	self := view.Instance{ID: s.identity.ID, Address: s.identity.Address, Zone: s.identity.Zone}
 	self.Region = s.config.RegionOf(self.Zone)
-	v := &view.View{Self: self, Config: s.config, Instances: s.servingInstances(), Stopping: s.stopping}
-	s.out.Add(event.Publish{View: v})
+	s.out.Add(event.Publish{View: view.New(self, s.config, s.servingInstances(), s.stopping)})
 }
 
 // setTimer asks for a wake-up at the earliest time that any sub-reducer needs.
--- a/pkg/view/lookup_test.go
+++ b/pkg/view/lookup_test.go
@@ -12,20 +12,20 @@
 )
 
 func testView() *view.View {
-	v := &view.View{Config: &model.Config{
+	config := &model.Config{
 		Version:  7,
 		Zones:    []model.ZoneInfo{{Zone: "a", Region: "r"}, {Zone: "b", Region: "r"}, {Zone: "c", Region: "s"}},
 		Profiles: []model.Profile{{Name: "p"}},
 		Services: []model.Service{{Name: "reads", Profile: "p"}},
-	}}
-	for _, z := range v.Config.Zones {
+	}
+	var instances []view.Instance
+	for _, z := range config.Zones {
 		for k := range 2 {
-			v.Instances = append(v.Instances, view.Instance{
+			instances = append(instances, view.Instance{
 				ID: model.InstanceID(fmt.Sprintf("%s-%d", z.Zone, k)), Zone: z.Zone, Region: z.Region})
 		}
 	}
-	v.Self = v.Instances[4]
-	return v
+	return view.New(instances[4], config, instances, false)
 }
 
 // Guards against callers sent out of their zone, or all to one instance.
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -22,7 +22,7 @@
 	Region model.Region `json:"-"`
 }
 
-// View is the published state.
+// View is the published state. Views that answer look-ups are made by New.
 type View struct {
 	// Self is this instance.
 	Self Instance
@@ -33,6 +33,8 @@
 	Instances []Instance
 	// Stopping is true once a graceful stop began.
 	Stopping bool
+
+	index index
 }
 
 // Answer is the answer to a look-up.
@@ -67,37 +69,59 @@
 		KeyZone:   zone,
 		Version:   v.Config.Version,
 	}
-	start := xxhash.Sum64String(client)
-	a.appendGroup(v.Instances, start, func(i *Instance) bool { return i.Zone == zone })
-	a.appendGroup(v.Instances, start, func(i *Instance) bool { return i.Zone != zone && i.Region == region })
-	a.appendGroup(v.Instances, start, func(i *Instance) bool { return i.Region != region })
+	hash := xxhash.Sum64String(client)
+	a.appendRotated(v.index.zones[zone], hash)
+	a.appendRotated(v.index.regionOthers[zone], hash)
+	a.appendOutside(v.Instances, hash, region)
 	return a
 }
 
-// appendGroup appends the instances of a group, beginning with the one that the
-// client's hash selects within the group.
-func (a *Answer) appendGroup(all []Instance, hash uint64, in func(*Instance) bool) {
-	size := 0
-	for k := range all {
-		if in(&all[k]) {
-			size++
+// appendRotated appends the instances of a list, beginning with the one that the
+// client's hash selects.
+func (a *Answer) appendRotated(list []Instance, hash uint64) {
+	n := uint64(len(list))
+	for k := uint64(0); k < n && len(a.Instances) < MaxLookupInstances; k++ {
+		a.Instances = append(a.Instances, list[(hash+k)%n])
+	}
+}
+
+// appendOutside appends instances of other regions.
+func (a *Answer) appendOutside(all []Instance, hash uint64, region model.Region) {
+	n := uint64(len(all))
+	for k := uint64(0); k < n && len(a.Instances) < MaxLookupInstances; k++ {
+		if i := &all[(hash+k)%n]; i.Region != region {
+			a.Instances = append(a.Instances, *i)
 		}
 	}
-	if size == 0 {
-		return
+}
+
+// index groups the instances of a view, so that a look-up touches only those
+// that it names.
+type index struct {
+	zones map[model.Zone][]Instance
+	// regionOthers lists for each zone the instances of its region in other zones.
+	regionOthers map[model.Zone][]Instance
+}
+
+// New returns a view with the instances in identifier order.
+func New(self Instance, config *model.Config, instances []Instance, stopping bool) *View {
+	v := &View{Self: self, Config: config, Instances: instances, Stopping: stopping}
+	v.index.zones = map[model.Zone][]Instance{}
+	regions := map[model.Region][]Instance{}
+	for _, i := range instances {
+		v.index.zones[i.Zone] = append(v.index.zones[i.Zone], i)
+		regions[i.Region] = append(regions[i.Region], i)
+	}
+	if config == nil {
+		return v
 	}
-	first := int(hash % uint64(size))
-	// The first walk takes the members from first on, the second one the rest.
-	for _, wrapped := range []bool{false, true} {
-		rank := 0
-		for k := range all {
-			if !in(&all[k]) {
-				continue
-			}
-			if (rank < first) == wrapped && len(a.Instances) < MaxLookupInstances {
-				a.Instances = append(a.Instances, all[k])
+	v.index.regionOthers = make(map[model.Zone][]Instance, len(config.Zones))
+	for _, z := range config.Zones {
+		for _, i := range regions[z.Region] {
+			if i.Zone != z.Zone {
+				v.index.regionOthers[z.Zone] = append(v.index.regionOthers[z.Zone], i)
 			}
-			rank++
 		}
 	}
+	return v
 }
