--- a/internal/configbench/run.go
+++ b/internal/configbench/run.go
@@ -49,7 +49,7 @@
 	}
 	r.fill(t)
 	r.Seconds = time.Since(begin).Seconds()
-	return r, nil
+	return r, ctx.Err()
 }
 
 // measure lets operators and faults run and collects the figures that need the
