--- a/cmd/anvilcrank-bench/main.go
+++ b/cmd/anvilcrank-bench/main.go
@@ -2,31 +2,109 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
+	"strings"
+	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/anvilcrank/anvilcrank/internal/bench"
 )
 
-// Exit codes.
+// Exit codes; docs/api.md lists them.
 const (
 	exitFailure = 1
 	exitUsage   = 2
 )
 
 type args struct {
-	Config *configArgs `arg:"subcommand:config" help:"change the configuration under faults"`
+	Deployment *deploymentArgs `arg:"subcommand:deployment" help:"run a whole deployment under load in this process"`
+	Config     *configArgs     `arg:"subcommand:config" help:"change the configuration under faults"`
+	Report     *reportArgs     `arg:"subcommand:report" help:"run deployments and write one page with plots"`
+}
+
+// Description implements arg.Described.
+func (args) Description() string {
+	return "anvilcrank-bench measures deployments.\n\nExit codes: 0 done, 1 failed or a violation was seen, 2 wrong usage."
+}
+
+type deploymentArgs struct {
+	Name      string        `arg:"--name" default:"bell" help:"bell or tabsangam"`
+	Policy    string        `arg:"--policy" default:"anvilcrank" help:"anvilcrank, round-robin or least-reported"`
+	Scenario  string        `arg:"--scenario" default:"steady"`
+	Seeds     int           `arg:"--seeds" default:"5" help:"number of seeds"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Duration  time.Duration `arg:"--duration" help:"how long load is offered; 0 is the scenario's default"`
+	TimeScale float64       `arg:"--time-scale" default:"1" help:"multiplies service times and so divides the request rate"`
+	NoKeys    bool          `arg:"--no-keys" help:"send non-idempotent requests without idempotency keys"`
+	JSON      bool          `arg:"--json" help:"print one JSON object as the last line"`
 }
 
 func main() {
 	var a args
 	p := arg.MustParse(&a)
-	if a.Config == nil {
+	switch {
+	case a.Report != nil:
+		exitOn(a.Report.run(), exitFailure)
+	case a.Config != nil:
+		exitOn(a.Config.run(), exitFailure)
+	case a.Deployment != nil:
+		runDeployment(a.Deployment)
+	default:
 		p.WriteHelp(os.Stderr)
 		os.Exit(exitUsage)
 	}
-	if err := a.Config.run(); err != nil {
+}
+
+// exitOn ends the program with the code if there is an error.
+func exitOn(err error, code int) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "anvilcrank-bench:", err)
-		os.Exit(exitFailure)
+		os.Exit(code)
+	}
+}
+
+func runDeployment(a *deploymentArgs) {
+	o := a.options()
+	exitOn(o.Validate(), exitUsage)
+	exitOn(run(o, a.JSON), exitFailure)
+}
+
+func (a *deploymentArgs) options() bench.Options {
+	return bench.Options{
+		Name:      a.Name,
+		Policy:    a.Policy,
+		Scenario:  a.Scenario,
+		Seeds:     a.Seeds,
+		Seed:      a.Seed,
+		Duration:  a.Duration,
+		TimeScale: a.TimeScale,
+		NoKeys:    a.NoKeys,
+		Progress:  os.Stderr,
+	}
+}
+
+func run(o bench.Options, asJSON bool) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	summary, err := bench.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		err = json.NewEncoder(os.Stdout).Encode(summary)
+	} else {
+		err = summary.WriteTable(os.Stdout)
+	}
+	if err != nil {
+		return err
+	}
+	if failed := summary.FailedNames(); len(failed) > 0 {
+		return fmt.Errorf("not zero: %s", strings.Join(failed, ", "))
 	}
+	return nil
 }
--- a/instance.go
+++ b/instance.go
@@ -40,6 +40,11 @@
 	Dial proxy.Dialer
 	// Seed starts the random numbers of the reducer; 0 takes the start time.
 	Seed uint64
+	// Policy names the policy that selects upstreams, "" for the usual one.
+	Policy string
+	// BindEarly makes the instance a baseline for benchmarks: it sends work at
+	// once, counts no slots and lets work queue at upstreams.
+	BindEarly bool
 	// OnInvariant is called on the control goroutine when an invariant fails,
 	// after it was logged and counted. It must not block.
 	OnInvariant func(event.InvariantFailed)
@@ -91,6 +96,8 @@
 		Seed:         o.Seed,
 		ControlGroup: s.ControlGroup,
 		Disk:         s.Data != "",
+		Policy:       o.Policy,
+		BindEarly:    o.BindEarly,
 	}
 	if identity.Seed == 0 {
 		identity.Seed = uint64(identity.Incarnation)
@@ -215,6 +222,10 @@
 // Stop begins a graceful stop: Run returns once everything in flight has ended.
 func (i *Instance) Stop() { i.loop.Report(event.StopRequested{}) }
 
+// LoadConfig brings a configuration that is known to be committed. It comes into
+// force if it is newer than the present one.
+func (i *Instance) LoadConfig(c model.Config) { i.loop.Report(event.ConfigLoaded{Config: c}) }
+
 // Close closes the listeners of an instance that was never run.
 func (i *Instance) Close() {
 	_ = i.listener.Close()
--- a/pkg/state/schedules_test.go
+++ b/internal/simulation/schedules_test.go
@@ -1,4 +1,4 @@
-package state
+package simulation
 
 import (
 	"os"
@@ -8,17 +8,23 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+
+	"github.com/anvilcrank/anvilcrank/pkg/state"
 )
 
 // schedulesVariable sets the number of schedules of a long run.
 const schedulesVariable = "ANVILCRANK_SCHEDULES"
 
-// defaultSchedules keeps the run under 20 s in CI.
-const defaultSchedules = 2000
+const (
+	// defaultSchedules keeps the run under a minute in CI.
+	defaultSchedules = 10_000
+	// shortSchedules is for the race detector, which is ten times as slow.
+	shortSchedules = 500
+)
 
 // runSchedules runs numbered schedules on all processors until one violates a
 // check. It returns the first of its violations.
-func runSchedules(count int, faults func(*State)) (seed uint64, violation string, total sim) {
+func runSchedules(count int, faults state.Faults) (seed uint64, violation string, total sim) {
 	// The live heap is small, so the collector would run all the time.
 	defer debug.SetGCPercent(debug.SetGCPercent(1000))
 	var next atomic.Uint64
@@ -59,6 +65,9 @@
 // partitions, crashes and drains that breaks a bound or loses a request.
 func TestSchedules(t *testing.T) {
 	count := defaultSchedules
+	if testing.Short() {
+		count = shortSchedules
+	}
 	if text := os.Getenv(schedulesVariable); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil {
@@ -66,7 +75,7 @@
 		}
 		count = n
 	}
-	seed, violation, total := runSchedules(count, nil)
+	seed, violation, total := runSchedules(count, state.Faults{})
 	if violation != "" {
 		t.Fatalf("seed %d: %s", seed, violation)
 	}
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -142,7 +142,8 @@
 // Guards against suspicions that are not refuted, dead instances that stay
 // listed, restarts that are not noticed, and planned stops that are not
 // announced, at random places and with lost messages.
-func TestRandomRunsConverge(t *testing.T) {
+var _ = It("random runs converge", func() {
+	t := GinkgoTB()
 	for seed := range uint64(30) {
 		RegisterTestingT(t)
 		n := 5 + int(seed%16)
@@ -157,7 +158,7 @@
 		want := n - 1
 		if leaving != dead {
 			want--
-			w.do(leaving, w.nodes[leaving].Leave)
+			w.do(leaving, func(out *event.Effects) { w.nodes[leaving].Leave(w.now, out) })
 		}
 		w.run(20 * time.Second)
 		w.loss = 0
@@ -167,22 +168,52 @@
 		w.run(10 * time.Second)
 		Expect(w.wrongViews(want+1)).To(BeEmpty(), "seed %d", seed)
 	}
-}
+})
 
 // Guards against a live instance that counts as dead because one path to it is
 // broken, in one direction.
-func TestBrokenPathIsNotALostInstance(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("broken path is not a lost instance", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	w.cut = func(from, to int) bool { return from == 2 && to == 3 }
 	w.run(time.Minute)
 	g.Expect(w.deaths).To(BeZero())
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
-}
+})
+
+// Guards against an instance that names a leaving one because it has connected
+// after the others were told, and against a stop that does not wait for an
+// instance that has not heard of it.
+var _ = It("leaving instance is not named", func() {
+	g := NewWithT(GinkgoTB())
+	w := newNetwork(1, 11)
+	w.cut = func(from, to int) bool { return from == 4 && to == 7 }
+	w.do(4, func(out *event.Effects) { w.nodes[4].Leave(w.now, out) })
+	w.run(200 * time.Millisecond)
+	_, known := w.nodes[4].LeaveKnown(w.now)
+	g.Expect(known).To(BeFalse())
+	w.cut = nil
+	healed := w.now
+	w.run(2 * time.Second)
+	since, known := w.nodes[4].LeaveKnown(w.now)
+	g.Expect(known).To(BeTrue())
+	g.Expect(since).To(BeNumerically(">", healed))
+	g.Expect(w.wrongViews(10)).To(BeEmpty())
+
+	// The greeting does not say that the instance leaves.
+	w.start(9)
+	greeting := message.Member{ID: id(4), Incarnation: w.nodes[4].self.Incarnation, Zone: w.nodes[4].self.Zone, PeerAddress: string(id(4))}
+	for range 20 {
+		w.do(9, func(out *event.Effects) { w.nodes[9].Connected(w.now, greeting, out) })
+		g.Expect(w.nodes[9].Serving()).NotTo(ContainElement(HaveField("ID", id(4))))
+		w.run(100 * time.Millisecond)
+	}
+	g.Expect(w.wrongViews(10)).To(BeEmpty())
+})
 
 // Guards against a live instance that does not hear of its own suspicion.
-func TestFalseSuspicionIsRefuted(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("false suspicion is refuted", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	suspect := w.nodes[3].self
 	suspect.Status = message.MemberSuspect
@@ -192,12 +223,12 @@
 	g.Expect(w.nodes[3].self.Revision).To(BeNumerically(">", suspect.Revision))
 	g.Expect(w.deaths).To(BeZero())
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
-}
+})
 
 // Guards against two sides of a healed partition that never find each other
 // again.
-func TestHealedPartitionJoinsAgain(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("healed partition joins again", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	w.cut = func(from, to int) bool { return from%5 == 0 != (to%5 == 0) }
 	w.run(time.Minute)
@@ -206,20 +237,21 @@
 	w.cut = nil
 	w.run(30 * time.Second)
 	g.Expect(w.wrongViews(10)).To(BeEmpty())
-}
+})
 
 // Guards against a frozen process that declares the others dead when it goes on.
-func TestFrozenProcessSuspectsNobody(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("frozen process suspects nobody", func() {
+	g := NewWithT(GinkgoTB())
 	w := newNetwork(1, 10)
 	s := w.nodes[4]
 	s.probes.target = id(5)
 	w.do(4, func(out *event.Effects) { s.Wake(w.now.Add(20*time.Second), out) })
 	g.Expect(s.Serving()).To(HaveLen(10))
-}
+})
 
 // Guards against messages that grow in number or size with the instances.
-func TestRateDoesNotGrowWithInstances(t *testing.T) {
+var _ = It("rate does not grow with instances", func() {
+	t := GinkgoTB()
 	g := NewWithT(t)
 	for _, n := range []int{10, 50, 200} {
 		w := newNetwork(1, n)
@@ -238,4 +270,4 @@
 		g.Expect(most).To(BeNumerically("<", 5*60))
 		g.Expect(w.largest).To(BeNumerically("<=", maxUpdates))
 	}
-}
+})
--- a/pkg/state/stopping.go
+++ b/pkg/state/stopping.go
@@ -20,21 +20,35 @@
 		return
 	}
 	s.stopping = true
-	s.stopAt = at.Add(view.LookupTTL)
 	s.viewDone = false
 	// The other instances learn of it with the next tick.
 	s.hinting.sentAt, s.hinting.next = 0, 0
-	s.members.Leave(&s.out)
+	s.members.Leave(at, &s.out)
 	s.out.Add(event.Log{Code: logevent.ProcessStopping})
 }
 
 // advanceStop begins to hand over the upstreams once callers' cached look-ups
-// have run out. From then on, announcements are redirected, and the new owners
+// have run out. Their time counts from when the last other instance has stopped
+// naming this one. From then on, announcements are redirected, and the new owners
 // ask for the counts.
 func (s *State) advanceStop(at model.Time) {
-	s.handingOver = s.stopping && at >= s.stopAt
+	if !s.stopping || s.handingOver {
+		return
+	}
+	if s.stopAt == 0 {
+		if known, ok := s.members.LeaveKnown(at); ok {
+			s.stopAt = known.Add(view.LookupTTL)
+		}
+	}
+	s.handingOver = s.stopAt != 0 && at >= s.stopAt
 }
 
+// HandingOver reports whether ownership moves to other instances.
+func (s *State) HandingOver() bool { return s.handingOver }
+
+// Owned returns the number of upstreams that this instance owns.
+func (s *State) Owned() int { return s.upstreams.Owned() }
+
 // checkStopped ends the process when nothing is left to wait for: requests of
 // this instance, long downloads included, upstreams without another owner, and
 // permits whose release must be passed on.
@@ -42,7 +56,7 @@
 	if !s.handingOver || s.stopped || s.requests.Open() > 0 {
 		return
 	}
-	if len(s.peers) > 0 && at < s.stopAt.Add(handoverLimit) && s.upstreams.Owned() > 0 {
+	if len(s.peers) > 0 && at < s.stopAt.Add(handoverLimit) && (s.upstreams.Owned() > 0 || !s.upstreams.HandoversSettled(at)) {
 		return
 	}
 	if len(s.peers) > 0 && s.permits.Unsettled() > 0 || s.ledger.Unsettled() > 0 {
@@ -60,6 +74,7 @@
 	case !s.stopping || s.stopped:
 		return 0
 	case !s.handingOver:
+		// Until stopAt is known, acknowledgements and the probes drive the stop.
 		return s.stopAt
 	}
 	return s.nextTick()
--- a/pkg/storage/storage_test.go
+++ b/pkg/storage/storage_test.go
@@ -8,8 +8,8 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -68,7 +68,8 @@
 // Guards against a confirmed write that is lost, and against a write that is
 // half read, after crashes that tear unsynced data, short writes, failed syncs
 // and full disks.
-func TestCrashKeepsConfirmedWrites(t *testing.T) {
+var _ = It("crash keeps confirmed writes", func() {
+	t := GinkgoTB()
 	torn, failed := 0, 0
 	for seed := range uint64(600) {
 		m := newMemory(seed)
@@ -109,7 +110,7 @@
 	if torn == 0 || failed == 0 {
 		t.Fatalf("%d torn and %d failed writes: the test shows nothing", torn, failed)
 	}
-}
+})
 
 // isInstall reports whether the contents are an unconfirmed snapshot joined with
 // the log before it, which is what a crash between the two files leaves.
@@ -122,14 +123,19 @@
 // Guards against a changed or shortened file that is read as if it were whole.
 // Only ErrCorrupt, the last state and, for a log cut within its last write, the
 // state before are right.
-func TestDamageIsDetected(t *testing.T) {
+var _ = It("damage is detected", func() {
+	t := GinkgoTB()
 	m := newMemory(5)
 	s, err := storage.Open(m)
 	if err != nil {
 		t.Fatal(err)
 	}
+	var older []byte
 	h := history{s.Contents()}
 	for len(h) < 40 || len(h.last().Entries) < 4 || h.last().Snapshot.Index == 0 {
+		if f := m.names["snapshot"]; older == nil && f != nil {
+			older = f.data
+		}
 		if err := s.Write([]event.Persist{next(m.rng, &h)}); err != nil {
 			t.Fatal(err)
 		}
@@ -143,20 +149,24 @@
 			t.Errorf("%s %s: %v", name, what, err)
 		}
 	}
+	read("snapshot", older, "of an earlier state", len(h)-1)
 	for _, name := range []string{"log", "snapshot"} {
 		whole := m.names[name].data
 		for at := range whole {
 			flipped := slices.Clone(whole)
 			flipped[at] ^= 1 << (at % 8)
 			read(name, flipped, fmt.Sprint("bit flipped at ", at), len(h)-1)
+			zeroed := append(slices.Clone(whole[:at]), make([]byte, min(512, len(whole)-at))...)
+			read(name, append(zeroed, whole[len(zeroed):]...), fmt.Sprint("zeros at ", at), len(h)-2)
 			read(name, whole[:at], fmt.Sprint("cut at ", at), len(h)-2)
 		}
 	}
-}
+})
 
 // Guards against two processes that write to one folder, and against a folder
 // that is read by another process before the first has ended.
-func TestOneProcessPerFolder(t *testing.T) {
+var _ = It("one process per folder", func() {
+	t := GinkgoTB()
 	g := NewWithT(t)
 	f, err := storage.Folder(t.TempDir())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -171,4 +181,4 @@
 	g.Expect(again.Contents().Hard.Term).To(Equal(uint64(7)))
 	g.Expect(again.Contents().Disk).To(Equal(first.Contents().Disk))
 	g.Expect(again.Close()).To(Succeed())
-}
+})
