--- a/cmd/anvilcrank-bench/main.go
+++ b/cmd/anvilcrank-bench/main.go
@@ -48,10 +48,10 @@
 	var a args
 	p := arg.MustParse(&a)
 	switch {
-	case a.Config != nil:
-		exitOn(a.Config.run(), exitFailure)
 	case a.Report != nil:
 		exitOn(a.Report.run(), exitFailure)
+	case a.Config != nil:
+		exitOn(a.Config.run(), exitFailure)
 	case a.Deployment != nil:
 		runDeployment(a.Deployment)
 	default:
--- a/pkg/distribution/sim_test.go
+++ b/pkg/distribution/sim_test.go
@@ -410,7 +410,7 @@
 
 // Guards against an operator who waits for a leader that was isolated after it
 // took the change, although another one leads already.
-var _ = It("replaced leader ends the wait", func() {
+var _ = It("ends the wait for a replaced leader", func() {
 	t := GinkgoTB()
 	s := newSim(t, 4, 5)
 	s.run(time.Second)
