Hold back answers that the deadline may cut off

Cause: the deadline ended an attempt also while its body was on the way to the caller, who then saw a truncated answer.

Ruled out: a fault at the upstream or the connection (the upstream of each answer that was cut off was up, and the times are the deadline's).

Change: when the headers come, the reducer compares the time that is left with twice the time that the headers took and twice the p99 of the service's bodies. A body that is under way at the deadline may arrive for 200 ms more; the slot is held for 250 ms. A body over 1 MiB still begins early and may be cut off.

--- a/pkg/event/request.go
+++ b/pkg/event/request.go
@@ -128,6 +128,11 @@
 type Relay struct {
 	Request model.RequestID
 	Attempt model.AttemptID
+	// Hold is how many bytes of the body are held back until it is whole; 0 sends
+	// it as it comes. A longer body begins once it exceeds this.
+	Hold int
+	// Until is when the response must have ended.
+	Until model.Time
 }
 
 // CancelAttempt closes an attempt's connection and asks the upstream to confirm
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -26,7 +26,12 @@
 	// response is set before the reducer is told of the response headers.
 	response atomic.Pointer[http.Response]
 	canceled atomic.Bool
-	ended    sync.Once
+	// expired is set when the deadline ended the attempt.
+	expired atomic.Bool
+	expiry  *time.Timer
+	// hold is how many bytes of the body are held back until it is whole.
+	hold  int
+	ended sync.Once
 
 	connMu sync.Mutex
 	conn   *countingConn
@@ -34,8 +39,24 @@
 }
 
 func newAttempt(p *Proxy, e *exchange, d event.Dispatch) *attempt {
-	ctx, cancel := context.WithTimeout(context.Background(), d.Deadline.Sub(p.now()))
-	return &attempt{proxy: p, exchange: e, dispatch: d, ctx: ctx, cancel: cancel}
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &attempt{proxy: p, exchange: e, dispatch: d, ctx: ctx, cancel: cancel}
+	a.expiry = time.AfterFunc(d.Deadline.Sub(p.now()), a.expire)
+	return a
+}
+
+// expire ends the attempt at its deadline.
+func (a *attempt) expire() {
+	a.expired.Store(true)
+	a.cancel()
+}
+
+// extend lets the response arrive until the given time, unless the deadline has
+// ended the attempt.
+func (a *attempt) extend(until model.Time) {
+	if until > a.dispatch.Deadline && a.expiry.Stop() {
+		a.expiry.Reset(until.Sub(a.proxy.now()))
+	}
 }
 
 // run sends the request and reports the response headers or the failure.
@@ -136,7 +157,7 @@
 		return event.ConnectFailed
 	case a.canceled.Load():
 		return event.Canceled
-	case isTimeout(err):
+	case a.expired.Load() || isTimeout(err):
 		return event.TimedOut
 	}
 	return event.LostAfterDispatch
@@ -145,6 +166,7 @@
 // end reports the end of the attempt once.
 func (a *attempt) end(ev event.AttemptEnded) {
 	a.ended.Do(func() {
+		a.expiry.Stop()
 		a.cancel()
 		ev.Request = a.dispatch.Request
 		ev.Attempt = a.dispatch.Attempt
@@ -154,16 +176,11 @@
 			a.proxy.attempts.Delete(a.dispatch.Attempt)
 		default:
 			// The reducer may ask the upstream to confirm that the slot is free.
-			time.AfterFunc(time.Until(a.deadline()), func() { a.proxy.attempts.Delete(a.dispatch.Attempt) })
+			time.AfterFunc(a.dispatch.Deadline.Sub(a.proxy.now())+cancelTimeout, func() { a.proxy.attempts.Delete(a.dispatch.Attempt) })
 		}
 	})
 }
 
-func (a *attempt) deadline() time.Time {
-	d, _ := a.ctx.Deadline()
-	return d.Add(cancelTimeout)
-}
-
 // recorded makes the answer that the ledger keeps.
 func recorded(resp *http.Response, kept *bytes.Buffer) *model.Answer {
 	if kept == nil {
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -72,7 +72,8 @@
 }
 
 // relay streams the response to the caller. The headers wait for the first byte
-// of the body, so that a response that breaks off before can be replaced.
+// of the body, or for the whole body if that is held back, so that a response
+// that breaks off before can be replaced.
 func (a *attempt) relay(w http.ResponseWriter) relayResult {
 	resp := a.response.Load()
 	defer resp.Body.Close()
@@ -127,11 +128,21 @@
 
 // copyBody copies the body. After the caller went away, it reads on where the
 // outcome is to be recorded. kept collects the body and becomes nil when that
-// is too large to keep.
+// is too large to keep. A body that is held back goes out when it is whole or
+// exceeds the bound.
 func (a *attempt) copyBody(w http.ResponseWriter, resp *http.Response, kept **bytes.Buffer) (readErr, writeErr error) {
 	buf := a.proxy.buffers.Get().(*[]byte)
 	defer a.proxy.buffers.Put(buf)
 	flusher, _ := w.(http.Flusher)
+	var held []byte
+	holding := a.hold > 0 && !a.exchange.progress.started
+	write := func(p []byte) {
+		if writeErr == nil && len(p) > 0 {
+			a.writeHeader(w, resp)
+			_, writeErr = w.Write(p)
+			a.exchange.progress.sent += int64(len(p))
+		}
+	}
 	for {
 		k, err := resp.Body.Read(*buf)
 		if k > 0 {
@@ -139,13 +150,16 @@
 				return paceErr, writeErr
 			}
 		}
-		if k > 0 && writeErr == nil {
-			a.writeHeader(w, resp)
-			_, writeErr = w.Write((*buf)[:k])
+		if holding {
+			held = append(held, (*buf)[:k]...)
+			if holding = len(held) <= a.hold && err != io.EOF; !holding {
+				write(held)
+			}
+		} else if k > 0 && writeErr == nil {
+			write((*buf)[:k])
 			if flusher != nil && writeErr == nil && k < len(*buf) && err == nil {
 				flusher.Flush()
 			}
-			a.exchange.progress.sent += int64(k)
 		}
 		if k > 0 && *kept != nil {
 			if (*kept).Len()+k > model.MaxRecordedBody {
--- /dev/null
+++ b/pkg/proxy/relay_test.go
@@ -0,0 +1,59 @@
+package proxy_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+// Guards against a response that is cut off by its deadline: one that is held
+// back must not begin, and one that is under way may arrive a little later.
+func TestDeadlineWithinTheBody(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		hold   int
+		grace  time.Duration
+		result event.AttemptResult
+		body   string
+	}{{10, 0, event.Truncated, ""}, {10, time.Second, event.Completed, "whole"}, {0, time.Second, event.Completed, "whole"}, {1, 0, event.Truncated, "wh"}} {
+		upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = w.Write([]byte("wh"))
+			w.(http.Flusher).Flush()
+			time.Sleep(400 * time.Millisecond)
+			_, _ = w.Write([]byte("ole"))
+		}))
+		control, w, ended := newStubControl(nil), httptest.NewRecorder(), make(chan struct{})
+		p := newProxy(control)
+		go func() {
+			defer close(ended)
+			defer func() { _ = recover() }()
+			p.Serve(w, httptest.NewRequest("GET", "/s/reads/x", nil), "reads", "/x")
+		}()
+		id := model.AttemptID{Instance: "a-1", Seq: 1}
+		request := (<-control.events).(event.RequestArrived).ID
+		deadline := model.Time(time.Now().Add(200 * time.Millisecond).UnixNano())
+		p.Dispatch(event.Dispatch{Request: request, Attempt: id, Address: upstream.Listener.Addr().String(), Deadline: deadline, Connections: 4})
+		g.Expect(<-control.events).To(BeAssignableToTypeOf(event.AttemptAnswered{}))
+		p.Relay(event.Relay{Request: request, Attempt: id, Hold: c.hold, Until: deadline.Add(c.grace)})
+		ev := (<-control.events).(event.AttemptEnded)
+		g.Expect(ev.Result).To(Equal(c.result))
+		if ev.Result == event.Truncated {
+			g.Expect(ev.Relayed).To(Equal(int64(len(c.body))))
+			p.Finish(event.Finish{Request: request, Code: result.DeadlineAfterRun})
+		}
+		<-ended
+		if c.body == "" {
+			g.Expect(w.Code).To(Equal(http.StatusGatewayTimeout))
+		} else {
+			g.Expect(w.Body.String()).To(Equal(c.body))
+		}
+		upstream.Close()
+	}
+}
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"time"
+
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -18,7 +20,16 @@
 	r.relayed = ev.Attempt
 	r.mayHaveRun = true
 	s.withdraw(at, r, out)
-	out.Add(event.Relay{Request: ev.Request, Attempt: ev.Attempt})
+	relay := event.Relay{Request: ev.Request, Attempt: ev.Attempt, Until: r.deadline.Add(relayGrace)}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.id == ev.Attempt {
+			a.answeredAt = at
+			if s.mayEndLate(at, r, a) {
+				relay.Hold = maxHeldBody
+			}
+		}
+	}
+	out.Add(relay)
 	for _, a := range r.attempts {
 		if a.id != ev.Attempt {
 			out.Add(event.CancelAttempt{Request: ev.Request, Attempt: a.id})
@@ -29,6 +40,24 @@
 	}
 }
 
+const (
+	// relayGrace is how long after the deadline a response that is under way may
+	// still arrive. The slot is held for 250 ms after the deadline.
+	relayGrace = 200 * time.Millisecond
+	// maxHeldBody bounds the memory for a response that is held back.
+	maxHeldBody = 1 << 20
+	// bodyMargin multiplies the expected time of a body.
+	bodyMargin = 2
+)
+
+// mayEndLate reports whether the body of an answered attempt may not be whole by
+// the deadline. It is expected to take as long as those of the service do, and
+// as the headers took, since both come slowly from a slow upstream.
+func (s *State) mayEndLate(at model.Time, r *request, a *openAttempt) bool {
+	need := max(at.Sub(a.sentAt), s.service(at, r.arrived.Service).bodies.p99)
+	return at.Add(bodyMargin*need) > r.deadline
+}
+
 // Ended handles the end of an attempt. The slot is released only if it is known
 // to be free; otherwise the upstream is asked to confirm, and the permit runs
 // until that or until the deadline.
@@ -50,7 +79,11 @@
 		return
 	}
 	if ev.Result == event.Completed {
-		s.service(at, r.arrived.Service).held(r.arrived.Tenant, at.Sub(a.sentAt))
+		v := s.service(at, r.arrived.Service)
+		v.held(r.arrived.Tenant, at.Sub(a.sentAt))
+		if a.answeredAt != 0 {
+			v.bodies.add(at.Sub(a.answeredAt))
+		}
 	}
 	if r.relayed == ev.Attempt {
 		s.endRelayed(at, r, ev, out)
@@ -98,7 +131,11 @@
 			s.admit(at, r, out)
 			return
 		}
-		out.Add(event.Finish{Request: r.arrived.ID, Code: result.UpstreamLost})
+		code := result.UpstreamLost
+		if at >= r.deadline {
+			code = result.DeadlineAfterRun
+		}
+		out.Add(event.Finish{Request: r.arrived.ID, Code: code})
 	}
 	delete(s.open, r.arrived.ID)
 	if r.claimed() {
--- a/pkg/request/request_test.go
+++ b/pkg/request/request_test.go
@@ -200,3 +200,41 @@
 	r.PumpOne(r.at, "tabview", &r.out)
 	g.Expect(r.dispatches()[0].Request).To(Equal(urgent))
 }
+
+// Guards against an answer that begins towards the caller and is cut off by the
+// deadline, and against answers that are held back without need.
+func TestAnswerThatMayEndLateIsHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	for after, held := range map[time.Duration]bool{100 * ms: false, 600 * ms: true} {
+		r := newRig(1)
+		id := r.arrive("x", 0)
+		deadline := r.at.Add(time.Second)
+		d := r.dispatches()[0]
+		r.at = r.at.Add(after)
+		r.Answered(r.at, &event.AttemptAnswered{Request: id, Attempt: d.Attempt}, &r.out)
+		relay := effects[event.Relay](&r.out)[0]
+		g.Expect(relay.Hold > 0).To(Equal(held), "headers after %v", after)
+		// The slot is held for 250 ms after the deadline.
+		g.Expect(relay.Until).To(And(BeNumerically(">", deadline), BeNumerically("<", deadline.Add(250*ms))))
+		r.at = deadline
+		r.end(d, event.Truncated)
+		g.Expect(effects[event.Finish](&r.out)).To(ConsistOf(event.Finish{Request: id, Code: result.DeadlineAfterRun}))
+	}
+}
+
+// Guards against bodies that are held back only if their headers came slowly.
+func TestSlowBodiesAreExpected(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(1)
+	var relay event.Relay
+	for range 64 {
+		r.out.Reset()
+		r.arrive("x", 0)
+		d := r.dispatches()[0]
+		r.Answered(r.at, &event.AttemptAnswered{Request: d.Request, Attempt: d.Attempt}, &r.out)
+		relay = effects[event.Relay](&r.out)[0]
+		r.at = r.at.Add(600 * ms)
+		r.end(d, event.Completed)
+	}
+	g.Expect(relay.Hold).To(BeNumerically(">", 0))
+}
--- a/pkg/request/service.go
+++ b/pkg/request/service.go
@@ -12,9 +12,10 @@
 type service struct {
 	queue  queue
 	budget budget
-	// answers are the times from dispatch to the response headers, holds those
-	// until the end of the response.
+	// answers are the times from dispatch to the response headers, bodies those
+	// from there to the end of the response, holds both together.
 	answers times
+	bodies  times
 	holds   times
 	// meanHold and tenantHold are moving means, in nanoseconds.
 	meanHold   float64
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -70,6 +70,8 @@
 	id       model.AttemptID
 	upstream model.UpstreamID
 	sentAt   model.Time
+	// answeredAt is when the response headers came, 0 before.
+	answeredAt model.Time
 }
 
 // claimed reports whether the request holds a ledger claim.
@@ -269,7 +271,7 @@
 func (s *State) send(at model.Time, r *request, id model.AttemptID, grant SlotGrant, out *event.Effects) {
 	r.phase = running
 	r.dispatched++
-	r.attempts = append(r.attempts, openAttempt{id, grant.Upstream, at})
+	r.attempts = append(r.attempts, openAttempt{id: id, upstream: grant.Upstream, sentAt: at})
 	r.failedAt = grant.Upstream
 	switch {
 	case len(r.attempts) > 1:
