--- a/pkg/distribution/sim_test.go
+++ b/pkg/distribution/sim_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/change"
@@ -79,7 +80,7 @@
 
 // newSim starts instances of which the first three are members of the control
 // group; every second one has a disk.
-func newSim(t *testing.T, seed uint64, size int) *sim {
+func newSim(t testing.TB, seed uint64, size int) *sim {
 	s := &sim{g: NewWithT(t), rng: rand.New(rand.NewPCG(seed, 7)), now: 1e9, leader: "i-00",
 		blocked: map[[2]model.InstanceID]bool{}, results: map[string]change.Result{}, winners: map[model.Version]string{},
 		appended: map[model.Time]bool{}}
@@ -233,7 +234,10 @@
 			if s.blocked[[2]model.InstanceID{from.id, e.To}] {
 				return
 			}
-			to.step(func(out *event.Effects) { to.state.Receive(s.now, from.id, e.Message, out) })
+			to.step(func(out *event.Effects) {
+				to.state.Receive(s.now, from.id, e.Message, out)
+				to.state.FollowLeader(s.now, out)
+			})
 		})
 	}
 }
@@ -306,9 +310,10 @@
 // Guards against versions that go back, two winners of one version, two results
 // of one id, a refused change that took effect, and an instance that stays
 // behind after the faults heal. Bound: 5 s after the heal, at 11 instances.
-func TestRandomFaults(t *testing.T) {
+var _ = Describe("random faults", func() {
 	for seed := range uint64(20) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+		It(fmt.Sprint("seed ", seed), func() {
+			t := GinkgoTB()
 			s := newSim(t, seed, 11)
 			s.run(time.Second)
 			s.faults = true
@@ -343,12 +348,13 @@
 			s.g.Expect(s.checkReplies()).To(BeNumerically(">", 0))
 		})
 	}
-}
+})
 
 // Guards against a push that is slower than its target of 1 s without faults,
 // and against a status that waits although the version is in force everywhere,
 // or that does not name the instance that lacks it.
-func TestStatusNamesWhoLacksTheVersion(t *testing.T) {
+var _ = It("status names who lacks the version", func() {
+	t := GinkgoTB()
 	s := newSim(t, 3, 11)
 	s.run(time.Second)
 	asker := s.nodes[9]
@@ -380,11 +386,12 @@
 	for _, i := range ask(time.Second).Instances {
 		s.g.Expect(i.Version == version).To(Equal(i.Instance != lagging.id), "%s", i.Instance)
 	}
-}
+})
 
 // Guards against a lost answer that is told as a refusal, and against an
 // isolated instance that claims to be current.
-func TestLostAnswerIsUnknown(t *testing.T) {
+var _ = It("lost answer is unknown", func() {
+	t := GinkgoTB()
 	s := newSim(t, 4, 5)
 	s.run(time.Second)
 	asker := s.nodes[4]
@@ -399,4 +406,30 @@
 	s.g.Expect(asker.replies[0].(event.StatusReply).Status.Current).To(BeFalse())
 	s.g.Expect(asker.replies[1].(event.ChangeReply).Result.Code).To(Equal(result.ChangeUnknown))
 	s.g.Expect(s.results).To(HaveKey("change-1"))
-}
+})
+
+// Guards against an operator who waits for a leader that was isolated after it
+// took the change, although another one leads already.
+var _ = It("replaced leader ends the wait", func() {
+	t := GinkgoTB()
+	s := newSim(t, 4, 5)
+	s.run(time.Second)
+	for _, n := range s.nodes[1:] {
+		s.blocked[[2]model.InstanceID{"i-00", n.id}] = true
+		s.blocked[[2]model.InstanceID{n.id, "i-00"}] = true
+	}
+	former, asker, outside := s.nodes[0], s.nodes[1], s.nodes[4]
+	s.propose(asker, s.nextChange(1))
+	s.propose(former, s.nextChange(2))
+	s.propose(outside, s.nextChange(3))
+	s.leader, s.term = "i-01", 1
+	for _, n := range []*node{former, asker} {
+		n.step(func(out *event.Effects) { n.state.FollowLeader(s.now, out) })
+	}
+	asker.step(func(out *event.Effects) { asker.state.AnnounceLeader(s.now, out) })
+	s.run(10 * time.Millisecond)
+	for _, n := range []*node{former, asker, outside} {
+		s.g.Expect(n.replies).To(HaveLen(1))
+		s.g.Expect(n.replies[0].(event.ChangeReply).Result.Code).To(Equal(result.ChangeUnknown))
+	}
+})
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -136,8 +136,7 @@
 	case event.PeerConnected:
 		s.peers[b.Peer] = view.Instance{ID: b.Peer, Address: b.Address, Zone: b.Zone}
 		s.members.Connected(at, connectedMember(&b), out)
-		// The new link gets hints at once.
-		s.hinting.sentAt, s.hinting.next = 0, 0
+		s.sendHintsTo(at, b.Peer)
 		s.configuration.distribution.Connected(at, b.Peer, b.Incarnation, b.Zone, out)
 	case event.PeerLost:
 		delete(s.peers, b.Peer)
