Tell a member's former identity from its new one in the bench

The log named the former identity of the repaired member as a voter beside its learner, the bench took that for the promotion, and ended another member while two of three voters were gone.

Change: the disk identifier tells the identities apart.

--- a/internal/configbench/tracker.go
+++ b/internal/configbench/tracker.go
@@ -48,7 +48,8 @@
 	leader model.InstanceID
 	// learners and voters count the member lists that name the instance as such
 	// since forgetMember.
-	learners, voters map[model.InstanceID]bool
+	learners map[model.MemberID]bool
+	voters   map[model.InstanceID]bool
 
 	conflicts     int
 	resends       int
@@ -64,7 +65,7 @@
 		latest:   map[model.InstanceID]model.Version{},
 		contents: map[model.Version]int64{},
 		history:  map[string][]model.Version{},
-		learners: map[model.InstanceID]bool{},
+		learners: map[model.MemberID]bool{},
 		voters:   map[model.InstanceID]bool{},
 	}
 }
@@ -197,7 +198,7 @@
 }
 
 // member matches an entry of a logged member list.
-var member = regexp.MustCompile(`\{(\S+)/\S+ (true|false)\}`)
+var member = regexp.MustCompile(`\{(\S+)/(\S+) (true|false)\}`)
 
 // HandleLog implements log.Handler. It learns the leader and the members.
 func (t *tracker) HandleLog(e *log.Entry) error {
@@ -209,11 +210,13 @@
 		t.leader, _ = e.Fields["instance"].(model.InstanceID)
 	case logevent.AgreementMembers:
 		for _, m := range member.FindAllStringSubmatch(fmt.Sprint(e.Fields["members"]), -1) {
-			id := model.InstanceID(m[1])
-			if m[2] == "true" {
+			// The former identity of an instance can still be a voter beside the
+			// new one, so the disk tells them apart.
+			id := model.MemberID{Instance: model.InstanceID(m[1]), Disk: model.DiskID(m[2])}
+			if m[3] == "true" {
 				t.learners[id] = true
-			} else {
-				t.voters[id] = t.learners[id]
+			} else if t.learners[id] {
+				t.voters[id.Instance] = true
 			}
 		}
 	default:
@@ -226,6 +229,6 @@
 func (t *tracker) forgetMember(id model.InstanceID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.learners, id)
+	clear(t.learners)
 	delete(t.voters, id)
 }
