--- a/internal/deployment/counts_test.go
+++ b/internal/deployment/counts_test.go
@@ -6,8 +6,8 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/internal/deployment"
@@ -28,8 +28,8 @@
 }
 
 // A benchmark that misses a second run would report a broken ledger as sound.
-func TestDuplicateRunsAreCounted(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("duplicate runs are counted", func() {
+	g := NewWithT(GinkgoTB())
 	run := fake.Run{Token: "t", Attempt: "a-1/1/1"}
 	write := deployment.Result{Token: "t"}
 	g.Expect(count(write, run).Failed()).To(BeFalse())
@@ -41,31 +41,31 @@
 	run.Key = "k"
 	keyed := deployment.Result{Token: "t", Keyed: true}
 	g.Expect(count(keyed, run, run).DuplicateRuns).To(Equal(1))
-}
+})
 
 // A refusal that says "not run" of work that ran must not pass as a refusal.
-func TestFalseNotRunIsCounted(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("false not run is counted", func() {
+	g := NewWithT(GinkgoTB())
 	refused := deployment.Result{Token: "t", Instance: "a-1", Reply: fake.Reply{Outcome: fake.RefusedNotRun}}
 	g.Expect(count(refused).Failed()).To(BeFalse())
 	g.Expect(count(refused, fake.Run{Token: "t", Attempt: "a-1/1/1"}).FalseNotRun).To(Equal(1))
 	refused.RanBefore = true
 	g.Expect(count(refused).FalseNotRun).To(Equal(1))
-}
+})
 
 // Only a connection that a fault broke is excused.
-func TestBrokenAnswersAreExcusedByFaultsOnly(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("broken answers are excused by faults only", func() {
+	g := NewWithT(GinkgoTB())
 	cut := deployment.Result{Reply: fake.Reply{Outcome: fake.CutOff}}
 	g.Expect(count(cut).CutOff).To(Equal(1))
 	g.Expect(count(deployment.Result{Reply: fake.Reply{Outcome: fake.Lost}}).Lost).To(Equal(1))
 	cut.Faulted = true
 	g.Expect(count(cut).Failed()).To(BeFalse())
 	g.Expect(count(cut).BrokenByFault).To(Equal(1))
-}
+})
 
 // The fake caller has to notice truncated answers and those of other requests.
-func TestCallersNoticeWrongAndTruncatedAnswers(t *testing.T) {
+var _ = Describe("callers notice wrong and truncated answers", func() {
 	for name, tt := range map[string]struct {
 		tag      string
 		declared int
@@ -78,8 +78,8 @@
 		"other request's body": {`"a"`, 4, strings.Repeat("x", 4), fake.Wrong},
 		"short answer":         {`"a"`, 2, strings.Repeat("\x2c", 2), fake.Wrong},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
+		It(name, func() {
+			g := NewWithT(GinkgoTB())
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("Etag", tt.tag)
 				w.Header().Set("Content-Length", strconv.Itoa(tt.declared))
@@ -93,4 +93,4 @@
 			g.Expect(reply.Outcome).To(Equal(tt.want))
 		})
 	}
-}
+})
--- a/internal/latency/latency_test.go
+++ b/internal/latency/latency_test.go
@@ -4,17 +4,17 @@
 	"context"
 	"io"
 	"net"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/internal/latency"
 )
 
 // Data must come whole, in order, late by the delay, and also after a close.
-func TestConnDelaysAndKeepsOrder(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("conn delays and keeps order", func() {
+	g := NewWithT(GinkgoTB())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
@@ -34,20 +34,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(data)).To(Equal("one two three"))
 	g.Expect(time.Since(start)).To(BeNumerically(">=", oneWay))
-}
+})
 
-func TestLinkLimitsTheRate(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("link limits the rate", func() {
+	g := NewWithT(GinkgoTB())
 	l := latency.NewLink(1000)
 	start := time.Now()
 	g.Expect(l.Reserve(start, 500)).To(Equal(start.Add(500 * time.Millisecond)))
 	g.Expect(l.Reserve(start, 500)).To(Equal(start.Add(time.Second)))
 	g.Expect(l.MaxWait()).To(Equal(500 * time.Millisecond))
-}
+})
 
 // Messages of a link must not overtake each other.
-func TestSchedulerKeepsOrder(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("scheduler keeps order", func() {
+	g := NewWithT(GinkgoTB())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s := latency.NewScheduler(ctx)
@@ -59,4 +59,4 @@
 	for i := range 100 {
 		g.Eventually(got).Should(Receive(Equal(i)))
 	}
-}
+})
--- a/pkg/permit/permit_test.go
+++ b/pkg/permit/permit_test.go
@@ -1,9 +1,9 @@
 package permit_test
 
 import (
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -45,28 +45,28 @@
 
 // Guards against work that reaches an upstream after the former owner's
 // permits should have run out.
-func TestLateGrantIsNotDispatched(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("late grant is not dispatched", func() {
+	g := NewWithT(GinkgoTB())
 	s, out := asked()
 	grant := &message.PermitGrant{Attempt: attempt(1), SentAt: start, Waited: 300 * time.Millisecond, Upstream: "u"}
 	late := start.Add(300*time.Millisecond + permit.Validity)
 	g.Expect(s.ReceiveGrant(late, "owner", grant, out)).To(BeFalse())
 	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(1))
-}
+})
 
 // Guards against a restarted instance that releases a slot on which its former
 // process dispatched. Found by schedule 4601.
-func TestGrantToAFormerProcessIsLeftAlone(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("grant to a former process is left alone", func() {
+	g := NewWithT(GinkgoTB())
 	s, out := permit.New("holder", 2), &event.Effects{}
 	g.Expect(s.ReceiveGrant(start, "owner", &message.PermitGrant{Attempt: attempt(1), SentAt: start, Upstream: "u"}, out)).To(BeFalse())
 	g.Expect(out.List()).To(BeEmpty())
-}
+})
 
 // Guards against a slot that stays in use until the deadline because one
 // release message was lost.
-func TestReleaseIsRepeatedUntilAcknowledged(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("release is repeated until acknowledged", func() {
+	g := NewWithT(GinkgoTB())
 	s, out := asked()
 	g.Expect(s.ReceiveGrant(start.Add(1), "owner", &message.PermitGrant{Attempt: attempt(1), SentAt: start, Upstream: "u"}, out)).To(BeTrue())
 	s.Release(start.Add(2), attempt(1), out)
@@ -75,11 +75,11 @@
 	s.ReceiveReleased("owner", &message.PermitReleased{Attempt: attempt(1)})
 	s.Wake(start.Add(2*time.Second), nil, out)
 	g.Expect(sent[*message.PermitRelease](out)).To(HaveLen(2))
-}
+})
 
 // Guards against a repeated request that takes a second slot.
-func TestRepeatedRequestGetsTheSameGrant(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("repeated request gets the same grant", func() {
+	g := NewWithT(GinkgoTB())
 	s := permit.New("owner", 1)
 	out := &event.Effects{}
 	m := s.Own(permit.Account{Upstream: "u", Service: "tabview", Slots: 3, GrantUntil: permit.Never})
@@ -91,11 +91,11 @@
 	g.Expect(grants).To(HaveLen(2))
 	g.Expect(grants[1]).To(Equal(grants[0]))
 	g.Expect(m.Used()).To(Equal(1))
-}
+})
 
 // Guards against a slot that two owners count as free after a handover.
-func TestHandoverCarriesEveryPermit(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("handover carries every permit", func() {
+	g := NewWithT(GinkgoTB())
 	former, next := permit.New("former", 1), permit.New("next", 1)
 	out := &event.Effects{}
 	former.Own(permit.Account{Upstream: "u", Slots: 2, GrantUntil: permit.Never})
@@ -111,12 +111,12 @@
 	g.Expect(released).To(HaveLen(1))
 	next.ReceiveRelease(start, "former", released[0], out)
 	g.Expect(m.Free(start)).To(Equal(2))
-}
+})
 
 // Guards against a stop that waits until the deadline of work whose permit was
 // handed over to its own holder: nobody sends the release of such a permit here.
-func TestPermitHandedToItsHolderIsSettled(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("permit handed to its holder is settled", func() {
+	g := NewWithT(GinkgoTB())
 	for to, unsettled := range map[model.InstanceID]int{"holder": 0, "other": 1} {
 		former := permit.New("former", 1)
 		former.Own(permit.Account{Upstream: "u", Slots: 1, GrantUntil: permit.Never})
@@ -125,4 +125,4 @@
 		g.Expect(ok).To(BeTrue())
 		g.Expect(former.Unsettled()).To(Equal(unsettled), "handed over to %s", to)
 	}
-}
+})
--- a/pkg/permit/shares_test.go
+++ b/pkg/permit/shares_test.go
@@ -1,9 +1,9 @@
 package permit_test
 
 import (
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -46,8 +46,8 @@
 
 // Guards against a shift that floods its target before it is seen to cope, and
 // against a ramp that goes on, or back, while the target is slow.
-func TestRampHoldsWhileTheTargetIsSlow(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("ramp holds while the target is slow", func() {
+	g := NewWithT(GinkgoTB())
 	s := sharing(50)
 	at := start.Add(time.Second + permit.DeadlineGrace)
 	g.Expect(allowed(s, at.Add(-1))).To(Equal(0), "a former process may have used the share")
@@ -62,12 +62,12 @@
 		s.Wake(at.Add(time.Duration(5+k)*time.Second), fixedP95(10*time.Millisecond), &event.Effects{})
 	}
 	g.Expect(allowed(s, at.Add(25*time.Second))).To(Equal(50))
-}
+})
 
 // Guards against two instances that use the same part of a cap after a change
 // of the roster.
-func TestShareGrowsOnlyAfterOthersLetGo(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("share grows only after others let go", func() {
+	g := NewWithT(GinkgoTB())
 	s := sharing(10)
 	at := start.Add(time.Minute)
 	for k := range 30 {
@@ -82,4 +82,4 @@
 	g.Expect(allowed(s, later)).To(Equal(4))
 	s.Configure(later, nil, fixedP95(0))
 	g.Expect(allowed(s, later)).To(Equal(0))
-}
+})
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -51,31 +51,31 @@
 
 // Guards against a request that waits or is told "unknown" when the control
 // goroutine cannot take it.
-func TestFullControlQueueIsNotRun(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("full control queue is not run", func() {
+	g := NewWithT(GinkgoTB())
 	p := newProxy(newStubControl(errors.New("full")))
 	w := httptest.NewRecorder()
 	p.Serve(w, httptest.NewRequest("GET", "/s/reads/x", nil), "reads", "/x")
 	g.Expect(w.Code).To(Equal(503))
 	g.Expect(w.Header().Get(proxy.HeaderCode)).To(Equal("2003"))
 	g.Expect(w.Body.String()).To(ContainSubstring(`"class":"not_run"`))
-}
+})
 
 // Guards against a caller that waits for ever, or is told "not run", when the
 // control goroutine ends with the request open.
-func TestRequestOpenAtTheEndOfControlIsUnknown(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("request open at the end of control is unknown", func() {
+	g := NewWithT(GinkgoTB())
 	c := newStubControl(nil)
 	p := newProxy(c)
 	close(c.done)
 	w := httptest.NewRecorder()
 	p.Serve(w, httptest.NewRequest("GET", "/s/reads/x", nil), "reads", "/x")
 	g.Expect(w.Header().Get(proxy.HeaderCode)).To(Equal("3001"))
-}
+})
 
 // Guards against a large request body that is held in memory or sent twice.
-func TestLargeBodyIsStreamedAndNotReplayable(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("large body is streamed and not replayable", func() {
+	g := NewWithT(GinkgoTB())
 	size := 1 << 20
 	got := make(chan int, 1)
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -102,4 +102,4 @@
 	ev := (<-c.events).(event.AttemptEnded)
 	g.Expect(ev.Result).To(Equal(event.Completed))
 	<-ended
-}
+})
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -3,9 +3,9 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -15,8 +15,8 @@
 
 // Guards against a response that is cut off by its deadline: one that is held
 // back must not begin, and one that is under way may arrive a little later.
-func TestDeadlineWithinTheBody(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("deadline within the body", func() {
+	g := NewWithT(GinkgoTB())
 	for _, c := range []struct {
 		hold   int
 		grace  time.Duration
@@ -56,4 +56,4 @@
 		}
 		upstream.Close()
 	}
-}
+})
--- a/pkg/proxy/start_test.go
+++ b/pkg/proxy/start_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"net"
 	"net/http/httptest"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -18,8 +18,8 @@
 // Guards against work that reaches an upstream long after its permit was given,
 // because a connection took that long: the upstream may have drained, or its
 // slot have another owner.
-func TestRequestThatCannotStartInTimeIsNotRun(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("request that cannot start in time is not run", func() {
+	g := NewWithT(GinkgoTB())
 	c := newStubControl(nil)
 	now := func() model.Time { return model.Time(time.Now().UnixNano()) }
 	stuck := func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -44,4 +44,4 @@
 	g.Expect(ended.Result).To(Equal(event.ConnectFailed))
 	p.Finish(event.Finish{Request: arrived.ID, Code: result.ConnectionFailed})
 	<-served
-}
+})
--- a/pkg/request/request_test.go
+++ b/pkg/request/request_test.go
@@ -1,9 +1,9 @@
 package request_test
 
 import (
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -88,8 +88,8 @@
 }
 
 // Guards against retries that multiply an overload.
-func TestRetriesStayWithinTheBudget(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("retries stay within the budget", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1)
 	retries := 0
 	for range 1000 {
@@ -104,12 +104,12 @@
 	}
 	g.Expect(retries).To(BeNumerically(">", 50))
 	g.Expect(retries).To(BeNumerically("<=", 100+1+10))
-}
+})
 
 // Guards against a slow attempt that delays its caller although another
 // upstream is free, and against a slot that is reused while the loser runs.
-func TestHedgeAfterP95CancelsTheLoser(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("hedge after P95 cancels the loser", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1)
 	r.learn("x", 64, 10*ms)
 	r.free = 2
@@ -127,30 +127,30 @@
 	g.Expect(r.free).To(Equal(0))
 	r.CancelConfirmed(r.at, &event.CancelConfirmed{Request: d[0].Request, Attempt: d[0].Attempt, State: event.CancelStopped}, &r.out)
 	g.Expect(r.free).To(Equal(1))
-}
+})
 
 // Guards against work that takes a slot and then misses its deadline.
-func TestWorkThatCannotFinishIsRefused(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("work that cannot finish is refused", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1)
 	r.learn("x", 64, 100*ms)
 	id := r.arrive("x", 50*ms)
 	g.Expect(effects[event.Finish](&r.out)).To(ConsistOf(event.Finish{Request: id, Code: result.DeadlineTooShort}))
-}
+})
 
 // Guards against estimates from a time of trouble that refuse all work for ever.
-func TestSlowSamplesDoNotRefuseAllWork(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("slow samples do not refuse all work", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1)
 	r.learn("x", 64, 990*ms)
 	r.arrive("x", 0)
 	g.Expect(r.dispatches()).To(HaveLen(1))
-}
+})
 
 // Guards against a tenant with many requests that delays or displaces those of
 // another.
-func TestTenantsTakeTurns(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("tenants take turns", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(0)
 	for range 4 {
 		r.arrive("busy", 0)
@@ -165,12 +165,12 @@
 	}
 	d := r.dispatches()
 	g.Expect([]model.RequestID{d[0].Request, d[1].Request}).To(ContainElement(quiet))
-}
+})
 
 // Guards against a tenant with long requests that takes more than its share of
 // the time.
-func TestLongRequestsCostMoreTurns(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("long requests cost more turns", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1)
 	r.learn("heavy", 64, 40*ms)
 	r.learn("light", 64, 10*ms)
@@ -188,23 +188,23 @@
 		served[tenant[d.Request]]++
 	}
 	g.Expect(served).To(Equal(map[model.Tenant]int{"heavy": 1, "light": 2}))
-}
+})
 
 // Guards against a queue that ignores which request must finish first.
-func TestEarliestDeadlineFirstWithinATenant(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("earliest deadline first within a tenant", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(0)
 	r.arrive("x", 900*ms)
 	urgent := r.arrive("x", 300*ms)
 	r.free = 1
 	r.PumpOne(r.at, "tabview", &r.out)
 	g.Expect(r.dispatches()[0].Request).To(Equal(urgent))
-}
+})
 
 // Guards against an answer that begins towards the caller and is cut off by the
 // deadline, and against answers that are held back without need.
-func TestAnswerThatMayEndLateIsHeldBack(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("answer that may end late is held back", func() {
+	g := NewWithT(GinkgoTB())
 	for after, held := range map[time.Duration]bool{100 * ms: false, 600 * ms: true} {
 		r := newRig(1)
 		id := r.arrive("x", 0)
@@ -220,11 +220,11 @@
 		r.end(d, event.Truncated)
 		g.Expect(effects[event.Finish](&r.out)).To(ConsistOf(event.Finish{Request: id, Code: result.DeadlineAfterRun}))
 	}
-}
+})
 
 // Guards against bodies that are held back only if their headers came slowly.
-func TestSlowBodiesAreExpected(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("slow bodies are expected", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1)
 	var relay event.Relay
 	for range 64 {
@@ -237,4 +237,4 @@
 		r.end(d, event.Completed)
 	}
 	g.Expect(relay.Hold).To(BeNumerically(">", 0))
-}
+})
--- a/pkg/state/shifts_test.go
+++ b/pkg/state/shifts_test.go
@@ -1,8 +1,7 @@
 package state
 
 import (
-	"testing"
-
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -11,8 +10,8 @@
 )
 
 // Guards against shares that add up to more or less than the cap.
-func TestSharesAddUpToTheCap(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("shares add up to the cap", func() {
+	g := NewWithT(GinkgoTB())
 	for limit := range 12 {
 		total := 0
 		c := model.Config{Version: 1,
@@ -31,12 +30,12 @@
 		}
 		g.Expect(total).To(Equal(limit))
 	}
-}
+})
 
 // Guards against an instance that owns far more of a zone's upstreams than its
 // neighbors.
-func TestUpstreamsSpreadOverTheZone(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("upstreams spread over the zone", func() {
+	g := NewWithT(GinkgoTB())
 	s := New(Identity{ID: "i0", Zone: "z"}, nil)
 	for _, id := range []model.InstanceID{"i1", "i2"} {
 		s.Step(event.Event{At: 1, Body: event.PeerConnected{Peer: id, Zone: "z", Address: string(id)}})
@@ -51,13 +50,13 @@
 	for _, n := range counts {
 		g.Expect(n).To(BeNumerically("~", 100, 30))
 	}
-}
+})
 
 // Guards against an owner of upstreams in several regions that sends a request
 // further than its profile allows. Found by schedule 29877, as shifted work
 // beyond the cap.
-func TestOwnerKeepsWithinTheSpillOfAnotherInstancesRequest(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("owner keeps within the spill of another instances request", func() {
+	g := NewWithT(GinkgoTB())
 	s := New(Identity{ID: "i", Zone: "b1"}, nil)
 	step := func(b event.Body) []event.Effect { return s.Step(event.Event{At: 1, Body: b}) }
 	step(event.ConfigLoaded{Config: model.Config{Version: 1,
@@ -83,4 +82,4 @@
 	g.Expect(grants(1, model.SpillZone)).To(Equal(0))
 	g.Expect(grants(2, model.SpillRegion)).To(Equal(0))
 	g.Expect(grants(3, model.SpillAny)).To(Equal(1), "the asks before must not hold it up")
-}
+})
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -97,8 +97,8 @@
 }
 
 // Guards against work that waits on a slow upstream while others are free.
-func TestSlowUpstreamGetsOnlyProbes(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("slow upstream gets only probes", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(4, 8)
 	r.warm(4)
 	for range 10 {
@@ -111,11 +111,11 @@
 	r.Observe(r.at, name(0), message.Use{Latency: 11 * ms})
 	r.MarkReady(name(0))
 	g.Expect(r.chosen(100)[name(0)]).To(BeNumerically(">", 10))
-}
+})
 
 // Guards against a stuck upstream that answers nothing and so shows no latency.
-func TestOldAttemptMakesSuspect(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("old attempt makes suspect", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(4, 8)
 	r.warm(4)
 	stuck, _ := r.take(false)
@@ -123,22 +123,22 @@
 	r.permits.MeasureAges()
 	r.Sweep(r.at)
 	g.Expect(r.chosen(100)[stuck]).To(Equal(0))
-}
+})
 
 // Guards against a fault of this instance that takes all upstreams out.
-func TestAtMostHalfAreSuspect(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("at most half are suspect", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(4, 8)
 	r.warm(4)
 	for i := range 4 {
 		r.Observe(r.at, name(i), message.Use{Unreachable: true})
 	}
 	g.Expect(r.chosen(100)).To(HaveLen(2))
-}
+})
 
 // Guards against a cold upstream that gets a full load at once.
-func TestSlowStartDoublesWithEachGoodSecond(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("slow start doubles with each good second", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1, 8)
 	for _, want := range []int{1, 2, 4, 8, 8} {
 		var taken []model.AttemptID
@@ -158,11 +158,11 @@
 		r.announce(name(0), 8, false, model.Serving, 0)
 		r.Sweep(r.at)
 	}
-}
+})
 
 // Guards against a load report that steers long after reports have stopped.
-func TestOldLoadReportsAreIgnored(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("old load reports are ignored", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(2, 8)
 	r.warm(2)
 	r.announce(name(0), 8, false, model.Serving, 0.9)
@@ -174,12 +174,12 @@
 		r.MarkReady(name(0))
 	}
 	g.Expect(r.chosen(20)[name(0)]).To(Equal(10))
-}
+})
 
 // Guards against two owners that both count a fresh upstream's slots as free
 // after the answer to its registration was lost.
-func TestRegistrationGrantsNothingBeforeItsAnswerArrived(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("registration grants nothing before its answer arrived", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(0, 0)
 	r.announce("u", 2, true, model.Serving, 0)
 	id, _ := r.take(true)
@@ -188,11 +188,11 @@
 	r.announce("u", 2, false, model.Serving, 0)
 	id, _ = r.take(true)
 	g.Expect(id).To(BeEmpty(), "the upstream had time to work for another owner")
-}
+})
 
 // Guards against slots that are granted while a former owner's work may run.
-func TestTakeoverWaits(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("takeover waits", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(0, 0)
 	began := r.at
 	for r.at < began.Add(upstream.TakeoverWait+time.Second) {
@@ -204,22 +204,22 @@
 	r.announce("u", 2, false, model.Serving, 0)
 	id, _ := r.take(true)
 	g.Expect(id).NotTo(BeEmpty())
-}
+})
 
 // Guards against a drain that a delayed announcement undoes.
-func TestDelayedAnnouncementDoesNotUndoADrain(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("delayed announcement does not undo a drain", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(1, 2)
 	r.announce(name(0), 2, false, model.Draining, 0)
 	r.at = r.at.Add(time.Second)
 	r.announce(name(0), 2, false, model.Serving, 0)
 	id, _ := r.take(true)
 	g.Expect(id).To(BeEmpty())
-}
+})
 
 // Guards against a stale handover that frees slots in use.
-func TestHandoverOfAnotherTenureIsIgnored(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("handover of another tenure is ignored", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(0, 0)
 	r.announce("u", 2, false, model.Serving, 0)
 	r.ReceiveHandover(r.at, &message.Handover{Upstream: "u", Incarnation: 5, Tenure: 1})
@@ -229,12 +229,12 @@
 	r.MarkReady("u")
 	id, _ = r.take(true)
 	g.Expect(id).To(Equal(model.UpstreamID("u")))
-}
+})
 
 // Guards against an upstream that nobody owns because it cannot reach the
 // instance it is sent to.
-func TestRedirectGivesUpWithoutArrival(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("redirect gives up without arrival", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(0, 0)
 	r.owner = "other"
 	var owned []bool
@@ -244,11 +244,11 @@
 		owned = append(owned, r.out.List()[0].(event.AnnounceReply).Owner)
 	}
 	g.Expect(owned).To(Equal([]bool{false, false, false, true, true}))
-}
+})
 
 // Guards against baselines that do not do what their name says.
-func TestBaselinePolicies(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("baseline policies", func() {
+	g := NewWithT(GinkgoTB())
 	r := newRig(4, 8)
 	r.warm(4)
 	r.Policy = upstream.NewPolicy(upstream.PolicyRoundRobin)
@@ -258,4 +258,4 @@
 		r.announce(name(i), 8, false, model.Serving, float64(4-i))
 	}
 	g.Expect(r.chosen(8)).To(Equal(map[model.UpstreamID]int{name(3): 8}))
-}
+})
