Keep one indexed heap for five queues

Cause: five queues wrote out the same heap with positions, differing only in their order.

Change: pkg/priority holds it; each item says what comes before what.

--- a/pkg/ledger/claim.go
+++ b/pkg/ledger/claim.go
@@ -8,6 +8,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/priority"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
@@ -305,34 +306,15 @@
 }
 
 // claimHeap orders claims by wake time, then by request.
-type claimHeap []*claim
+type claimHeap = priority.Queue[*claim]
 
-func (h claimHeap) Len() int { return len(h) }
-func (h claimHeap) Less(i, j int) bool {
-	if h[i].wakeAt != h[j].wakeAt {
-		return h[i].wakeAt < h[j].wakeAt
+// Before implements priority.Item.
+func (c *claim) Before(other *claim) bool {
+	if c.wakeAt != other.wakeAt {
+		return c.wakeAt < other.wakeAt
 	}
-	return h[i].claimant.Request < h[j].claimant.Request
-}
-func (h claimHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *claimHeap) Push(x any) {
-	c := x.(*claim)
-	c.index = len(*h)
-	*h = append(*h, c)
+	return c.claimant.Request < other.claimant.Request
 }
 
-// Pop implements heap.Interface.
-func (h *claimHeap) Pop() any {
-	old := *h
-	n := len(old) - 1
-	c := old[n]
-	old[n] = nil
-	*h = old[:n]
-	c.index = -1
-	return c
-}
+// Position implements priority.Item.
+func (c *claim) Position() *int { return &c.index }
--- a/pkg/ledger/entry.go
+++ b/pkg/ledger/entry.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/priority"
 )
 
 const (
@@ -64,33 +65,15 @@
 }
 
 // entryHeap orders entries by issue time, then by key.
-type entryHeap []*entry
+type entryHeap = priority.Queue[*entry]
 
-func (h entryHeap) Len() int { return len(h) }
-func (h entryHeap) Less(i, j int) bool {
-	if h[i].key.Issued != h[j].key.Issued {
-		return h[i].key.Issued < h[j].key.Issued
+// Before implements priority.Item.
+func (e *entry) Before(other *entry) bool {
+	if e.key.Issued != other.key.Issued {
+		return e.key.Issued < other.key.Issued
 	}
-	return h[i].key.Text < h[j].key.Text
-}
-func (h entryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *entryHeap) Push(x any) {
-	e := x.(*entry)
-	e.index = len(*h)
-	*h = append(*h, e)
+	return e.key.Text < other.key.Text
 }
 
-// Pop implements heap.Interface.
-func (h *entryHeap) Pop() any {
-	old := *h
-	n := len(old) - 1
-	e := old[n]
-	old[n] = nil
-	*h = old[:n]
-	return e
-}
+// Position implements priority.Item.
+func (e *entry) Position() *int { return &e.index }
--- a/pkg/permit/accounts.go
+++ b/pkg/permit/accounts.go
@@ -8,6 +8,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/priority"
 )
 
 // Account describes the slots of an upstream that this instance owns.
@@ -306,33 +307,15 @@
 }
 
 // permitHeap orders permits by expiry, then by attempt.
-type permitHeap []*permit
+type permitHeap = priority.Queue[*permit]
 
-func (h permitHeap) Len() int { return len(h) }
-func (h permitHeap) Less(i, j int) bool {
-	if h[i].expires != h[j].expires {
-		return h[i].expires < h[j].expires
+// Before implements priority.Item.
+func (p *permit) Before(other *permit) bool {
+	if p.expires != other.expires {
+		return p.expires < other.expires
 	}
-	return lessAttempt(h[i].attempt, h[j].attempt)
-}
-func (h permitHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *permitHeap) Push(x any) {
-	p := x.(*permit)
-	p.index = len(*h)
-	*h = append(*h, p)
+	return lessAttempt(p.attempt, other.attempt)
 }
 
-// Pop implements heap.Interface.
-func (h *permitHeap) Pop() any {
-	old := *h
-	n := len(old) - 1
-	p := old[n]
-	old[n] = nil
-	*h = old[:n]
-	return p
-}
+// Position implements priority.Item.
+func (p *permit) Position() *int { return &p.index }
--- a/pkg/permit/asks.go
+++ b/pkg/permit/asks.go
@@ -6,6 +6,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/priority"
 )
 
 // maxAsks bounds the requests of other instances that wait for a service.
@@ -43,39 +44,21 @@
 
 // askQueue orders the asks for a service: those of the own region first, then
 // by deadline, so that work from other regions never displaces local work.
-type askQueue []*ask
+type askQueue = priority.Queue[*ask]
 
-func (h askQueue) Len() int { return len(h) }
-func (h askQueue) Less(i, j int) bool {
-	if h[i].Near != h[j].Near {
-		return h[i].Near
+// Before implements priority.Item.
+func (a *ask) Before(other *ask) bool {
+	if a.Near != other.Near {
+		return a.Near
 	}
-	if h[i].Deadline != h[j].Deadline {
-		return h[i].Deadline < h[j].Deadline
+	if a.Deadline != other.Deadline {
+		return a.Deadline < other.Deadline
 	}
-	return lessAttempt(h[i].Attempt, h[j].Attempt)
-}
-func (h askQueue) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *askQueue) Push(x any) {
-	a := x.(*ask)
-	a.index = len(*h)
-	*h = append(*h, a)
+	return lessAttempt(a.Attempt, other.Attempt)
 }
 
-// Pop implements heap.Interface.
-func (h *askQueue) Pop() any {
-	old := *h
-	n := len(old) - 1
-	a := old[n]
-	old[n] = nil
-	*h = old[:n]
-	return a
-}
+// Position implements priority.Item.
+func (a *ask) Position() *int { return &a.index }
 
 // ReceiveRequest queues a request of another instance. maxDeadline is the
 // longest deadline of the service: a later one could outlast the wait of a
--- a/pkg/request/queue.go
+++ b/pkg/request/queue.go
@@ -4,6 +4,7 @@
 	"container/heap"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/priority"
 )
 
 // maxCost bounds how many times the mean service time a tenant's request may
@@ -98,34 +99,15 @@
 	return longest.heap[len(longest.heap)-1]
 }
 
-type requestHeap []*request
+type requestHeap = priority.Queue[*request]
 
-func (h requestHeap) Len() int { return len(h) }
-func (h requestHeap) Less(i, j int) bool {
-	if h[i].deadline != h[j].deadline {
-		return h[i].deadline < h[j].deadline
+// Before implements priority.Item.
+func (r *request) Before(other *request) bool {
+	if r.deadline != other.deadline {
+		return r.deadline < other.deadline
 	}
-	return h[i].arrived.ID < h[j].arrived.ID
-}
-func (h requestHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].queueIndex, h[j].queueIndex = i, j
-}
-
-// Push implements heap.Interface.
-func (h *requestHeap) Push(x any) {
-	r := x.(*request)
-	r.queueIndex = len(*h)
-	*h = append(*h, r)
+	return r.arrived.ID < other.arrived.ID
 }
 
-// Pop implements heap.Interface.
-func (h *requestHeap) Pop() any {
-	old := *h
-	n := len(old) - 1
-	r := old[n]
-	old[n] = nil
-	*h = old[:n]
-	r.queueIndex = -1
-	return r
-}
+// Position implements priority.Item.
+func (r *request) Position() *int { return &r.queueIndex }
