Shift traffic in the demo

Cause: the demo showed a drain and a killed upstream, but no operator's change.

Change: a shift through the administration API, with a check of its cap; the catalogue stays within its region otherwise, so that only shifted requests cross.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -26,8 +26,10 @@
 // Report compares what callers were told with what ran.
 type Report struct {
 	deployment.Counts
-	Details []string `json:"details,omitempty"`
-	rows    []serviceRow
+	// ShiftedAtOnce is the most requests of the shift that ran at once.
+	ShiftedAtOnce int      `json:"shifted_at_once"`
+	Details       []string `json:"details,omitempty"`
+	rows          []serviceRow
 }
 
 type serviceRow struct {
@@ -55,7 +57,7 @@
 		name  string
 		count int
 	}{
-		{"requests", r.Requests}, {"resent with the same key", r.Resent}, {"answered", r.Answered}, {"refused, not run", r.RefusedNotRun},
+		{"requests", r.Requests}, {"resent with the same key", r.Resent}, {"shifted at once", r.ShiftedAtOnce}, {"answered", r.Answered}, {"refused, not run", r.RefusedNotRun},
 		{"outcome unknown", r.OutcomeUnknown}, {"lost", r.Lost}, {"wrong answers", r.WrongAnswers},
 		{"duplicate runs", r.DuplicateRuns}, {"false \"not run\"", r.FalseNotRun}, {"cut off", r.CutOff},
 		{"broken by a fault", r.BrokenByFault}, {"violations", r.Violations},
@@ -102,15 +104,22 @@
 		defer close(faults)
 		injectFaults(ctx, d, o)
 	}()
-	results := call(ctx, d, o.Seed)
+	results := runCallers(ctx, d, o.Seed)
 	<-faults
 	return report(d, results), nil
 }
 
-// injectFaults drains an upstream at a third of the time and kills another at
-// two thirds.
+// injectFaults shifts traffic at a sixth of the time, drains an upstream at a
+// third and kills another at two thirds.
 func injectFaults(ctx context.Context, d *deployment.Deployment, o Options) {
-	if !pause(ctx, o.Duration/3) {
+	if !pause(ctx, o.Duration/6) {
+		return
+	}
+	if err := shiftTraffic(ctx, d); err != nil {
+		d.Violation(fmt.Sprintf("shift %s: %v", shift.ID, err))
+	}
+	fmt.Fprintf(o.Progress, "shift of %d%% of %s from %s to %s, cap %d\n", shift.Percent, shift.Service, shift.From, shift.To, shift.Cap)
+	if !pause(ctx, o.Duration/6) {
 		return
 	}
 	drained := d.Upstream("catalogue-gulf-a-1")
@@ -141,9 +150,9 @@
 	}
 }
 
-// call runs the callers until the context ends, and lets their last requests
+// runCallers runs the callers until the context ends, and lets their last requests
 // finish.
-func call(ctx context.Context, d *deployment.Deployment, seed uint64) []deployment.Result {
+func runCallers(ctx context.Context, d *deployment.Deployment, seed uint64) []deployment.Result {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var all []deployment.Result
@@ -184,6 +193,7 @@
 	}
 	r.AddKeys(d.Journal)
 	d.CheckSlots()
+	r.ShiftedAtOnce = checkShift(d)
 	r.Details = d.Violations()
 	r.Violations = len(r.Details)
 	return r
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -32,7 +32,7 @@
 				Name: "catalogue", Method: "GET", Slots: 9,
 				Work: fake.Work{Mean: 8 * time.Millisecond}, BodySize: 4 << 10,
 				Profile: settings.Profile{Name: "retry-freely", Class: "short", Repeat: model.RepeatFreely, MaxAttempts: 3,
-					Deadline: settings.Duration(3 * time.Second), QueueLimit: 500, Spill: model.SpillAny},
+					Deadline: settings.Duration(3 * time.Second), QueueLimit: 500, Spill: model.SpillRegion},
 			},
 			{
 				Name: "deposits", Method: "POST", Slots: 8,
