Remove a field that nothing read

Cause: the read-through found request.lastRefusal written and never read, and failedAt holding the last upstream, not a time. Change: the first is gone, the second is lastUpstream. Conclusion: behaviour unchanged.

--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -155,8 +155,6 @@
 	code := failureCode(res)
 	if code.Class() != result.NotRun {
 		r.mayHaveRun = true
-	} else {
-		r.lastRefusal = code
 	}
 	if len(r.attempts) > 0 {
 		return
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -55,14 +55,12 @@
 	// attempts are the open ones.
 	attempts []openAttempt
 	// canceled is set once the caller went away.
-	canceled bool
-	// lastRefusal is the code of the last attempt that provably did not run.
-	lastRefusal result.Code
-	queueIndex  int
+	canceled   bool
+	queueIndex int
 	// ask is the attempt for which another instance was asked for a slot.
 	ask model.AttemptID
-	// failedAt is the upstream of the last attempt that failed.
-	failedAt model.UpstreamID
+	// lastUpstream is where the last attempt went; the next one avoids it.
+	lastUpstream model.UpstreamID
 }
 
 // openAttempt is an attempt that has not ended.
@@ -145,12 +143,11 @@
 		allowed = ev.Deadline
 	}
 	r := &request{
-		arrived:     *ev,
-		profile:     profile,
-		deadline:    at.Add(allowed),
-		idempotent:  isIdempotent(profile, ev.Method),
-		lastRefusal: result.NoUpstream,
-		queueIndex:  -1,
+		arrived:    *ev,
+		profile:    profile,
+		deadline:   at.Add(allowed),
+		idempotent: isIdempotent(profile, ev.Method),
+		queueIndex: -1,
 	}
 	s.open[ev.ID] = r
 	s.service(at, ev.Service).budget.request(at)
@@ -263,7 +260,7 @@
 		Service:  r.arrived.Service,
 		Deadline: r.deadline,
 		Spill:    r.profile.Spill,
-		Avoid:    r.failedAt,
+		Avoid:    r.lastUpstream,
 	}
 }
 
@@ -272,7 +269,7 @@
 	r.phase = running
 	r.dispatched++
 	r.attempts = append(r.attempts, openAttempt{id: id, upstream: grant.Upstream, sentAt: at})
-	r.failedAt = grant.Upstream
+	r.lastUpstream = grant.Upstream
 	switch {
 	case len(r.attempts) > 1:
 		out.Add(event.Count{Counter: event.Hedges, Add: 1})
