Remove result codes that nothing returns

Cause: 2011, 2012 and 2013 stood in the table and in the docs, and no path returned them. Conclusion: every listed code can be seen by a caller.

--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -36,19 +36,16 @@
 	MalformedChange       Code = 1009
 	NotFound              Code = 1010
 
-	QueueFull          Code = 2001
-	DeadlineTooShort   Code = 2002
-	ControlQueueFull   Code = 2003
-	NoUpstream         Code = 2004
-	DeadlineInQueue    Code = 2005
-	NoConfiguration    Code = 2006
-	Stopping           Code = 2007
-	RefusedByUpstream  Code = 2008
-	CanceledByCaller   Code = 2009
-	ConnectionFailed   Code = 2010
-	CanceledBeforeRun  Code = 2011
-	PermitUnavailable  Code = 2012
-	RegionLimitReached Code = 2013
+	QueueFull         Code = 2001
+	DeadlineTooShort  Code = 2002
+	ControlQueueFull  Code = 2003
+	NoUpstream        Code = 2004
+	DeadlineInQueue   Code = 2005
+	NoConfiguration   Code = 2006
+	Stopping          Code = 2007
+	RefusedByUpstream Code = 2008
+	CanceledByCaller  Code = 2009
+	ConnectionFailed  Code = 2010
 
 	UpstreamLost     Code = 3001
 	KeyInProgress    Code = 3002
@@ -102,9 +99,6 @@
 	{RefusedByUpstream, "refused_by_upstream", NotRun, 503, "every permitted upstream refused the request before running it"},
 	{CanceledByCaller, "canceled_by_caller", NotRun, 503, "the caller went away before the request was dispatched"},
 	{ConnectionFailed, "connection_failed", NotRun, 503, "no connection to an upstream could be made"},
-	{CanceledBeforeRun, "canceled_before_run", NotRun, 503, "the upstream confirmed cancellation before running the request"},
-	{PermitUnavailable, "permit_unavailable", NotRun, 503, "no permit for a slot was granted in time"},
-	{RegionLimitReached, "region_limit_reached", NotRun, 503, "the shift cap or region limit is reached"},
 	{UpstreamLost, "upstream_lost", OutcomeUnknown, 502, "the upstream was lost after dispatch; the request may have run"},
 	{KeyInProgress, "key_in_progress", OutcomeUnknown, 502, "an earlier request with this key may have run and has no recorded outcome yet"},
 	{AnswerNotKept, "answer_not_kept", OutcomeUnknown, 502, "the request with this key ran; its answer was not kept"},
