Keep one wait and one poll loop in the test aids

Cause: the same wait with a context stood in four packages, and scripts polled in two loops. Change: latency.Sleep and awaitMatch serve all of them.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/anvilcrank/anvilcrank/internal/deployment"
 	"github.com/anvilcrank/anvilcrank/internal/fake"
+	"github.com/anvilcrank/anvilcrank/internal/latency"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -171,18 +172,7 @@
 
 // waitUntil waits for a time since the start of the load.
 func (r *runner) waitUntil(ctx context.Context, at time.Duration) bool {
-	left := at - time.Since(r.start)
-	if left <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(left)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return latency.Sleep(ctx, at-time.Since(r.start))
 }
 
 // send carries out one request and returns what its caller was told.
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/anvilcrank/anvilcrank/internal/deployment"
 	"github.com/anvilcrank/anvilcrank/internal/fake"
+	"github.com/anvilcrank/anvilcrank/internal/latency"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/view"
 )
@@ -40,7 +41,7 @@
 		} else {
 			results = append(results, c.sendKeyed(ctx, to, q, n)...)
 		}
-		pause(ctx, time.Duration(c.rng.ExpFloat64()*float64(thinkTime)))
+		latency.Sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(thinkTime)))
 	}
 	return results
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 
 	"github.com/anvilcrank/anvilcrank/internal/deployment"
 	"github.com/anvilcrank/anvilcrank/internal/fake"
+	"github.com/anvilcrank/anvilcrank/internal/latency"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -112,21 +113,21 @@
 // injectFaults shifts traffic at a sixth of the time, drains an upstream at a
 // third and kills another at two thirds.
 func injectFaults(ctx context.Context, d *deployment.Deployment, o Options) {
-	if !pause(ctx, o.Duration/6) {
+	if !latency.Sleep(ctx, o.Duration/6) {
 		return
 	}
 	if err := shiftTraffic(ctx, d); err != nil {
 		d.Violation(fmt.Sprintf("shift %s: %v", shift.ID, err))
 	}
 	fmt.Fprintf(o.Progress, "shift of %d%% of %s from %s to %s, cap %d\n", shift.Percent, shift.Service, shift.From, shift.To, shift.Cap)
-	if !pause(ctx, o.Duration/6) {
+	if !latency.Sleep(ctx, o.Duration/6) {
 		return
 	}
 	drained := d.Upstream("catalogue-gulf-a-1")
 	drained.Drain()
 	at := time.Now()
 	fmt.Fprintf(o.Progress, "drain of %s\n", drained.ID())
-	if !pause(ctx, o.Duration/3) {
+	if !latency.Sleep(ctx, o.Duration/3) {
 		return
 	}
 	killed := d.Upstream("catalogue-gulf-b-1")
@@ -141,15 +142,6 @@
 // maxDrain is how long after its announcement a draining upstream may get work.
 const maxDrain = 3 * time.Second
 
-func pause(ctx context.Context, t time.Duration) bool {
-	select {
-	case <-time.After(t):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // runCallers runs the callers until the context ends, and lets their last requests
 // finish.
 func runCallers(ctx context.Context, d *deployment.Deployment, seed uint64) []deployment.Result {
--- a/internal/deployment/network.go
+++ b/internal/deployment/network.go
@@ -87,7 +87,7 @@
 			target = zone
 		}
 		oneWay := n.oneWay(zone, target)
-		if !pause(ctx, n.plan.Network.Connect+2*oneWay) {
+		if !latency.Sleep(ctx, n.plan.Network.Connect+2*oneWay) {
 			return nil, ctx.Err()
 		}
 		c, err := (&net.Dialer{}).DialContext(ctx, kind, address)
@@ -111,18 +111,3 @@
 	}
 	return most
 }
-
-// pause waits and reports whether the time passed before the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fake/caller.go
+++ b/internal/fake/caller.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/internal/latency"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 	"github.com/anvilcrank/anvilcrank/pkg/view"
@@ -196,8 +197,8 @@
 	if err != nil {
 		return Reply{Outcome: Lost, Unsent: true}
 	}
-	sleep(ctx, c.options.Latency)
-	defer sleep(ctx, c.options.Latency)
+	latency.Sleep(ctx, c.options.Latency)
+	defer latency.Sleep(ctx, c.options.Latency)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		var op *net.OpError
--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/internal/latency"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 )
@@ -374,13 +375,13 @@
 	if size >= minChunkedBody {
 		chunks, before, between = bodyChunks, a.total/2, a.total/2/bodyChunks
 	}
-	if !sleep(ctx, before) {
+	if !latency.Sleep(ctx, before) {
 		panic(http.ErrAbortHandler)
 	}
 	a.writeHeader(w, size)
 	chunk := bytes.Repeat([]byte{bodyPattern(a.token)}, (size+chunks-1)/chunks)
 	for sent := a.first; sent < size; sent += len(chunk) {
-		if !sleep(ctx, between) {
+		if !latency.Sleep(ctx, between) {
 			panic(http.ErrAbortHandler)
 		}
 		if sent+len(chunk) >= size {
@@ -402,17 +403,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (u *Upstream) serveCancel(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(proxy.HeaderAttempt)
 	u.mu.Lock()
--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -26,6 +26,9 @@
 	defaultSize        = 512
 )
 
+// pollInterval is the pause between two looks at a program's output.
+const pollInterval = 20 * time.Millisecond
+
 type deploymentKey struct{}
 
 // Params returns the parameters of a testscript run over the scripts in dir.
@@ -171,7 +174,7 @@
 			}
 			return nil
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(pollInterval)
 	}
 	return fmt.Errorf("%s knows no leader after %v", args[1], readyTimeout)
 }
@@ -288,29 +291,38 @@
 }
 
 // await runs a program until its output matches.
-func await(ts *testscript.TestScript, d *deployment, args []string) error {
-	limit, err := time.ParseDuration(args[0])
+func await(_ *testscript.TestScript, d *deployment, args []string) error {
+	program := args[2]
+	if strings.HasPrefix(program, "anvilcrank") {
+		program = filepath.Join(d.binary, program)
+	}
+	return awaitMatch(args[0], args[1], func() (string, error) {
+		// A program that fails may say so in its output, which is what counts.
+		out, _ := exec.Command(program, args[3:]...).CombinedOutput()
+		return string(out), nil
+	})
+}
+
+// awaitMatch reads until the text matches the pattern, at most for a time.
+func awaitMatch(limit, pattern string, read func() (string, error)) error {
+	most, err := time.ParseDuration(limit)
 	if err != nil {
 		return err
 	}
-	want, err := regexp.Compile(args[1])
+	want, err := regexp.Compile(pattern)
 	if err != nil {
 		return err
 	}
-	deadline := time.Now().Add(limit)
+	deadline := time.Now().Add(most)
 	for {
-		program := args[2]
-		if own := filepath.Join(d.binary, program); strings.HasPrefix(program, "anvilcrank") {
-			program = own
-		}
-		out, _ := exec.Command(program, args[3:]...).CombinedOutput()
-		if want.Match(out) {
+		text, err := read()
+		if err == nil && want.MatchString(text) {
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("after %v the output does not match %q:\n%s", limit, args[1], out)
+			return fmt.Errorf("after %v the text does not match %q (%v):\n%s", most, pattern, err, text)
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(pollInterval)
 	}
 }
 
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -148,29 +148,11 @@
 
 // lookup asks an instance until its answer matches.
 func lookup(_ *testscript.TestScript, d *deployment, args []string) error {
-	limit, err := time.ParseDuration(args[0])
-	if err != nil {
-		return err
-	}
-	want, err := regexp.Compile(args[1])
-	if err != nil {
-		return err
-	}
 	at, err := d.instance(args[2])
 	if err != nil {
 		return err
 	}
-	deadline := time.Now().Add(limit)
-	for {
-		names, err := instanceNames(at.address(), args[3])
-		if err == nil && want.MatchString(names) {
-			return nil
-		}
-		if time.Now().After(deadline) {
-			return fmt.Errorf("after %v the lookup names %q (%v), want %q", limit, names, err, args[1])
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	return awaitMatch(args[0], args[1], func() (string, error) { return instanceNames(at.address(), args[3]) })
 }
 
 // instanceNames returns the identifiers that a lookup names, separated by
