--- a/pkg/api/announce_test.go
+++ b/pkg/api/announce_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"bytes"
+	"net/http/httptest"
 	"testing"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/anvilcrank/anvilcrank/pkg/change"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
 // Guards against a crash on an announcement, and against one that passes the
@@ -17,3 +23,21 @@
 		}
 	})
 }
+
+// Guards against a crash on an operator's change, and against one that sets what
+// only the instance may set.
+func FuzzDecodeChange(f *testing.F) {
+	f.Add([]byte(`{"change_id":"12345678","expected_version":3,"operation":{"kind":"add_drain","drain":{"kind":"zone","target":"a"}}}`))
+	f.Add([]byte(`{"change_id":"12345678","operation":{"kind":"bootstrap"}}`))
+	f.Add([]byte(`{} {}`))
+	h := &admin{}
+	h.options.Now = func() model.Time { return 7 }
+	e := echo.New()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := e.NewContext(httptest.NewRequest("POST", "/v1/admin/changes", bytes.NewReader(data)), httptest.NewRecorder())
+		x, err := h.decodeChange(c, "olga")
+		if err == nil && (x.Time != 7 || x.Author != "olga" || x.Operation.Kind == change.Bootstrap) {
+			t.Fatalf("accepted %+v", x)
+		}
+	})
+}
