Remove what nothing calls and compare pages in one place

Cause: the read-through found three functions without a caller (a roster list, a count of message kinds, a shedding share of the fake upstream), the check of a generated page written twice, and the path of a built program written three times.

Change: the first are gone; internal/golden checks both pages, with the same comparison and the same -update flag; scripts get programs from one function.

Conclusion: behaviour unchanged. Left as it is: that an instance stops is known to both membership and the hints, which learn of it at different times.

--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -83,7 +83,6 @@
 	cold     Cold
 	served   int
 	reports  Reports
-	shedding float64
 	history  loadHistory
 	waiting  []chan struct{}
 	rng      *rand.Rand
@@ -163,13 +162,6 @@
 	u.mu.Unlock()
 }
 
-// SetShedding makes the upstream refuse this share of requests before they run.
-func (u *Upstream) SetShedding(share float64) {
-	u.mu.Lock()
-	u.shedding = share
-	u.mu.Unlock()
-}
-
 // Registered is closed when an instance has accepted the upstream.
 func (u *Upstream) Registered() <-chan struct{} { return u.registered }
 
@@ -270,10 +262,6 @@
 		// Canceled before it arrived, or sent twice.
 		return nil, false
 	}
-	if u.shedding > 0 && u.rng.Float64() < u.shedding {
-		u.shed++
-		return nil, false
-	}
 	if u.inUse < u.options.Slots {
 		u.inUse++
 	} else if !u.waitForSlot(ctx) {
--- a/internal/scenario/commands.go
+++ b/internal/scenario/commands.go
@@ -160,7 +160,7 @@
 	}
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
-		out, _ := exec.Command(filepath.Join(d.binary, "anvilcrank"), "status", "--instance", i.address(), "--json").Output()
+		out, _ := d.program("anvilcrank", "status", "--instance", i.address(), "--json").Output()
 		var status struct {
 			Leader  string `json:"leader"`
 			Current bool   `json:"current"`
@@ -191,7 +191,7 @@
 	}
 	for k := range n {
 		verb := []string{"add", "remove"}[k%2]
-		out, err := exec.Command(filepath.Join(d.binary, "anvilcrank"), "drain", verb, "--instance", i.address(), "upstream", "nothing").CombinedOutput()
+		out, err := d.program("anvilcrank", "drain", verb, "--instance", i.address(), "upstream", "nothing").CombinedOutput()
 		if err != nil {
 			return fmt.Errorf("change %d: %w: %s", k, err, out)
 		}
--- a/internal/scenario/deployment.go
+++ b/internal/scenario/deployment.go
@@ -168,6 +168,11 @@
 	return nil
 }
 
+// program returns the command that runs one of the built programs.
+func (d *deployment) program(name string, args ...string) *exec.Cmd {
+	return exec.Command(filepath.Join(d.binary, name), args...)
+}
+
 // start runs instances and waits until they serve. A control group needs all of
 // its instances to begin.
 func (d *deployment) start(names []string) error {
@@ -198,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	i.process = exec.Command(filepath.Join(d.binary, "anvilcrankd"), i.settings)
+	i.process = d.program("anvilcrankd", i.settings)
 	i.process.Stderr = log
 	i.log = log
 	if err := i.process.Start(); err != nil {
--- a/pkg/logevent/docs_test.go
+++ b/pkg/logevent/docs_test.go
@@ -1,19 +1,16 @@
 package logevent_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/anvilcrank/anvilcrank/internal/golden"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 )
 
-var update = flag.Bool("update", false, "write docs/log-events.md")
-
 const page = "../../docs/log-events.md"
 
 func render() string {
@@ -35,13 +32,7 @@
 
 // Guards against an event that operators meet and the catalogue does not list.
 var _ = It("docs list every event", func() {
-	g := NewWithT(GinkgoTB())
-	if *update {
-		g.Expect(os.WriteFile(page, []byte(render()), 0o644)).To(Succeed())
-	}
-	data, err := os.ReadFile(page)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(data)).To(Equal(render()))
+	NewWithT(GinkgoTB()).Expect(golden.Check(page, render())).To(Succeed())
 })
 
 // Guards against two events under one number.
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -30,6 +30,3 @@
 	}
 	return nil
 }
-
-// Kinds returns the number of registered kinds.
-func Kinds() int { return len(registry) }
--- a/pkg/model/config.go
+++ b/pkg/model/config.go
@@ -209,18 +209,6 @@
 	return false
 }
 
-// RosterIn returns the instances of the roster in a zone, in identifier order.
-func (c *Config) RosterIn(zone Zone) []InstanceID {
-	var ids []InstanceID
-	for _, r := range c.Roster {
-		if r.Zone == zone {
-			ids = append(ids, r.ID)
-		}
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
 // RosterInRegion returns the instances of the roster in a region, in
 // identifier order.
 func (c *Config) RosterInRegion(region Region) []InstanceID {
--- a/pkg/result/docs_test.go
+++ b/pkg/result/docs_test.go
@@ -1,19 +1,16 @@
 package result_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/anvilcrank/anvilcrank/internal/golden"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
-var update = flag.Bool("update", false, "write docs/results.md")
-
 const page = "../../docs/results.md"
 
 func render() string {
@@ -37,13 +34,7 @@
 
 // Guards against a code that callers meet and the docs do not list.
 var _ = It("docs list every code", func() {
-	g := NewWithT(GinkgoTB())
-	if *update {
-		g.Expect(os.WriteFile(page, []byte(render()), 0o644)).To(Succeed())
-	}
-	data, err := os.ReadFile(page)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(data)).To(Equal(render()))
+	NewWithT(GinkgoTB()).Expect(golden.Check(page, render())).To(Succeed())
 })
 
 // Guards against two meanings of one code and against a refusal whose HTTP status
