Judge load and silence by each service's time of work

Cause: the time of work before the first response, the age at which a load report counts half and the silence that makes an upstream suspected were fixed for work of 100 to 400 ms. With 71 entry instances a report is seconds old, and such upstreams counted as idle.

Change: the objective of the route stands for the time of work until a response tells it; silence is measured in times of work; old reports fade into the mean load of the region instead of zero; the wait for a slot takes the mean work.

Ruled out: processor and memory of the entry instances (0.003 cores, 30 MB).

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -38,6 +38,9 @@
 	Service model.ServiceName
 	// Object is what the request concerns, "" if nothing is known.
 	Object string
+	// Objective is the time within which a response should be complete, 0 if none
+	// is stated.
+	Objective model.Duration
 	// Download requests have large responses.
 	Download bool
 	// Homes are the only permitted regions; empty permits all.
@@ -74,6 +77,7 @@
 	if svc == nil {
 		return Choice{}, false
 	}
+	svc.expect(q.Objective)
 	s.shares.advance(at)
 	known := locate(at, svc.targets, q.Object, q.Download, func(t *target) bool {
 		return !t.evacuated && !t.suspected(at) && !t.expired && !slices.Contains(q.Tried, t.registration.ID)
@@ -158,7 +162,7 @@
 	warm := s.isWarm(at, known, t)
 	pace := t.pace(at)
 	work := svc.typical(warm) * pace
-	e := estimate{wait: max(0, t.load(at)+1-t.slots()) / t.slots() * svc.warm * pace}
+	e := estimate{wait: max(0, t.load(at)+1-t.slots()) / t.slots() * svc.mean * pace}
 	e.total = float64(s.delay(t)) + e.wait + work*(1+2*t.refusalRate(at))
 	if !warm {
 		penalty := coldUsePenalty
--- /dev/null
+++ b/pkg/balance/estimates_test.go
@@ -0,0 +1,52 @@
+package balance_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/balance"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+)
+
+// Guards against full queues taken for short ones in the first seconds, at
+// services whose work takes longer than that of the smaller deployments.
+var _ = It("work takes its part of the objective until a response says otherwise", func() {
+	s := instance("a1", upstreams(map[model.Zone]int{"a1": 1}, 1), reads(0))
+	q := balance.Query{Object: "x", Objective: 1200 * time.Millisecond}
+	c := choose(s, start, q)
+	Expect(c.Expected).To(Equal(360 * time.Millisecond))
+	s.Sent(start, &c)
+	Expect(choose(s, start, q).Wait).To(Equal(1200 * time.Millisecond))
+})
+
+// Guards against upstreams taken for idle when their last report is old: with
+// many entry instances each one hears from an upstream every few seconds only.
+var _ = It("upstream without a fresh report is as busy as its region", func() {
+	s := instance("a1", upstreams(map[model.Zone]int{"a1": 9}, 9), reads(0))
+	busy := &model.LoadReport{Running: 9, Waiting: 3, Slots: 9, Slowdown: 1}
+	at := start
+	for range 100 {
+		at = at.Add(10 * time.Millisecond)
+		c := choose(s, at, balance.Query{})
+		s.Sent(at, &c)
+		s.Ended(at, c.ID, &balance.End{Result: balance.Answered, Took: 100 * time.Millisecond, Load: busy})
+	}
+	later := at.Add(time.Second)
+	Expect(choose(s, later, balance.Query{}).Load).To(BeNumerically(">", 6))
+})
+
+// Guards against upstreams suspected for work that usually takes longer than the
+// requests of other services, which moves their objects to where they are not
+// known.
+var _ = It("long work is no silence", func() {
+	s := instance("a1", upstreams(map[model.Zone]int{"a1": 4}, 9), reads(0))
+	q := balance.Query{Object: "x", Objective: 1200 * time.Millisecond}
+	first := choose(s, start, q)
+	for range 3 {
+		s.Sent(start, &first)
+	}
+	Expect(choose(s, start.Add(time.Second), q).ID).To(Equal(first.ID))
+	Expect(choose(s, start.Add(1400*time.Millisecond), q).ID).NotTo(Equal(first.ID))
+})
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	// initialWarm and initialCold stand for the time of a request at an upstream
-	// that knows its object and at another one, until some were observed.
-	initialWarm = 120 * time.Millisecond
-	initialCold = 400 * time.Millisecond
+	// defaultObjective stands for the objective of routes that state none.
+	defaultObjective = 400 * time.Millisecond
+	// warmPart is the part of a route's objective that work on a known object is
+	// taken to need until some was observed. Work on an unknown object is taken to
+	// need all of it.
+	warmPart = 0.3
 )
 
 // Self is what the sub-reducer knows of its instance.
@@ -43,8 +45,23 @@
 	// parts is the number of slots in each region over the mean of the regions.
 	parts map[model.Region]float64
 	// warm and cold are the moving averages of the time of a request at upstreams
-	// that know its object and at others.
-	warm, cold float64
+	// that know its object and at others, mean that of all requests.
+	warm, cold, mean float64
+	// observed is set once any of them was learned from a response.
+	observed bool
+	crowds   map[model.Region]*crowd
+}
+
+// expect takes the objective of a route for the time of work, as long as there
+// was no response to learn it from.
+func (s *service) expect(objective model.Duration) {
+	if s.observed {
+		return
+	}
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	s.warm, s.cold, s.mean = warmPart*float64(objective), float64(objective), float64(objective)
 }
 
 // boundsCold reports whether the service bounds the requests at cold upstreams.
@@ -66,6 +83,8 @@
 		average = &s.warm
 	}
 	*average += latencyWeight * (min(work, 3**average) - *average)
+	s.mean += latencyWeight * (min(work, 3*s.mean) - s.mean)
+	s.observed = true
 }
 
 // New returns the sub-reducer.
@@ -116,6 +135,7 @@
 		t.expired = checkLeases && r.Expired(at, e)
 		t.coldUntil = max(t.coldUntil, e.ColdUntil)
 		svc := s.service(reg.Service)
+		t.service, t.crowd = svc, svc.crowd(t.region)
 		svc.targets = append(svc.targets, t)
 	}
 	slots := map[model.Region]int{}
@@ -138,7 +158,8 @@
 func (s *State) service(name model.ServiceName) *service {
 	svc := s.services[name]
 	if svc == nil {
-		svc = &service{warm: float64(initialWarm), cold: float64(initialCold)}
+		svc = &service{crowds: map[model.Region]*crowd{}}
+		svc.expect(0)
 		s.services[name] = svc
 	}
 	return svc
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// reportHalfLife is the age at which a load report of other instances' work
-	// counts half. Work of the present services takes 100 to 400 ms.
-	reportHalfLife = 300 * time.Millisecond
+	// minReportHalfLife is the least age at which a load report counts half. Where
+	// work takes longer, load changes more slowly and the usual time of work is
+	// that age.
+	minReportHalfLife = 300 * time.Millisecond
+	// crowdWeight is the weight of one report in the mean load of a region, and
+	// crowdHalfLife how fast the mean is forgotten without new reports.
+	crowdWeight   = 0.1
+	crowdHalfLife = 2 * time.Second
 	// slowdownFresh is how long a stated slowdown counts. It changes many times a
 	// second.
 	slowdownFresh = 500 * time.Millisecond
@@ -28,11 +33,14 @@
 	// refusalHalfLife is how fast refusals are forgotten.
 	refusalHalfLife = time.Second
 	// silenceOfMany and silenceOfOne are how long an upstream may answer nothing
-	// while requests wait. Single requests can take several times as long as usual
-	// ones.
-	silenceOfMany = 450 * time.Millisecond
-	silenceOfOne  = 900 * time.Millisecond
+	// while requests wait, in times of work on an unknown object. Single requests
+	// can take several times as long as usual ones.
+	silenceOfMany = 1.1
+	silenceOfOne  = 2.2
 	manyWaiting   = 3
+	// minSilence is the least such time for many requests; that for one is longer
+	// by the same factor as above.
+	minSilence = 450 * time.Millisecond
 	// minSuspicion and maxSuspicion bound the time that an upstream gets no work
 	// after failed sends; each failure in a row doubles it.
 	minSuspicion = 300 * time.Millisecond
@@ -47,6 +55,8 @@
 	// objects are those that this instance sent requests for.
 	objects   objects
 	region    model.Region
+	service   *service
+	crowd     *crowd
 	evacuated bool
 	expired   bool
 
@@ -97,17 +107,51 @@
 	case at < t.suspectUntil || t.failures > 0 && t.inFlight > 0:
 		return true
 	case t.inFlight >= manyWaiting:
-		return at > t.heardAt.Add(silenceOfMany)
+		return at > t.heardAt.Add(t.service.silence(silenceOfMany))
 	}
-	return t.inFlight > 0 && at > t.heardAt.Add(silenceOfOne)
+	return t.inFlight > 0 && at > t.heardAt.Add(t.service.silence(silenceOfOne))
 }
 
-// load estimates the requests at the upstream.
+// silence returns how long an upstream of the service may answer nothing, as a
+// number of times of work.
+func (s *service) silence(times float64) model.Duration {
+	return model.Duration(times * max(s.typical(false), float64(minSilence)/silenceOfMany))
+}
+
+// load estimates the requests at the upstream. The older its report, the more
+// the work of other instances is taken to be as usual in the region: with many
+// entry instances each hears from an upstream seldom.
 func (t *target) load(at model.Time) float64 {
-	if t.reportAt == 0 {
-		return float64(t.inFlight)
+	others := t.crowd.level(at)
+	if t.reportAt != 0 {
+		halfLife := max(minReportHalfLife, model.Duration(t.service.mean))
+		others += (t.others - others) * halved(at.Sub(t.reportAt), halfLife)
+	}
+	return float64(t.inFlight) + others
+}
+
+// crowd is the mean work of other instances at the upstreams of a service in a
+// region, by their reports.
+type crowd struct {
+	mean float64
+	at   model.Time
+}
+
+func (s *service) crowd(r model.Region) *crowd {
+	c := s.crowds[r]
+	if c == nil {
+		c = &crowd{}
+		s.crowds[r] = c
 	}
-	return float64(t.inFlight) + t.others*halved(at.Sub(t.reportAt), reportHalfLife)
+	return c
+}
+
+// level returns the mean, which fades without reports.
+func (c *crowd) level(at model.Time) float64 { return c.mean * halved(at.Sub(c.at), crowdHalfLife) }
+
+func (c *crowd) observe(at model.Time, others float64) {
+	c.mean = c.level(at) + crowdWeight*(others-c.level(at))
+	c.at = at
 }
 
 // slots returns the number of requests that run at once.
@@ -149,6 +193,7 @@
 	t.reportAt = at
 	// The response that carries the report no longer runs.
 	t.others = max(0, float64(r.Running+r.Waiting-t.inFlight))
+	t.crowd.observe(at, t.others)
 }
 
 func (t *target) observeRefusal(at model.Time, refused float64) {
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -136,7 +136,7 @@
 func (s *State) send(at model.Time, r *request, otherwise result.Code, out *event.Effects) {
 	left := r.deadline.Sub(at)
 	choice, ok := s.balance.Choose(at, &balance.Query{
-		Service: r.service, Object: r.object, Download: r.route.Kind == model.Download,
+		Service: r.service, Object: r.object, Objective: r.route.Objective, Download: r.route.Kind == model.Download,
 		Homes: r.route.HomeRegions, Tried: r.tried})
 	r.choice = choice
 	if ok && cannotMeet(&choice, left) && !r.mayHaveRun {
