Refuse queued work that usually ends too late, advise by its time

Cause: where requests already wait for a slot, half of the usual time was taken to be enough. Callers were told to come back within 500 ms to queues of two seconds, and have one attempt more.

Change: behind a queue the usual work must fit in; the advice spreads over the expected time.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -54,6 +54,8 @@
 	// it before the work begins.
 	Expected model.Duration
 	Wait     model.Duration
+	// Usual is the mean time of work of the service.
+	Usual model.Duration
 	// Load is the estimated number of requests at the upstream, and ReportAge the
 	// age of its latest load report, negative if there is none.
 	Load      float64
@@ -138,7 +140,8 @@
 	return Choice{
 		cost: bestCost, Load: best.load(at), ReportAge: age,
 		ID: best.registration.ID, Address: best.registration.Address, Zone: best.registration.Zone, Warm: s.isWarm(at, known, best), object: known.key(),
-		Expected: model.Duration(bestTime.total), Wait: model.Duration(bestTime.wait), Connections: s.connections(svc)}, true
+		Expected: model.Duration(bestTime.total), Wait: model.Duration(bestTime.wait),
+		Usual: model.Duration(svc.mean), Connections: s.connections(svc)}, true
 }
 
 // permitted reports whether an upstream may take the request.
--- a/pkg/routed/routed_test.go
+++ b/pkg/routed/routed_test.go
@@ -262,3 +262,26 @@
 	Expect(reject.Code).To(Equal(result.DeadlineTooShort))
 	Expect(reject.RetryAfter).To(BeNumerically(">", 0))
 })
+
+// Guards against queues of work that is cut off at its deadline, so that its
+// slots were used for nothing, and against callers that return before the work
+// in these queues has ended. The load fills all slots; the wait for one and the
+// usual work no longer fit into the time that is left.
+var _ = It("work that would follow a queue is refused if it usually takes too long", func() {
+	slow := simple(model.Idempotent, 1)
+	slow.Prefix, slow.Timeout = "/slow/", 10*time.Second
+	b := newBed(slow, simple(model.Idempotent, 1))
+	b.busy(800 * time.Millisecond)
+	for range 3 * 4 {
+		_, effects := b.arrive("/slow/x")
+		only[event.Forward](effects)
+	}
+	longest := time.Duration(0)
+	for range 20 {
+		_, effects := b.arrive("/a/x")
+		reject := only[event.Reject](effects)
+		Expect(reject.Code).To(Equal(result.DeadlineTooShort))
+		longest = max(longest, reject.RetryAfter)
+	}
+	Expect(longest).To(BeNumerically(">", 600*time.Millisecond), "advice spreads over the time of the work")
+})
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -21,11 +21,11 @@
 	minAttempt = 30 * time.Millisecond
 	// defaultTimeout bounds requests of routes without a timeout.
 	defaultTimeout = 30 * time.Second
-	// minRetryAfter and retrySpread bound the advice to callers whose request was
-	// refused: room is expected when running work has ended, and the spread keeps
-	// them from returning together.
-	minRetryAfter = 150 * time.Millisecond
-	retrySpread   = 350 * time.Millisecond
+	// minRetryAfter and minRetrySpread bound the advice to callers whose request
+	// was refused: room is expected when running work has ended, and the spread
+	// keeps them from returning together.
+	minRetryAfter  = 150 * time.Millisecond
+	minRetrySpread = 350 * time.Millisecond
 	// holdBytes is how much of a response is held back until it is complete, so
 	// that a broken one can be repeated or reported as such.
 	holdBytes = 1 << 20
@@ -89,7 +89,7 @@
 // Arrive takes a new request.
 func (s *State) Arrive(at model.Time, ev *event.RoutedArrived, table *catalog.Table, out *event.Effects) {
 	if table == nil {
-		out.Add(event.Reject{Request: ev.ID, Code: result.NoConfiguration, RetryAfter: s.retryAfter()})
+		out.Add(event.Reject{Request: ev.ID, Code: result.NoConfiguration, RetryAfter: s.retryAfter(0)})
 		return
 	}
 	route, ok := table.Route(ev.Host, ev.Path)
@@ -127,8 +127,10 @@
 	return b
 }
 
-func (s *State) retryAfter() model.Duration {
-	return minRetryAfter + model.Duration(s.random.Int64N(int64(retrySpread)))
+// retryAfter returns the advice to a caller whose request would have taken so
+// long. The work that fills the upstreams ends over that time.
+func (s *State) retryAfter(expected model.Duration) model.Duration {
+	return minRetryAfter + model.Duration(s.random.Int64N(int64(max(minRetrySpread, expected))))
 }
 
 // send forwards a request to the best upstream. If there is none, the request
@@ -161,9 +163,14 @@
 const workCertainty = 0.5
 
 // cannotMeet reports whether a request would end after its deadline for certain.
+// Where others wait for a slot, usual work must fit in: work that is cut off at
+// its deadline takes a slot from them, and its object stays unknown.
 func cannotMeet(c *balance.Choice, left model.Duration) bool {
 	work := c.Expected - c.Wait
-	return c.Wait+model.Duration(workCertainty*float64(work)) > left
+	if c.Wait > 0 {
+		return c.Wait+max(work, c.Usual) > left
+	}
+	return model.Duration(workCertainty*float64(work)) > left
 }
 
 // refuse ends a request without a response of an upstream.
@@ -172,7 +179,7 @@
 	if r.mayHaveRun {
 		code = result.UpstreamLost
 	} else {
-		advice = s.retryAfter()
+		advice = s.retryAfter(r.choice.Expected)
 	}
 	s.finish(at, r, code, advice, out)
 }
