--- a/node.go
+++ b/node.go
@@ -65,6 +65,8 @@
 	// StopGrace is how long a graceful stop may take.
 	StopGrace time.Duration
 	LogLevel  string
+	// LogOutput takes the log lines, standard output if it is nil.
+	LogOutput io.Writer
 	// Headers are those that callers, entry instances and upstreams use.
 	Headers gateway.Headers
 }
@@ -85,7 +87,10 @@
 
 // NewNode makes a node and opens its listeners. Run must follow.
 func NewNode(c NodeConfig) (*Node, error) {
-	n := &Node{config: c, lines: telemetry.NewLineWriter(os.Stdout)}
+	if c.LogOutput == nil {
+		c.LogOutput = os.Stdout
+	}
+	n := &Node{config: c, lines: telemetry.NewLineWriter(c.LogOutput)}
 	level, err := log.ParseLevel(c.LogLevel)
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", c.LogLevel, err)
--- a/node_test.go
+++ b/node_test.go
@@ -29,7 +29,10 @@
 func startNode(t *testing.T, c anvilcrank.NodeConfig) (*anvilcrank.Node, chan error) {
 	g := NewWithT(t)
 	c.Regions = map[model.Zone]model.Region{"z": "r"}
-	c.Zone, c.Name, c.LogLevel = "z", string(c.ID), "error"
+	c.Zone, c.Name = "z", string(c.ID)
+	if c.LogLevel == "" {
+		c.LogLevel = "error"
+	}
 	c.HeartbeatInterval, c.StopGrace = time.Second, 6*time.Second
 	c.Budget = routed.BudgetLimits{Window: 10 * time.Second, Ratio: 0.2, Slack: 10}
 	c.Headers = gateway.Headers{Attempt: "Attempt", Remaining: "Remaining", Object: "Object", Upstream: "Upstream",
