Pass long responses on as they come where the link is slow

Cause: a response of 90 kB takes 110 ms on a link of 6.6 Mbit/s. It was held until complete and then sent on, so the link took its time twice, against an objective of 400 ms.

Change: what fits into 20 ms of the instance's link is held, at least 16 KiB and at most 1 MiB. The platform states the link's capacity. A streamed response that the upstream breaks off counts as its failure.

Ruled out: processor time (0.003 cores).

At links of 1,000 Mbit/s nothing changes.

--- a/node.go
+++ b/node.go
@@ -62,6 +62,9 @@
 	Data              string
 	HeartbeatInterval time.Duration
 	Budget            routed.BudgetLimits
+	// LinkRate is the capacity of the instance's link in bytes a second, 0 if it is
+	// not known.
+	LinkRate int64
 	// StopGrace is how long a graceful stop may take.
 	StopGrace time.Duration
 	LogLevel  string
@@ -103,7 +106,7 @@
 	identity := fleet.Identity{
 		ID: c.ID, Incarnation: model.Incarnation(clock.Now()), Control: c.Control,
 		Zone: c.Zone, Regions: c.Regions, Founders: c.Founders, Seed: uint64(clock.Now()),
-		HeartbeatInterval: c.HeartbeatInterval, Budget: c.Budget, StopGrace: c.StopGrace,
+		HeartbeatInterval: c.HeartbeatInterval, Budget: c.Budget, LinkRate: c.LinkRate, StopGrace: c.StopGrace,
 	}
 	links := &lateSink{}
 	n.peers = peer.NewManager(message.Hello{
--- a/pkg/event/routed.go
+++ b/pkg/event/routed.go
@@ -59,6 +59,8 @@
 	Took model.Duration
 	// Connect is how long a new connection took to open, 0 if none was opened.
 	Connect model.Duration
+	// Broken says that the upstream ended a streamed response before its end.
+	Broken bool
 	// Load is nil if the response stated none.
 	Load *model.LoadReport
 	// ColdFor is how much longer the upstream is cold, 0 if it did not say.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -34,6 +34,9 @@
 	HeartbeatInterval model.Duration
 	// Budget bounds repeated sends over all entry instances together.
 	Budget routed.BudgetLimits
+	// LinkRate is the capacity of the instance's link in bytes a second, 0 if it is
+	// not known.
+	LinkRate int64
 	// StopGrace is how long the process may take to stop.
 	StopGrace model.Duration
 }
@@ -82,7 +85,7 @@
 		registry: registry.New(identity.HeartbeatInterval),
 		balance:  balance.New(balance.Self{ID: identity.ID, Zone: identity.Zone, Regions: identity.Regions}),
 	}
-	s.requests = routed.New(s.balance, identity.Budget, rand.New(rand.NewPCG(identity.Seed, 11)))
+	s.requests = routed.New(s.balance, identity.Budget, rand.New(rand.NewPCG(identity.Seed, 11)), identity.LinkRate)
 	s.records = records{s: s}
 	s.replica = replica.New(replica.Identity{
 		ID: identity.ID, Control: identity.Control, Zone: identity.Zone, Regions: identity.Regions}, &s.records)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -271,6 +271,9 @@
 	front := serveFront(c)
 	_, text := call(front, "GET", "a1", "")
 	Expect(text).To(ContainSubstring("EOF"))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	Expect(c.ended[0].Broken).To(BeTrue(), "the upstream failed, not the caller")
 })
 
 var _ = It("unreachable upstream is reported as not sent", func() {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -249,6 +249,22 @@
 	if _, err := e.w.Write(held.Bytes()); err != nil {
 		return err
 	}
-	_, err = io.CopyBuffer(e.w, resp.Body, make([]byte, copyBuffer))
+	source := &upstreamBody{Reader: resp.Body}
+	_, err = io.CopyBuffer(e.w, source, make([]byte, copyBuffer))
+	ended.Broken = source.failed
 	return err
 }
+
+// upstreamBody notes whether reading failed, apart from failures to write to the
+// caller.
+type upstreamBody struct {
+	io.Reader
+	failed bool
+}
+
+// Read implements io.Reader.
+func (b *upstreamBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.failed = err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
--- a/pkg/routed/routed_test.go
+++ b/pkg/routed/routed_test.go
@@ -43,7 +43,7 @@
 	b := balance.New(balance.Self{Zone: "z", Regions: map[model.Zone]model.Region{"z": "r"}})
 	b.Sync(start, r, c, false)
 	limits := routed.BudgetLimits{Window: 10 * time.Second, Ratio: 0.2, Slack: 10}
-	return &bed{state: routed.New(b, limits, rand.New(rand.NewPCG(1, 1))), table: c.Table(), at: start}
+	return &bed{state: routed.New(b, limits, rand.New(rand.NewPCG(1, 1)), 0), table: c.Table(), at: start}
 }
 
 // busy makes the service slow: its upstreams are observed to take so long.
@@ -285,3 +285,14 @@
 	}
 	Expect(longest).To(BeNumerically(">", 600*time.Millisecond), "advice spreads over the time of the work")
 })
+
+// Guards against downloads that take their time on a slow link twice: held until
+// they are complete and only then passed on.
+var _ = It("long responses are passed on as they come on slow links", func() {
+	const linkRate = 825_000 // bytes a second, 6.6 Mbit/s
+	download := 90_000
+	Expect(routed.HoldBytes(linkRate)).To(BeNumerically("<", download/4))
+	Expect(routed.HoldBytes(linkRate)).To(BeNumerically(">", 9_000), "short ones stay repeatable")
+	Expect(routed.HoldBytes(125_000_000)).To(Equal(1 << 20))
+	Expect(routed.HoldBytes(0)).To(Equal(1 << 20))
+})
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -26,11 +26,25 @@
 	// keeps them from returning together.
 	minRetryAfter  = 150 * time.Millisecond
 	minRetrySpread = 350 * time.Millisecond
-	// holdBytes is how much of a response is held back until it is complete, so
-	// that a broken one can be repeated or reported as such.
-	holdBytes = 1 << 20
+	// maxHold is how much of a response is held back until it is complete, so that
+	// a broken one can be repeated or reported as such.
+	maxHold = 1 << 20
+	// holdTime is the time on the instance's link that a held response may take. A
+	// longer one is passed on as it comes, which takes half of the time.
+	holdTime = 20 * time.Millisecond
+	// minHold is held back on any link.
+	minHold = 16 << 10
 )
 
+// HoldBytes returns how much of a response is held back at an instance whose link
+// carries so many bytes a second, 0 for a link without a known limit.
+func HoldBytes(linkRate int64) int {
+	if linkRate <= 0 {
+		return maxHold
+	}
+	return int(max(minHold, min(maxHold, float64(linkRate)*holdTime.Seconds())))
+}
+
 // Random supplies the spread of advice.
 type Random interface {
 	Int64N(n int64) int64
@@ -63,9 +77,11 @@
 
 // State is the sub-reducer.
 type State struct {
-	balance  *balance.State
-	limits   BudgetLimits
-	random   Random
+	balance *balance.State
+	limits  BudgetLimits
+	random  Random
+	// hold is how much of a response is held back until it is complete.
+	hold     int
 	requests map[model.RequestID]*request
 	budgets  map[model.ServiceName]*budget
 	splits   map[string]*splitter
@@ -75,11 +91,12 @@
 }
 
 // New returns the sub-reducer.
-func New(b *balance.State, limits BudgetLimits, random Random) *State {
+func New(b *balance.State, limits BudgetLimits, random Random, linkRate int64) *State {
 	return &State{
 		balance:  b,
 		limits:   limits,
 		random:   random,
+		hold:     HoldBytes(linkRate),
 		requests: map[model.RequestID]*request{},
 		budgets:  map[model.ServiceName]*budget{},
 		splits:   map[string]*splitter{},
@@ -154,7 +171,7 @@
 	s.balance.Sent(at, &choice)
 	out.Add(event.Forward{
 		Request: r.id, Attempt: r.attempts, Upstream: choice.ID, Address: choice.Address,
-		Until: r.deadline, Remaining: left, Connections: choice.Connections, Hold: holdBytes,
+		Until: r.deadline, Remaining: left, Connections: choice.Connections, Hold: s.hold,
 	})
 }
 
@@ -265,6 +282,9 @@
 	if r != nil && r.expired && ev.Outcome == event.SendCanceled {
 		return balance.TimedOut
 	}
+	if ev.Broken {
+		return balance.Failed
+	}
 	switch ev.Outcome {
 	case event.SendAnswered, event.SendStreamed:
 		return balance.Answered
