Bound the rest of connections after losses on rested ones

Cause: upstreams that forget idle connections reset what is sent next.

Change: a reset within a round trip on a connection that had rested bounds the rest to a quarter of that for 10 s, for all upstreams once three show it.

Ruled out: a shorter idle time at all times (connections cost a round trip and a slot).

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -62,6 +62,8 @@
 	ReportAge model.Duration
 	// Connections bounds this instance's connections to the upstream.
 	Connections int
+	// MaxRest is how long a kept connection may have rested, 0 for no bound.
+	MaxRest model.Duration
 	// cost compares choices.
 	cost float64
 }
@@ -141,7 +143,7 @@
 		cost: bestCost, Load: best.load(at), ReportAge: age,
 		ID: best.registration.ID, Address: best.registration.Address, Zone: best.registration.Zone, Warm: s.isWarm(at, known, best), object: known.key(),
 		Expected: model.Duration(bestTime.total), Wait: model.Duration(bestTime.wait),
-		Usual: model.Duration(svc.mean), Connections: s.connections(svc)}, true
+		Usual: model.Duration(svc.mean), Connections: s.connections(svc), MaxRest: s.maxRest(at, best)}, true
 }
 
 // permitted reports whether an upstream may take the request.
--- a/pkg/balance/estimates_test.go
+++ b/pkg/balance/estimates_test.go
@@ -50,3 +50,31 @@
 	Expect(choose(s, start.Add(time.Second), q).ID).To(Equal(first.ID))
 	Expect(choose(s, start.Add(1400*time.Millisecond), q).ID).NotTo(Equal(first.ID))
 })
+
+// Guards against a series of lost requests at upstreams that forget connections
+// earlier than they state.
+var _ = It("lost requests bound the rest of connections", func() {
+	s := instance("a1", upstreams(map[model.Zone]int{"a1": 5}, 9), reads(0))
+	lose := func(took time.Duration) model.UpstreamID {
+		c := choose(s, start, balance.Query{})
+		Expect(c.MaxRest).To(BeZero())
+		s.Sent(start, &c)
+		s.Ended(start, c.ID, &balance.End{Result: balance.Failed, Rested: 2 * time.Second, Took: took})
+		return c.ID
+	}
+	lose(time.Second) // the upstream was at work
+	first := lose(time.Millisecond)
+	at := start.Add(5 * time.Second)
+	for {
+		c := choose(s, at, balance.Query{})
+		if c.ID == first {
+			Expect(c.MaxRest).To(Equal(500 * time.Millisecond))
+			break
+		}
+		s.Sent(at, &c)
+	}
+	lose(time.Millisecond)
+	lose(time.Millisecond)
+	Expect(choose(s, start, balance.Query{}).MaxRest).To(Equal(500*time.Millisecond), "after three upstreams")
+	Expect(choose(s, start.Add(time.Minute), balance.Query{}).MaxRest).To(BeZero())
+})
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -34,6 +34,7 @@
 	// delays holds the shortest round trip seen to each zone.
 	delays map[model.Zone]model.Duration
 	shares *regionShares
+	rest   restLimit
 	// Entries is the number of entry instances that share bounds.
 	Entries int
 }
@@ -211,6 +212,8 @@
 	// Took is the time of the send, Connect that of opening a connection for it.
 	Took, Connect model.Duration
 	Load          *model.LoadReport
+	// Rested is how long the connection was unused before, 0 for a new one.
+	Rested model.Duration
 	// ColdFor is how much longer the upstream is cold, 0 if it did not say.
 	ColdFor model.Duration
 }
@@ -223,6 +226,7 @@
 	}
 	t.end(at, end.Result)
 	t.observeReport(at, end.Load)
+	s.observeRest(at, t, end)
 	if end.ColdFor > 0 {
 		t.coldUntil = max(t.coldUntil, at.Add(end.ColdFor))
 	}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -62,6 +62,7 @@
 
 	coldUntil model.Time
 	cold      turns
+	rest      restLimit
 
 	inFlight int
 	report   model.LoadReport
--- a/pkg/event/routed.go
+++ b/pkg/event/routed.go
@@ -59,6 +59,8 @@
 	Took model.Duration
 	// Connect is how long a new connection took to open, 0 if none was opened.
 	Connect model.Duration
+	// Rested is how long the connection was unused before, 0 for a new one.
+	Rested model.Duration
 	// Broken says that the upstream ended a streamed response before its end.
 	Broken bool
 	// Load is nil if the response stated none.
@@ -82,6 +84,8 @@
 	Remaining model.Duration
 	// Connections bounds this instance's connections to the upstream.
 	Connections int
+	// MaxRest is how long a kept connection may have rested, 0 for no bound.
+	MaxRest model.Duration
 	// Hold is how many bytes of a response are held back until it is complete.
 	Hold int
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -34,6 +34,7 @@
 	gateway *gateway.Gateway
 	address string
 	hold    int
+	maxRest time.Duration
 	done    chan struct{}
 	catalog *catalog.State
 
@@ -62,7 +63,7 @@
 func (c *control) Submit(b event.Body) error {
 	if a, ok := b.(event.RoutedArrived); ok {
 		go c.gateway.Forward(event.Forward{Request: a.ID, Attempt: 1, Upstream: "u", Address: c.address,
-			Until: now().Add(2 * time.Second), Hold: c.hold})
+			Until: now().Add(2 * time.Second), Hold: c.hold, MaxRest: c.maxRest})
 	}
 	return nil
 }
@@ -240,6 +241,26 @@
 	}
 })
 
+// Guards against a request on a connection that the upstream has forgotten.
+var _ = It("connection that rested for longer than allowed is not used", func() {
+	used := make(chan string, 8)
+	c := newControl(upstream(func(c net.Conn, r *http.Request, _ string, _ int) {
+		used <- c.RemoteAddr().String()
+		respond(c, r.Header.Get("Attempt"), "ok", "")
+	}))
+	front := serveFront(c)
+	call(front, "GET", "a1", "")
+	c.maxRest = time.Minute
+	call(front, "GET", "a2", "")
+	c.maxRest = time.Nanosecond
+	call(front, "GET", "a3", "")
+	first, second, third := <-used, <-used, <-used
+	Expect(second).To(Equal(first))
+	Expect(third).NotTo(Equal(second))
+	Expect(c.ended[1].Rested).To(BeNumerically(">", 0))
+	Expect(c.ended[2].Rested).To(BeZero())
+})
+
 // Guards against upstreams that work on for callers that have left.
 var _ = It("caller that leaves closes the connection to the upstream", func() {
 	closed := make(chan struct{})
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
 )
 
 const (
@@ -43,9 +45,10 @@
 	host   *host
 	// written counts the bytes of the present request.
 	written atomic.Int64
-	// idleUntil is when the connection is no longer used for new requests.
-	idleUntil time.Time
-	closed    atomic.Bool
+	// idleSince is when the connection was last used, and idleUntil when it is no
+	// longer used for new requests.
+	idleSince, idleUntil time.Time
+	closed               atomic.Bool
 }
 
 // Write implements io.Writer.
@@ -87,27 +90,32 @@
 	return errors.Join(err, failed)
 }
 
-// get returns a connection that was used before, or opens one. took is how long
-// the opening took, 0 for a used connection.
-func (p *pool) get(ctx context.Context, address string, limit int) (c *upstreamConn, took time.Duration, err error) {
-	h, c := p.takeIdle(address)
+// opening says how a connection was had: it was opened, which took a while, or
+// had rested since its last use.
+type opening struct{ took, rested time.Duration }
+
+// get returns a connection that was used before and has not rested for too long,
+// or opens one.
+func (p *pool) get(ctx context.Context, f *event.Forward) (*upstreamConn, opening, error) {
+	h, c := p.takeIdle(f.Address, f.MaxRest)
 	if c != nil {
-		return c, 0, nil
+		return c, opening{rested: max(time.Since(c.idleSince), 1)}, nil
 	}
-	if !p.reserve(h, limit) {
-		return nil, 0, errConnections
+	if !p.reserve(h, f.Connections) {
+		return nil, opening{}, errConnections
 	}
 	start := time.Now()
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dialer.DialContext(ctx, "tcp", f.Address)
 	if err != nil {
 		p.release(h)
-		return nil, 0, err
+		return nil, opening{}, err
 	}
-	return &upstreamConn{Conn: conn, reader: bufio.NewReader(conn), host: h}, max(time.Since(start), 1), nil
+	return &upstreamConn{Conn: conn, reader: bufio.NewReader(conn), host: h}, opening{took: max(time.Since(start), 1)}, nil
 }
 
-// takeIdle returns the connection that was used last, if one is alive.
-func (p *pool) takeIdle(address string) (*host, *upstreamConn) {
+// takeIdle returns the connection that was used last, if one is alive. maxRest is
+// how long it may have rested, 0 for no bound.
+func (p *pool) takeIdle(address string, maxRest time.Duration) (*host, *upstreamConn) {
 	p.mu.Lock()
 	h := p.hosts[address]
 	if h == nil {
@@ -125,7 +133,9 @@
 		c := h.idle[n-1]
 		h.idle = h.idle[:n-1]
 		p.mu.Unlock()
-		if time.Now().Before(c.idleUntil) && isQuiet(c.Conn) {
+		now := time.Now()
+		rested := maxRest > 0 && now.Sub(c.idleSince) > maxRest
+		if !rested && now.Before(c.idleUntil) && isQuiet(c.Conn) {
 			c.written.Store(0)
 			return h, c
 		}
@@ -159,7 +169,8 @@
 		p.discard(c)
 		return
 	}
-	c.idleUntil = time.Now().Add(idle)
+	c.idleSince = time.Now()
+	c.idleUntil = c.idleSince.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.host.idle = append(c.host.idle, c)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -46,8 +46,8 @@
 	e.mu.Lock()
 	e.stopDial = cancel
 	e.mu.Unlock()
-	conn, connect, err := g.pool.get(ctx, f.Address, f.Connections)
-	ended.Connect = connect
+	conn, opened, err := g.pool.get(ctx, f)
+	ended.Connect, ended.Rested = opened.took, opened.rested
 	if err != nil {
 		ended.Outcome = event.SendConnectFailed
 		e.logFailure(f, &ended, err)
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -171,7 +171,7 @@
 	s.balance.Sent(at, &choice)
 	out.Add(event.Forward{
 		Request: r.id, Attempt: r.attempts, Upstream: choice.ID, Address: choice.Address,
-		Until: r.deadline, Remaining: left, Connections: choice.Connections, Hold: s.hold,
+		Until: r.deadline, Remaining: left, Connections: choice.Connections, MaxRest: choice.MaxRest, Hold: s.hold,
 	})
 }
 
@@ -241,7 +241,7 @@
 // Ended takes the end of a send.
 func (s *State) Ended(at model.Time, ev *event.SendEnded, out *event.Effects) {
 	r := s.requests[ev.Request]
-	end := balance.End{Result: health(r, ev), Took: ev.Took, Connect: ev.Connect, Load: ev.Load, ColdFor: ev.ColdFor}
+	end := balance.End{Result: health(r, ev), Took: ev.Took, Connect: ev.Connect, Rested: ev.Rested, Load: ev.Load, ColdFor: ev.ColdFor}
 	if r != nil {
 		end.Warm, end.Wait = r.choice.Warm, r.choice.Wait
 	}
