--- /dev/null
+++ b/cmd/anvilcrank-soak/main.go
@@ -0,0 +1,107 @@
+// Command anvilcrank-soak runs the real programs as separate processes on
+// loopback under faults and checks what callers, upstreams and operators see.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/anvilcrank/anvilcrank/internal/soak"
+)
+
+type args struct {
+	Daemon    string        `arg:"required" help:"path of the anvilcrankd program"`
+	Seed      uint64        `default:"1" help:"first seed"`
+	Seeds     int           `default:"1" help:"number of seeds, one run each"`
+	Length    time.Duration `default:"30s" help:"length of a run"`
+	Controls  int           `default:"3" help:"control processes"`
+	Entries   int           `default:"3" help:"entry processes"`
+	Upstreams int           `default:"9" help:"upstreams, played by this program"`
+	Clients   int           `default:"24" help:"clients, played by this program"`
+	Schedule  bool          `help:"print the schedule of the seeds and run nothing"`
+	Keep      string        `help:"folder for the logs and schedules of failed runs" default:"soak-failures"`
+}
+
+// Description implements arg.Described.
+func (args) Description() string {
+	return "anvilcrank-soak runs anvilcrankd processes under random faults. The same seed gives the same schedule. " +
+		"Exit code 1: a promise was broken; 2: a run could not be played."
+}
+
+// Exit codes.
+const (
+	exitBroken = 1
+	exitFailed = 2
+)
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	code := 0
+	for i := range a.Seeds {
+		seed := a.Seed + uint64(i)
+		if a.Schedule {
+			printSchedule(soak.Schedule(seed, a.Length))
+			continue
+		}
+		broken, err := play(ctx, &a, seed)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailed)
+		}
+		if broken {
+			code = exitBroken
+		}
+	}
+	os.Exit(code)
+}
+
+func printSchedule(steps []soak.Step) {
+	for _, s := range steps {
+		fmt.Printf("%8.3f %-15s target %2d for %v\n", s.At.Seconds(), s.Kind, s.Target, s.For.Round(time.Millisecond))
+	}
+}
+
+// play runs a seed and reports whether a promise was broken. The logs of such a
+// run are kept.
+func play(ctx context.Context, a *args, seed uint64) (bool, error) {
+	folder, err := os.MkdirTemp("", "anvilcrank-soak")
+	if err != nil {
+		return false, err
+	}
+	daemon, err := filepath.Abs(a.Daemon)
+	if err != nil {
+		return false, err
+	}
+	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: a.Length, Daemon: daemon, Folder: folder,
+		Controls: a.Controls, Entries: a.Entries, Upstream: a.Upstreams, Clients: a.Clients})
+	if err != nil {
+		return false, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, folder)
+	}
+	fmt.Printf("seed %d: %d steps, ends %v, %d broken\n", seed, len(report.Steps), report.Counts, len(report.Violations))
+	if len(report.Violations) == 0 {
+		return false, os.RemoveAll(folder)
+	}
+	for _, v := range report.Violations {
+		fmt.Println("  " + v)
+	}
+	kept := filepath.Join(a.Keep, fmt.Sprint(seed))
+	if err := os.MkdirAll(a.Keep, 0o700); err != nil {
+		return true, err
+	}
+	if err := os.Rename(folder, kept); err != nil {
+		kept = folder
+	}
+	printSchedule(report.Steps)
+	fmt.Println("logs in", kept)
+	return true, nil
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,52 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against schedules that cannot be played again.
+func TestSameSeedGivesTheSameSchedule(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Schedule(7, time.Minute)).To(Equal(Schedule(7, time.Minute)))
+	g.Expect(Schedule(7, time.Minute)).NotTo(Equal(Schedule(8, time.Minute)))
+}
+
+// Guards against schedules that lose more disks than the deployment bears.
+func TestOneDiskIsLostAtATime(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(200) {
+		var wiped time.Duration
+		for _, s := range Schedule(seed, 2*time.Minute) {
+			if wiped > 0 && s.Kind.harmsControl() {
+				g.Expect(s.At).To(BeNumerically(">=", wiped+repairTime))
+			}
+			if s.Kind == WipeControl {
+				wiped = s.At + s.For
+			}
+		}
+	}
+}
+
+// A short run of the real programs.
+func TestShortSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for 15 s")
+	}
+	g := NewWithT(t)
+	folder := t.TempDir()
+	daemon := filepath.Join(folder, "anvilcrankd")
+	output, err := exec.Command("go", "build", "-o", daemon, "../../cmd/anvilcrankd").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(output))
+	report, err := Run(context.Background(), Options{Seed: 1, Length: 15 * time.Second, Daemon: daemon, Folder: t.TempDir(),
+		Controls: 3, Entries: 3, Upstream: 9, Clients: 12})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Steps).NotTo(BeEmpty())
+	g.Expect(report.Violations).To(BeEmpty())
+	g.Expect(report.Counts["200"]).To(BeNumerically(">", 500))
+}
