Prefer upstreams where a request ends in time to the place of its object

Change: upstreams at which a request would end after its deadline are left out while there are others. The rule moves from pkg/routed to pkg/balance, so that selection and refusal share it.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -34,6 +34,8 @@
 	// Objective is the time within which a response should be complete, 0 if none
 	// is stated.
 	Objective model.Duration
+	// Left is the time until the request's deadline, 0 if there is none.
+	Left model.Duration
 	// Download requests have large responses.
 	Download bool
 	// Homes are the only permitted regions; empty permits all.
@@ -79,11 +81,11 @@
 	svc.expect(q.Objective)
 	s.shares.advance(at)
 	known := s.locate(at, svc, q)
-	placed, found := s.cheapest(at, svc, q, known, limits{placed: true})
+	placed, found := s.cheapest(at, svc, q, known, limits{placed: true, timely: true})
 	if found && (q.Objective <= 0 || placed.Expected <= q.Objective) {
 		return placed, true
 	}
-	for _, l := range []limits{{regions: true, leaders: true}, {regions: true}, {}, {suspects: true}} {
+	for _, l := range []limits{{regions: true, leaders: true, timely: true}, {regions: true, timely: true}, {regions: true}, {}, {suspects: true}} {
 		other, ok := s.cheapest(at, svc, q, known, l)
 		switch {
 		case found && (!ok || placed.cost <= other.cost):
@@ -102,6 +104,8 @@
 	placed, leaders bool
 	// regions leaves out those in regions whose share must not grow yet.
 	regions bool
+	// timely leaves out those where the request would end after its deadline.
+	timely bool
 	// suspects lets in those that failed lately.
 	suspects bool
 }
@@ -127,6 +131,9 @@
 			continue
 		}
 		e := s.expected(at, svc, t, known)
+		if l.timely && q.Left > 0 && TooLate(model.Duration(e.total), model.Duration(e.wait), model.Duration(svc.mean), q.Left) {
+			continue
+		}
 		cost := e.total + e.penalty + s.byteCost(t, q.Download) + s.regionCost(svc, t)
 		if best == nil || cost < bestCost {
 			best, bestCost, bestTime = t, cost, e
@@ -146,6 +153,21 @@
 		Usual: model.Duration(svc.mean), Connections: s.connections(svc), MaxRest: s.maxRest(at, best)}, true
 }
 
+// workCertainty is the part of the usual time of work that every request is
+// taken to need. Some requests of a service take far less than others.
+const workCertainty = 0.5
+
+// TooLate reports whether a request would end after its deadline. Where others
+// wait for a slot, usual work must fit in: work that is cut off at its deadline
+// takes a slot from them, and its object stays unknown.
+func TooLate(expected, wait, usual, left model.Duration) bool {
+	work := expected - wait
+	if wait > 0 {
+		return wait+max(work, usual) > left
+	}
+	return model.Duration(workCertainty*float64(work)) > left
+}
+
 // permitted reports whether an upstream may take the request.
 func (s *State) permitted(at model.Time, svc *service, t *target, q *Query, suspects bool) bool {
 	switch {
--- a/pkg/routed/routed_test.go
+++ b/pkg/routed/routed_test.go
@@ -296,3 +296,27 @@
 	Expect(routed.HoldBytes(125_000_000)).To(Equal(1 << 20))
 	Expect(routed.HoldBytes(0)).To(Equal(1 << 20))
 })
+
+// Guards against requests that are refused since the upstream of their object
+// has a queue, while another one could serve them in time. The load is on one
+// object.
+var _ = It("request goes where it ends in time if its object's upstream is full", func() {
+	slow := simple(model.Idempotent, 1)
+	slow.Prefix, slow.Timeout, slow.Affinity = "/slow/", 10*time.Second, true
+	short := simple(model.Idempotent, 1)
+	short.Affinity = true
+	b := newBed(slow, short)
+	b.busy(400 * time.Millisecond)
+	arrive := func(path string) []event.Effect {
+		b.next++
+		b.out.Reset()
+		b.state.Arrive(b.at, &event.RoutedArrived{ID: b.next, Host: "h", Path: path, Affinity: "x", Replayable: true}, b.table, &b.out)
+		return b.out.List()
+	}
+	full := map[model.UpstreamID]bool{}
+	for range 24 {
+		full[only[event.Forward](arrive("/slow/x")).Upstream] = true
+	}
+	Expect(full).To(HaveLen(2))
+	Expect(full).NotTo(HaveKey(only[event.Forward](arrive("/a/x")).Upstream))
+})
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -155,10 +155,10 @@
 func (s *State) send(at model.Time, r *request, otherwise result.Code, out *event.Effects) {
 	left := r.deadline.Sub(at)
 	choice, ok := s.balance.Choose(at, &balance.Query{
-		Service: r.service, Object: r.object, Objective: r.route.Objective, Download: r.route.Kind == model.Download,
+		Service: r.service, Object: r.object, Objective: r.route.Objective, Left: left, Download: r.route.Kind == model.Download,
 		Homes: r.route.HomeRegions, Tried: r.tried})
 	r.choice = choice
-	if ok && cannotMeet(&choice, left) && !r.mayHaveRun {
+	if ok && !r.mayHaveRun && balance.TooLate(choice.Expected, choice.Wait, choice.Usual, left) {
 		ok, otherwise = false, result.DeadlineTooShort
 	}
 	if !ok || left < minAttempt {
@@ -175,21 +175,6 @@
 	})
 }
 
-// workCertainty is the part of the usual time of work that every request is
-// taken to need. Some requests of a service take far less than others.
-const workCertainty = 0.5
-
-// cannotMeet reports whether a request would end after its deadline for certain.
-// Where others wait for a slot, usual work must fit in: work that is cut off at
-// its deadline takes a slot from them, and its object stays unknown.
-func cannotMeet(c *balance.Choice, left model.Duration) bool {
-	work := c.Expected - c.Wait
-	if c.Wait > 0 {
-		return c.Wait+max(work, c.Usual) > left
-	}
-	return model.Duration(workCertainty*float64(work)) > left
-}
-
 // refuse ends a request without a response of an upstream.
 func (s *State) refuse(at model.Time, r *request, code result.Code, out *event.Effects) {
 	var advice model.Duration
