Let the soak tear files as disks do

The platform's disks keep, lose or tear writes and change no bytes, so an unfinished write now grows the file without data.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -108,8 +108,11 @@
 	return os.MkdirAll(p.node.Data, 0o700)
 }
 
-// tear appends bytes that a write without a sync may leave behind to the newest
-// file of the data folder.
+// tornBytes is how much of an unfinished write is left behind.
+const tornBytes = 700
+
+// tear appends what a write without a sync may leave behind to the newest file of
+// the data folder: the file has grown, the data is missing.
 func (p *process) tear() error {
 	entries, err := os.ReadDir(p.node.Data)
 	if err != nil {
@@ -134,6 +137,6 @@
 		return err
 	}
 	defer f.Close()
-	_, err = f.Write([]byte{0, 0, 1, 7, 0xff, 0xfe})
+	_, err = f.Write(make([]byte, tornBytes))
 	return err
 }
