Start the usual shares of regions where objects are placed, remove dead code

The shares of requests that were expected before the first one lay at the mean of one and the region's part of the slots, placement starts at that part itself. The difference counted as a shift and held placement for two seconds.

--- a/pkg/balance/regions.go
+++ b/pkg/balance/regions.go
@@ -54,10 +54,8 @@
 	return r
 }
 
-// expect sets the usual shares before any request, by the slots in each region.
-// A home region with less than its part of the slots is taken to send half of
-// what it lacks to the others: load is seldom full, and what stays at home is
-// near.
+// expect sets the usual shares before any request, by the slots in each region,
+// as objects are placed at first.
 func (r *regionShares) expect(slots map[model.Region]int) {
 	if r.latest != 0 {
 		return
@@ -69,8 +67,7 @@
 	if total == 0 {
 		return
 	}
-	part := float64(slots[r.home]) * float64(len(r.regions)) / float64(total)
-	share := (1 + min(1, part)) / 2
+	share := min(1, float64(slots[r.home])*float64(len(r.regions))/float64(total))
 	for k, region := range r.regions {
 		switch {
 		case region == r.home && slots[region] == total:
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -258,6 +258,3 @@
 		}
 	}
 }
-
-// Region returns the region of an upstream's zone.
-func (s *State) Region(z model.Zone) model.Region { return s.self.Regions[z] }
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -148,9 +148,6 @@
 // IsEvacuated reports whether new requests keep away from a zone.
 func (s *State) IsEvacuated(z model.Zone) bool { return s.evacuations[z].Active }
 
-// Evacuation returns the latest order for a zone.
-func (s *State) Evacuation(z model.Zone) model.Evacuation { return s.evacuations[z] }
-
 // Table returns the routes in force.
 func (s *State) Table() *Table {
 	if s.table == nil {
--- a/pkg/catalog/table.go
+++ b/pkg/catalog/table.go
@@ -20,7 +20,6 @@
 	hosts    map[string][]NamedRoute
 	services map[model.ServiceName]*model.ServiceSpec
 	limits   *model.ClientLimits
-	routes   int
 }
 
 func newTable(items map[model.ItemKey]model.Item) *Table {
@@ -31,7 +30,6 @@
 		case k.Kind == model.RouteItem:
 			host := strings.ToLower(i.Route.Host)
 			t.hosts[host] = append(t.hosts[host], NamedRoute{k.Name, i.Version, i.Route})
-			t.routes++
 		case k.Kind == model.ServiceItem:
 			t.services[model.ServiceName(k.Name)] = i.Service
 		case k.Kind == model.LimitsItem:
@@ -72,6 +70,3 @@
 
 // Limits returns what clients may send, nil if nothing is configured.
 func (t *Table) Limits() *model.ClientLimits { return t.limits }
-
-// Routes returns the number of routes.
-func (t *Table) Routes() int { return t.routes }
