Let objects leave home at instances that start before they know other regions

Cause: an instance that starts under load knows the upstreams of its own region first. The usual shares were divided by the slots elsewhere, zero at that moment, and stayed NaN; placement then never counted as steady, and the kept share stayed at 1.

Change: regions without slots have a share of zero; the kept share follows the known slots for the first half second.

Ruled out: load of the other regions (weights that follow it gave nothing), links of the entry instances, reports that are too old.

--- a/pkg/balance/load_test.go
+++ b/pkg/balance/load_test.go
@@ -199,3 +199,31 @@
 	}
 	Expect(away).To(BeNumerically("~", 64*14/17, 10))
 })
+
+// Guards against an instance that starts under load, knows the upstreams of its
+// own region first and then keeps all objects there, however full it is.
+var _ = It("instance that learns of other regions late uses them", func() {
+	r := upstreams(map[model.Zone]int{"a1": 1}, 4)
+	s := instance("a1", r, reads(0))
+	at := start
+	request := func(k int) string {
+		at = at.Add(5 * time.Millisecond)
+		c := choose(s, at, balance.Query{Object: fmt.Sprint(k % 200), Objective: 10 * time.Second})
+		s.Sent(at, &c)
+		s.Ended(at, c.ID, &balance.End{Result: balance.Answered, Warm: true, Took: 50 * time.Millisecond,
+			Load: &model.LoadReport{Running: map[bool]int{true: 4, false: 0}[c.Zone == "a1"], Waiting: 0, Slots: 4, Slowdown: 1}})
+		return string(regions[c.Zone])
+	}
+	for k := range 20 {
+		Expect(request(k)).To(Equal("a"))
+	}
+	all := upstreams(map[model.Zone]int{"a1": 1, "b1": 4, "c1": 4}, 4)
+	s.Sync(at, all, reads(0), false)
+	away := 0
+	for k := range 4000 {
+		if request(k) != "a" && k >= 3000 {
+			away++
+		}
+	}
+	Expect(away).To(BeNumerically(">", 500))
+})
--- a/pkg/balance/placement.go
+++ b/pkg/balance/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -19,6 +20,9 @@
 	// keepLead is how much more used than elsewhere the slots at home must be
 	// before objects leave.
 	keepLead = 0.1
+	// settleTime is how long after its first request an instance may still learn of
+	// upstreams that are there.
+	settleTime = 500 * time.Millisecond
 	// nearWeight prefers other groups of the own region to those of other regions
 	// for objects that are not kept at home.
 	nearWeight = 4
@@ -30,15 +34,19 @@
 // report. If each request went where it seemed best at that moment, an object
 // would be unknown at most of the upstreams that get requests for it.
 type keptShare struct {
-	value   float64
-	movedAt model.Time
-	started bool
+	value     float64
+	movedAt   model.Time
+	startedAt model.Time
 }
 
-// adapt moves the share with the use of the slots at home and elsewhere.
+// adapt moves the share with the use of the slots at home and elsewhere. At first
+// it is what the known slots say.
 func (k *keptShare) adapt(at model.Time, first, home, elsewhere float64, steady bool) {
-	if !k.started {
-		*k = keptShare{value: first, movedAt: at, started: true}
+	if k.startedAt == 0 {
+		k.startedAt = at
+	}
+	if at < k.startedAt.Add(settleTime) {
+		k.value, k.movedAt = first, at
 		return
 	}
 	step := keepRate * min(1, at.Sub(k.movedAt).Seconds())
--- a/pkg/balance/regions.go
+++ b/pkg/balance/regions.go
@@ -70,10 +70,10 @@
 	share := min(1, float64(slots[r.home])*float64(len(r.regions))/float64(total))
 	for k, region := range r.regions {
 		switch {
-		case region == r.home && slots[region] == total:
-			r.prior[k] = 1
 		case region == r.home:
 			r.prior[k] = share
+		case slots[region] == 0:
+			r.prior[k] = 0
 		default:
 			r.prior[k] = (1 - share) * float64(slots[region]) / float64(total-slots[r.home])
 		}
