--- a/cmd/anvilcrank-soak/main.go
+++ b/cmd/anvilcrank-soak/main.go
@@ -83,7 +83,7 @@
 		return false, err
 	}
 	report, err := soak.Run(ctx, soak.Options{Seed: seed, Length: a.Length, Daemon: daemon, Folder: folder,
-		Controls: a.Controls, Entries: a.Entries, Upstream: a.Upstreams, Clients: a.Clients})
+		Controls: a.Controls, Entries: a.Entries, Upstreams: a.Upstreams, Clients: a.Clients})
 	if err != nil {
 		return false, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, folder)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,14 +33,14 @@
 
 // Options describe a run.
 type Options struct {
-	Seed     uint64
-	Length   time.Duration
-	Daemon   string
-	Folder   string
-	Controls int
-	Entries  int
-	Upstream int
-	Clients  int
+	Seed      uint64
+	Length    time.Duration
+	Daemon    string
+	Folder    string
+	Controls  int
+	Entries   int
+	Upstreams int
+	Clients   int
 }
 
 // Report is the outcome of a run.
@@ -158,7 +158,7 @@
 		}
 		*list = append(*list, p)
 	}
-	for i := range r.o.Upstream {
+	for i := range r.o.Upstreams {
 		if err := r.addServer(ctx, services[i%len(services)], zones[i/len(services)%len(zones)], ""); err != nil {
 			return err
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -44,7 +44,7 @@
 	output, err := exec.Command("go", "build", "-o", daemon, "../../cmd/anvilcrankd").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(output))
 	report, err := Run(context.Background(), Options{Seed: 1, Length: 15 * time.Second, Daemon: daemon, Folder: t.TempDir(),
-		Controls: 3, Entries: 3, Upstream: 9, Clients: 12})
+		Controls: 3, Entries: 3, Upstreams: 9, Clients: 12})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(report.Steps).NotTo(BeEmpty())
 	g.Expect(report.Violations).To(BeEmpty())
