Log votes without a leader, subscriptions, pulls and reads

Cause: the logs could not tell whether a group without a leader lacks votes, from which control instances an entry instance receives changes, what a pull brought, or how current a copy was that answered a read. Change: events 606 (voters, quorum, who granted), 407, 508 and 509. No decision changes.

--- a/pkg/agreement/election.go
+++ b/pkg/agreement/election.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
@@ -13,10 +15,34 @@
 // changes no member's term, so a member that returns from a partition does not
 // depose a working leader.
 func (s *State) startPreVote(at model.Time, out *event.Effects) {
+	s.logFailedVote(at, out)
 	s.role = PreCandidate
 	s.requestVotes(at, s.term+1, out)
 }
 
+// leaderlessLogInterval is the least time between two log lines of a member
+// about votes that ended without a leader.
+const leaderlessLogInterval = 2 * time.Second
+
+// logFailedVote logs that the vote that this member requested before did not
+// end with a leader.
+func (s *State) logFailedVote(at model.Time, out *event.Effects) {
+	isVote := s.role == PreCandidate || s.role == Candidate
+	if !isVote || at < s.leaderlessLogAt.Add(leaderlessLogInterval) {
+		return
+	}
+	s.leaderlessLogAt = at
+	granted := make([]string, 0, len(s.grantedVotes))
+	for id := range s.grantedVotes {
+		granted = append(granted, string(id.Instance))
+	}
+	slices.Sort(granted)
+	out.Add(event.Log{Code: logevent.AgreementLeaderless, Fields: []logevent.Field{
+		logevent.F("term", s.term), logevent.F("voters", len(s.voters)), logevent.F("quorum", s.quorum()),
+		logevent.F("granted", granted), logevent.F("own_vote_synced", s.outbox.hardStateSeq <= s.outbox.syncedSeq),
+		logevent.F("last_index", s.log.lastIndex())}})
+}
+
 // startElection begins an election in a new term, in which the member votes for
 // itself. Its own vote counts only after it is synced to disk.
 func (s *State) startElection(at model.Time, out *event.Effects) {
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -150,7 +150,9 @@
 	// electionDeadline is when the member starts a pre-vote unless it receives a
 	// message from a leader before.
 	electionDeadline model.Time
-	nextJoinAt       model.Time
+	// leaderlessLogAt is when a failed vote was last logged.
+	leaderlessLogAt model.Time
+	nextJoinAt      model.Time
 	// emptyMembers holds the other bootstrap members that have reported an
 	// empty log. The group is bootstrapped only after all of them have reported
 	// one.
--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -215,5 +215,8 @@
 			reply.Items = append(reply.Items, i)
 		}
 	}
+	s.out.Add(event.Log{Code: logevent.ItemsRead, Fields: []logevent.Field{
+		logevent.F("call", b.Call), logevent.F("items", len(reply.Items)), logevent.F("position", s.catalog.Position()),
+		logevent.F("commit_index", st.CommitIndex), logevent.F("leader", st.Leader.Instance)}})
 	s.out.Add(reply)
 }
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -61,6 +61,8 @@
 	MemberSuspected Code = 405
 	MemberDead      Code = 406
 
+	SubscriptionsChanged Code = 407
+
 	ConfigInForce    Code = 501
 	ConfigSaveFailed Code = 502
 	ConfigFileBroken Code = 503
@@ -68,12 +70,15 @@
 	CommandApplied   Code = 505
 	CallFailed       Code = 506
 	ReadinessChanged Code = 507
+	RecordsPulled    Code = 508
+	ItemsRead        Code = 509
 
 	AgreementStorageFailed Code = 601
 	AgreementLeader        Code = 602
 	AgreementSteppedDown   Code = 603
 	AgreementFounded       Code = 604
 	AgreementMembers       Code = 605
+	AgreementLeaderless    Code = 606
 )
 
 // Info describes a log event in log lines and in docs/log-events.md.
@@ -109,6 +114,7 @@
 	{PeerQueueFull, "peer_queue_full", LevelWarn, "a message to another instance was dropped because its queue is full"},
 	{MemberSuspected, "member_suspected", LevelInfo, "an instance did not answer probes and is suspected to have failed"},
 	{MemberDead, "member_dead", LevelWarn, "a suspected instance did not refute the suspicion in time and is considered dead"},
+	{SubscriptionsChanged, "subscriptions_changed", LevelInfo, "this entry instance receives changes from other control instances than before"},
 	{ConfigInForce, "config_in_force", LevelInfo, "a configuration came into force"},
 	{ConfigSaveFailed, "config_save_failed", LevelError, "a configuration could not be saved; it is in force nevertheless"},
 	{ConfigFileBroken, "config_file_broken", LevelError, "the saved configuration is damaged and was ignored; the configuration is fetched from peers"},
@@ -116,11 +122,14 @@
 	{CommandApplied, "command_applied", LevelInfo, "a command of the replicated log was applied"},
 	{CallFailed, "call_failed", LevelWarn, "a call of an upstream or operator failed or has an unknown outcome"},
 	{ReadinessChanged, "readiness_changed", LevelInfo, "this instance became ready for clients or is no longer ready"},
+	{RecordsPulled, "records_pulled", LevelInfo, "another instance answered a pull with the records that this instance lacked"},
+	{ItemsRead, "items_read", LevelInfo, "a call that reads the configuration was answered"},
 	{AgreementStorageFailed, "agreement_storage_failed", LevelError, "the data folder cannot be used; this member of the control group no longer votes"},
 	{AgreementLeader, "agreement_leader", LevelInfo, "this instance leads the control group"},
 	{AgreementSteppedDown, "agreement_stepped_down", LevelWarn, "this instance no longer leads the control group"},
 	{AgreementFounded, "agreement_founded", LevelInfo, "this instance founded the control group"},
 	{AgreementMembers, "agreement_members", LevelInfo, "the member list of the control group changed"},
+	{AgreementLeaderless, "agreement_leaderless", LevelWarn, "this member knows no leader and a vote did not end with one"},
 }
 
 var byCode = func() map[Code]*Info {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
@@ -101,6 +102,9 @@
 	// synced is true once this instance has had the same records as a control
 	// instance that has the configuration.
 	synced bool
+	// loggedSubscriptions holds the control instances that were logged last as
+	// those to which this instance subscribes.
+	loggedSubscriptions []model.InstanceID
 }
 
 // pendingConfirmation is a call of Confirm without a result yet. storedAt holds
@@ -180,6 +184,11 @@
 	if p := s.peers[from]; p != nil && p.Control && m.Complete {
 		s.synced = true
 	}
+	if m.Complete {
+		out.Add(event.Log{Code: logevent.RecordsPulled, Fields: []logevent.Field{
+			logevent.F("peer", from), logevent.F("items", len(changed.Items)), logevent.F("evacuations", len(changed.Evacuations)),
+			logevent.F("registrations", len(changed.Registrations))}})
+	}
 	if !isEmpty(&changed) && s.self.Control {
 		s.forward(&changed, from, out)
 	}
@@ -299,6 +308,7 @@
 		return
 	}
 	s.nextHeartbeat = at.Add(HeartbeatInterval)
+	s.logSubscriptions(out)
 	s.SendHeartbeats(out)
 	for _, ack := range sortedKeys(s.pending) {
 		if c := s.pending[ack]; at >= c.deadline {
@@ -308,6 +318,21 @@
 	}
 }
 
+// logSubscriptions logs the control instances to which this instance subscribes
+// if they are not those that were logged last.
+func (s *State) logSubscriptions(out *event.Effects) {
+	var list []model.InstanceID
+	for _, p := range s.sortedPeers() {
+		if s.subscribesTo(p) {
+			list = append(list, p.ID)
+		}
+	}
+	if !slices.Equal(list, s.loggedSubscriptions) {
+		s.loggedSubscriptions = list
+		out.Add(event.Log{Code: logevent.SubscriptionsChanged, Fields: []logevent.Field{logevent.F("peers", list)}})
+	}
+}
+
 // SendHeartbeats sends a heartbeat to each peer.
 func (s *State) SendHeartbeats(out *event.Effects) {
 	for _, p := range s.sortedPeers() {
