--- /dev/null
+++ b/pkg/fleet/controlgroup_test.go
@@ -0,0 +1,117 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
+)
+
+const (
+	// catchUpTime is how long after a repair an instance may count as lost.
+	catchUpTime = 4 * time.Second
+	// applyTimeout is how long after its acknowledgement a change may take to be
+	// in force at every connected entry instance.
+	applyTimeout = 2 * time.Second
+	// recoveryTime is how long all instances may take to serve again after they
+	// were lost together.
+	recoveryTime = 8 * time.Second
+)
+
+func TestReplacedControlInstancesDoNotBlockTheGroup(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range uint64(5) {
+		s := newConfiguredSim(seed)
+		s.replace("core-a2", "core-a3")
+		s.run(time.Second + catchUpTime)
+		s.replace("core-b2", "core-b3")
+		s.run(time.Second + catchUpTime)
+		Expect(s.call("core-c1", ackTimeout, proposeItems(route("r", 30)))).To(Equal(result.Success))
+		s.losePower("core-c1", "core-a1")
+		s.run(recoveryTime)
+		forEachRunning(s, true, func(id model.InstanceID) {
+			Expect(s.itemVersions(id)).To(HaveKeyWithValue("r", BeEquivalentTo(30)), "%s, seed %d", id, seed)
+		})
+		Expect(s.call("core-c1", ackTimeout, proposeItems(route("r", 31)))).To(Equal(result.Success))
+		Expect(s.invariantFailures).To(BeEmpty())
+	}
+}
+
+func TestEntryInstanceReceivesChangesWhenItsNearestControlInstancesAreLost(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range uint64(5) {
+		s := newConfiguredSim(seed)
+		s.nodes["core-a2"].diskFails = true
+		Expect(s.call("core-c1", ackTimeout, proposeItems(route("r", 30)))).To(Equal(result.Success))
+		s.crashSilently("core-a1")
+		Expect(s.call("core-c1", ackTimeout, proposeItems(route("q", 31)))).To(Equal(result.Success))
+		s.run(catchUpTime)
+		forEachRunning(s, false, func(id model.InstanceID) {
+			Expect(s.routeVersion(id, "/r/x")).To(BeEquivalentTo(30), "%s, seed %d", id, seed)
+			Expect(s.routeVersion(id, "/q/x")).To(BeEquivalentTo(31), "%s, seed %d", id, seed)
+		})
+		Expect(s.call("core-c1", ackTimeout, proposeItems(route("q", 32)))).To(Equal(result.Success))
+		s.run(applyTimeout)
+		forEachRunning(s, false, func(id model.InstanceID) {
+			Expect(s.routeVersion(id, "/q/x")).To(BeEquivalentTo(32), "%s, seed %d", id, seed)
+		})
+	}
+}
+
+func TestControlInstanceReturnsAfterItsDiskWasFull(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range uint64(5) {
+		s := newConfiguredSim(seed)
+		for i, id := range []model.InstanceID{"core-a2", "core-b1", "core-a2"} {
+			s.nodes[id].diskFails = true
+			Expect(s.call("core-c1", ackTimeout, proposeItems(route("r", 30+2*i)))).To(Equal(result.Success))
+			s.run(3 * time.Second)
+			s.nodes[id].diskFails = false
+			s.run(catchUpTime)
+			Expect(s.itemVersions(id)).To(HaveKeyWithValue("r", BeEquivalentTo(30+2*i)), "%s, seed %d", id, seed)
+			Expect(s.call(id, ackTimeout, proposeItems(route("r", 31+2*i)))).To(Equal(result.Success))
+		}
+		Expect(s.invariantFailures).To(BeEmpty())
+	}
+}
+
+func TestReadNeverReturnsAnOlderConfigurationThanWasAcknowledged(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range uint64(5) {
+		s := newConfiguredSim(seed)
+		reads := map[event.CallID]model.ItemVersion{}
+		readAll := func(acked model.ItemVersion) {
+			forEachRunning(s, true, func(id model.InstanceID) {
+				reads[s.submit(id, func(c event.CallID) event.Body { return event.ItemsRequested{Call: c} })] = acked
+			})
+		}
+		// The wiped instance knows a leader before it has received the log again.
+		s.crash("core-a2")
+		s.replaceDisk("core-a2")
+		s.start(s.nodes["core-a2"])
+		for range 400 {
+			readAll(7)
+			s.run(10 * time.Millisecond)
+		}
+		// The instance that is cut off believes for some time that it has a leader.
+		s.partition([]model.InstanceID{"core-c2"}, s.order, true)
+		Expect(s.call("core-b1", ackTimeout, proposeItems(route("r", 30)))).To(Equal(result.Success))
+		for range 200 {
+			readAll(30)
+			s.run(10 * time.Millisecond)
+		}
+		s.run(2 * time.Second)
+		answered := 0
+		for call, acked := range reads {
+			if reply, ok := s.replies[call].(event.ItemsReply); ok {
+				answered++
+				Expect(reply.Items).To(ContainElement(And(HaveField("Key.Name", "r"), HaveField("Version", BeNumerically(">=", acked)))))
+			}
+		}
+		Expect(answered).To(BeNumerically(">", len(reads)/2))
+	}
+}
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -35,6 +35,8 @@
 	// blocked holds the pairs of sender and receiver between which messages are
 	// lost.
 	blocked map[[2]model.InstanceID]bool
+	// gone holds the instances that were replaced.
+	gone map[model.InstanceID]bool
 	// replies holds the results of calls.
 	replies  map[event.CallID]event.Effect
 	lastCall event.CallID
@@ -60,11 +62,13 @@
 	directory  *directory.View
 	effects    []event.Effect
 	stopped    bool
+	// diskFails makes all writes to the data folder fail.
+	diskFails bool
 }
 
 func newSim(seed uint64) *sim {
 	return &sim{rng: rand.New(rand.NewPCG(seed, 5)), now: model.Time(1000 * time.Second), nodes: map[model.InstanceID]*node{},
-		blocked: map[[2]model.InstanceID]bool{}, replies: map[event.CallID]event.Effect{}}
+		blocked: map[[2]model.InstanceID]bool{}, gone: map[model.InstanceID]bool{}, replies: map[event.CallID]event.Effect{}}
 }
 
 // bootstrapMembers are the first members of the control group.
@@ -127,6 +131,52 @@
 	}
 }
 
+// silentLossTimeout is how long an instance keeps the connection to one that was
+// lost without a reset.
+const silentLossTimeout = 3 * time.Second
+
+// crashSilently ends the process of an instance. The others notice the loss of
+// their connections only after silentLossTimeout.
+func (s *sim) crashSilently(id model.InstanceID) {
+	n := s.nodes[id]
+	n.up = false
+	n.generation++
+	s.schedule(silentLossTimeout, func() {
+		for _, other := range s.order {
+			if o := s.nodes[other]; o.up && !n.up {
+				s.step(o, event.PeerLost{Peer: id})
+			}
+		}
+	})
+}
+
+// replace ends a control instance for good and starts a new one, which has an
+// empty data folder, in the same zone.
+func (s *sim) replace(id, successor model.InstanceID) {
+	s.crash(id)
+	s.add(successor, s.nodes[id].identity.Zone, true, nil)
+	s.gone[id] = true
+}
+
+// losePower ends the processes of all instances and starts those again that were
+// not replaced. The instances in wiped start with empty data folders.
+func (s *sim) losePower(wiped ...model.InstanceID) {
+	for _, id := range s.order {
+		if s.nodes[id].up {
+			s.crash(id)
+		}
+	}
+	for _, id := range wiped {
+		s.replaceDisk(id)
+	}
+	s.run(time.Second)
+	for _, id := range s.order {
+		if !s.gone[id] {
+			s.start(s.nodes[id])
+		}
+	}
+}
+
 // replaceDisk replaces the data folder of an instance that is down by an empty
 // one. The instance then joins the control group instead of founding it.
 func (s *sim) replaceDisk(id model.InstanceID) {
@@ -195,7 +245,11 @@
 			s.transmit(n, e)
 		case event.Persist:
 			s.schedule(diskSyncTime, func() {
-				if n.generation == generation {
+				switch {
+				case n.generation != generation:
+				case n.diskFails:
+					s.step(n, event.Persisted{Seq: e.Seq, Failure: "no space left on device"})
+				default:
 					n.persist(&e)
 					s.step(n, event.Persisted{Seq: e.Seq})
 				}
