Remove control group members that have stopped answering

Cause: a control instance that is replaced by one at another address stayed a voter for ever; only a disk lost under the same identifier was taken out. After two replacements the group had eight voters and a quorum of five, so that two lost disks left four voters and no leader. Change: a leader removes a member that has not answered for 3 s, while more than 2 x (tolerated losses) + 1 voters remain, one change at a time and each committed. A removed member that is alive notices that no leader contacts it and joins again as a learner, with its disk. Removing a member that does not answer never lowers the number of losses that the rest survives.

--- a/node.go
+++ b/node.go
@@ -63,6 +63,9 @@
 	// BootstrapMembers are the control instances that found the control group of a
 	// new deployment.
 	BootstrapMembers []model.InstanceID
+	// ToleratedLosses is how many control instances may lose their disks at the
+	// same time without the loss of an acknowledged change.
+	ToleratedLosses int
 	// Data is the path of the data folder of a control instance.
 	Data string
 	// HeartbeatInterval is the interval between two heartbeats of an upstream.
@@ -115,7 +118,7 @@
 	clock := control.NewClock()
 	identity := fleet.Identity{
 		ID: c.ID, Incarnation: model.Incarnation(clock.Now()), Control: c.Control,
-		Zone: c.Zone, Regions: c.Regions, BootstrapMembers: c.BootstrapMembers, Seed: uint64(clock.Now()),
+		Zone: c.Zone, Regions: c.Regions, BootstrapMembers: c.BootstrapMembers, MinVoters: minVoters(c.ToleratedLosses), Seed: uint64(clock.Now()),
 		HeartbeatInterval: c.HeartbeatInterval, RetryBudget: c.RetryBudget, NetworkBytesPerSecond: c.NetworkBytesPerSecond, StopGracePeriod: c.StopGracePeriod,
 	}
 	sink := &loopSink{}
@@ -135,6 +138,16 @@
 	return n, nil
 }
 
+// minVoters returns the least number of voters with which the control group
+// loses nothing and remains available if as many disks are lost as tolerated.
+// Without a setting, the control group keeps all voters.
+func minVoters(toleratedLosses int) int {
+	if toleratedLosses <= 0 {
+		return 0
+	}
+	return 2*toleratedLosses + 1
+}
+
 // open opens the listeners and, on a control instance, the data folder.
 func (n *Node) open() error {
 	var err error
--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -25,6 +25,11 @@
 	// not replaced by another member of its instance, since the join request of
 	// the other member may be a delayed request from a former disk.
 	responsiveTimeout = 2 * time.Second
+	// memberLossTimeout is how long a member may leave the messages of the leader
+	// unanswered before the leader may remove it. It is longer than the restart of
+	// a process, and shorter than the time in which the loss of a machine must be
+	// made good (4 s).
+	memberLossTimeout = 3 * time.Second
 )
 
 // quorum returns the number of voters that form a majority.
@@ -70,7 +75,7 @@
 	}
 	for _, m := range s.members {
 		if m.ID != s.self && s.progress[m.ID] == nil {
-			s.progress[m.ID] = &progress{nextIndex: s.log.lastIndex() + 1}
+			s.progress[m.ID] = &progress{nextIndex: s.log.lastIndex() + 1, startedAt: at}
 			s.nextHeartbeatAt = at
 		}
 	}
@@ -141,6 +146,30 @@
 	}
 }
 
+// removeLostMember proposes to remove one member that has not answered for
+// memberLossTimeout, as long as at least MinVoters voters are left. A machine
+// that was replaced never answers again, but would count towards the quorum. A
+// member that was removed too early joins again as a learner.
+func (s *State) removeLostMember(at model.Time, out *event.Effects) {
+	if s.config.MinVoters == 0 || !s.canChangeMembers() {
+		return
+	}
+	for _, m := range s.members {
+		pr := s.progress[m.ID]
+		if pr == nil || !m.Learner && len(s.voters) <= s.config.MinVoters {
+			continue
+		}
+		silence := at.Sub(max(pr.lastAckedSentAt, pr.startedAt))
+		if silence < memberLossTimeout {
+			continue
+		}
+		out.Add(event.Log{Code: logevent.AgreementMemberLost, Fields: []logevent.Field{
+			logevent.F("member", fmt.Sprint(m)), logevent.F("silence_ms", silence.Milliseconds()), logevent.F("voters", len(s.voters))}})
+		s.proposeMembers(at, withoutMember(s.members, m.ID), out)
+		return
+	}
+}
+
 // promoteLearner proposes that a learner becomes a voter.
 func (s *State) promoteLearner(at model.Time, id model.MemberID, out *event.Effects) {
 	if match := s.progress[id].matchIndex; !s.checkInvariant(match >= s.commitIndex, "agreement-voter-caught-up",
@@ -202,10 +231,11 @@
 func (s *State) hasEmptyLog() bool { return s.log.lastIndex() == 0 }
 
 // shouldJoin reports whether the member sends join requests while it receives no
-// message from a leader: if its log is empty or it is a learner. A voter that was
-// removed from the group does not send them.
+// message from a leader: if its log is empty or it is a learner. With
+// OpenMembership every member does, since the leader may have removed it without
+// its knowledge. Otherwise a voter that was removed from the group sends none.
 func (s *State) shouldJoin() bool {
-	return s.hasEmptyLog() || s.isMember(s.self) && !s.isVoter(s.self)
+	return s.config.OpenMembership || s.hasEmptyLog() || s.isMember(s.self) && !s.isVoter(s.self)
 }
 
 // receiveJoin answers a join request. A leader also proposes to add the requesting
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -29,6 +29,8 @@
 	// matchIndex is the index of the last entry known to be synced at the member.
 	// nextIndex is the index of the next entry to send to the member.
 	matchIndex, nextIndex uint64
+	// startedAt is when the leader began to replicate to the member.
+	startedAt model.Time
 	// lastAckedSentAt is when the leader sent the latest message that the
 	// member has answered.
 	lastAckedSentAt model.Time
--- a/pkg/agreement/schedule_test.go
+++ b/pkg/agreement/schedule_test.go
@@ -44,14 +44,23 @@
 // does not recover after the faults end. The schedules contain lost, delayed,
 // reordered and duplicated messages, partitions, crashes, frozen processes, lost
 // disks and changes of the member list.
-func TestRandomSchedules(t *testing.T) {
+func TestRandomSchedules(t *testing.T) { runRandomSchedules(t, false) }
+
+// Guards in addition against a group that stays without a leader because it
+// counts members that are gone, against an entry that is lost because members
+// were removed, and against a removed member that does not join again.
+func TestRandomSchedulesOfOpenGroup(t *testing.T) { runRandomSchedules(t, true) }
+
+// runRandomSchedules runs random schedules with a group with or without
+// OpenMembership.
+func runRandomSchedules(t *testing.T, open bool) {
 	count := envUint("ANVILCRANK_SCHEDULES", defaultSchedules)
 	if testing.Short() {
 		count = min(count, defaultSchedules/10)
 	}
 	var accepted, committed atomic.Int64
 	forEachSeed(envUint("ANVILCRANK_SEED", 1), count, func(seed uint64) bool {
-		s := newSim(seed, disabledRules{})
+		s := newGroup(seed, disabledRules{}, open)
 		s.runSchedule()
 		accepted.Add(int64(s.accepted))
 		committed.Add(int64(len(s.committed)))
--- a/pkg/agreement/sim_test.go
+++ b/pkg/agreement/sim_test.go
@@ -25,6 +25,9 @@
 	queue         []action // in order of time
 	nodes         []*node
 	disabledRules disabledRules
+	// open is true if the group has OpenMembership and removes members that stop
+	// answering.
+	open bool
 	// failures describes the violations found. A run stops at the first one.
 	failures []string
 	trace    uint64
@@ -75,8 +78,11 @@
 }
 
 // newSim starts a group of 3 or 5 instances, each with an empty disk.
-func newSim(seed uint64, rules disabledRules) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), now: 1, disabledRules: rules, blocked: map[[2]int]bool{},
+func newSim(seed uint64, rules disabledRules) *sim { return newGroup(seed, rules, false) }
+
+// newGroup starts a group like newSim, with OpenMembership if open is true.
+func newGroup(seed uint64, rules disabledRules, open bool) *sim {
+	s := &sim{open: open, rng: rand.New(rand.NewPCG(seed, 7)), now: 1, disabledRules: rules, blocked: map[[2]int]bool{},
 		disks: map[model.DiskID]*event.StorageLoaded{}, leaderOfTerm: map[uint64]model.MemberID{}}
 	s.encodeMessages = seed%50 == 0
 	n := 3 + 2*s.rng.IntN(2)
@@ -134,6 +140,9 @@
 	for k := range s.nodes {
 		c.Group = append(c.Group, s.instanceID(k))
 	}
+	if s.open {
+		c.OpenMembership, c.MinVoters = true, 3
+	}
 	n.state = New(c)
 	n.state.disabledRules = s.disabledRules
 	s.schedule(0, func() {
@@ -459,8 +468,8 @@
 		}
 	}
 	s.run(5 * time.Second)
-	for _, n := range s.nodes { // a removed member rejoins with an empty disk
-		if s.isRemoved(n) {
+	for _, n := range s.nodes { // without OpenMembership a removed member rejoins with an empty disk only
+		if !s.open && s.isRemoved(n) {
 			s.replaceDisk(n)
 		}
 	}
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -61,6 +61,11 @@
 	// control group. A joining instance sends join requests to the instances in
 	// Group and to those set by SetConnectedPeers.
 	OpenMembership bool
+	// MinVoters is the number of voters down to which a leader removes voters that
+	// have stopped answering. 0 means that it removes none. To remain able to
+	// commit after the loss of n disks, and to lose no committed entry, a group
+	// needs 2n+1 voters.
+	MinVoters int
 	// Seed initializes the random numbers from which election timeouts are drawn.
 	Seed uint64
 }
@@ -319,13 +324,14 @@
 	case s.role == Leader:
 		return min(s.nextHeartbeatAt, s.stepDownDeadline(s.nextHeartbeatAt))
 	}
-	switch {
-	case s.isVoter(s.self):
-		return s.electionDeadline
-	case s.shouldJoin():
-		return s.nextJoinAt
+	var next model.Time
+	if s.isVoter(s.self) {
+		next = s.electionDeadline
+	}
+	if s.shouldJoin() && (next == 0 || s.nextJoinAt < next) {
+		next = s.nextJoinAt
 	}
-	return 0
+	return next
 }
 
 // Wake handles all timers that are due.
@@ -334,16 +340,17 @@
 		return
 	}
 	s.checkLease(at, out)
-	switch {
-	case s.role == Leader:
+	if s.role == Leader {
 		if at >= s.nextHeartbeatAt {
 			s.sendHeartbeats(at, out)
+			s.removeLostMember(at, out)
 		}
-	case s.isVoter(s.self):
-		if at >= s.electionDeadline {
-			s.startPreVote(at, out)
-		}
-	case s.shouldJoin() && at >= s.nextJoinAt:
+		return
+	}
+	if s.isVoter(s.self) && at >= s.electionDeadline {
+		s.startPreVote(at, out)
+	}
+	if s.shouldJoin() && at >= s.nextJoinAt {
 		s.requestJoin(at, out)
 	}
 }
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -87,7 +87,7 @@
 
 func (s *sim) add(id model.InstanceID, zone model.Zone, control bool, bootstrapMembers []model.InstanceID) *node {
 	n := &node{identity: fleet.Identity{
-		ID: id, Control: control, Zone: zone, Regions: regions, BootstrapMembers: bootstrapMembers, Seed: s.rng.Uint64(),
+		ID: id, Control: control, Zone: zone, Regions: regions, BootstrapMembers: bootstrapMembers, MinVoters: 5, Seed: s.rng.Uint64(),
 		HeartbeatInterval: 1500 * time.Millisecond, RetryBudget: routed.RetryBudgetLimits{Window: 10 * time.Second, Ratio: 0.2, Slack: 60},
 		StopGracePeriod: 6 * time.Second,
 	}}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -29,6 +29,9 @@
 	// BootstrapMembers are the first members of the control group of a new
 	// deployment. The list is empty if the instance joins an existing deployment.
 	BootstrapMembers []model.InstanceID
+	// MinVoters is the number of voters down to which the control group removes
+	// voters that stopped answering, 0 if it removes none.
+	MinVoters int
 	// Seed is the seed of the reducer's random numbers.
 	Seed uint64
 	// HeartbeatInterval is the interval at which upstreams send heartbeats.
@@ -96,7 +99,7 @@
 	s.calls = newPendingCalls()
 	if identity.Control {
 		s.agreement = agreement.New(agreement.Config{
-			Instance: identity.ID, Group: identity.BootstrapMembers, OpenMembership: true, Seed: identity.Seed})
+			Instance: identity.ID, Group: identity.BootstrapMembers, OpenMembership: true, MinVoters: identity.MinVoters, Seed: identity.Seed})
 	}
 	return s
 }
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -79,6 +79,7 @@
 	AgreementFounded       Code = 604
 	AgreementMembers       Code = 605
 	AgreementLeaderless    Code = 606
+	AgreementMemberLost    Code = 607
 )
 
 // Info describes a log event in log lines and in docs/log-events.md.
@@ -130,6 +131,7 @@
 	{AgreementFounded, "agreement_founded", LevelInfo, "this instance founded the control group"},
 	{AgreementMembers, "agreement_members", LevelInfo, "the member list of the control group changed"},
 	{AgreementLeaderless, "agreement_leaderless", LevelWarn, "this member knows no leader and a vote did not end with one"},
+	{AgreementMemberLost, "agreement_member_lost", LevelWarn, "the leader removes a member of the control group that stopped answering"},
 }
 
 var byCode = func() map[Code]*Info {
