Let entry instances follow control instances that are current

What callers saw: requests for a route that an acknowledged change had added were answered 404 long after the bound. Cause: entry instances received changes from the two nearest control instances whatever these knew. One had a failed disk, the other was gone without a reset; both subscriptions were silent for 3 s, and of the one pull a second all went to the nearest, which lacked the same change. Change: a control instance says in its heartbeats when it may lack committed changes (failed, no leader for 2 s, not caught up, 500 ms behind). Entry instances subscribe to the nearest that are alive and not lagging, compare digests at once after a new subscription, and pull from peers in turn. An instance that starts is synced with a lagging one only after 3 s.

--- a/pkg/agreement/follower.go
+++ b/pkg/agreement/follower.go
@@ -84,6 +84,9 @@
 	if h.Term > s.term || s.role != Follower {
 		s.becomeFollower(at, h.Term, out)
 	}
+	if at > s.lastLeaderContact.Add(maxLeaderSilence) {
+		s.caughtUp = false
+	}
 	s.leader = h.From
 	s.lastLeaderContact = at
 	s.nextJoinAt = at.Add(learnerJoinTimeout)
@@ -97,6 +100,7 @@
 	if !isContiguous(m.PrevIndex, m.PrevTerm, m.Term, m.Entries) || !s.acceptLeader(at, &m.AgreementHeader, out) {
 		return
 	}
+	s.observeLeaderCommit(at, m.CommitIndex)
 	prevIndex := m.PrevIndex
 	entries := m.Entries
 	matchIndex := prevIndex + uint64(len(entries))
--- a/pkg/agreement/snapshot.go
+++ b/pkg/agreement/snapshot.go
@@ -72,6 +72,7 @@
 	if m.Size < 0 || m.Size > MaxSnapshotBytes || m.Index == 0 || !s.acceptLeader(at, &m.AgreementHeader, out) {
 		return
 	}
+	s.observeLeaderCommit(at, m.Index)
 	if m.Index <= s.commitIndex {
 		s.acknowledge(m.From, m.Index, m.SentAt, len(m.Data) == 0, out)
 		return
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -152,6 +152,13 @@
 	// member does not know when it last answered a leader before the restart,
 	// so the lease of that leader may still be valid.
 	noVoteUntil model.Time
+	// leaderCommitIndex is the highest commit index that a leader has stated.
+	// behindSince is since when this member has not applied the entries up to it,
+	// 0 if it has. caughtUp is true if the member has applied them at some time
+	// since its contact to a leader began.
+	leaderCommitIndex uint64
+	behindSince       model.Time
+	caughtUp          bool
 	// electionDeadline is when the member starts a pre-vote unless it receives a
 	// message from a leader before.
 	electionDeadline model.Time
@@ -287,9 +294,44 @@
 			list = append(list, Committed{Position{e.Index, e.Term}, false, e.Data})
 		}
 	}
+	if s.appliedIndex >= s.leaderCommitIndex && !s.snapshotPending {
+		s.behindSince = 0
+		s.caughtUp = s.leaderCommitIndex > 0
+	}
 	return list
 }
 
+const (
+	// maxLeaderSilence is how long a member that does not lead counts as current
+	// without a message from a leader. An election usually takes less.
+	maxLeaderSilence = 2 * time.Second
+	// maxApplyDelay is how long a member counts as current while it has not applied
+	// all entries that the leader has committed.
+	maxApplyDelay = 500 * time.Millisecond
+)
+
+// IsLagging reports whether the member may lack committed entries: it has failed,
+// has no contact to a leader, or has not applied what the leader has committed.
+func (s *State) IsLagging(at model.Time) bool {
+	switch {
+	case !s.isActive():
+		return true
+	case s.role == Leader:
+		return false
+	case !s.caughtUp || at > s.lastLeaderContact.Add(maxLeaderSilence):
+		return true
+	}
+	return s.behindSince != 0 && at > s.behindSince.Add(maxApplyDelay)
+}
+
+// observeLeaderCommit records the commit index that the leader has stated.
+func (s *State) observeLeaderCommit(at model.Time, index uint64) {
+	s.leaderCommitIndex = max(s.leaderCommitIndex, index)
+	if s.behindSince == 0 && s.appliedIndex < s.leaderCommitIndex {
+		s.behindSince = at
+	}
+}
+
 // Compact replaces the log up to and including index by a snapshot with the given
 // data, which must be the caller's state after it applied the entry at index.
 // Compact does nothing if TakeCommitted has not returned this entry yet.
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -38,8 +38,7 @@
 	}
 	if ready != d.ready {
 		s.out.Add(event.Log{Code: logevent.ReadinessChanged, Fields: []logevent.Field{logevent.F("ready", ready)}})
-		s.replica.Ready = ready
-		s.replica.HasConfig = s.catalog.HasItems()
+		s.updateHeartbeat(at)
 		s.replica.SendHeartbeats(&s.out)
 	}
 	*d = publishedDirectory{entries: entries, table: table, ready: ready, stopping: stopping, published: true}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -142,6 +142,7 @@
 	case event.ItemsRequested:
 		s.replyWithItems(at, b)
 	case event.PeerConnected:
+		s.updateHeartbeat(at)
 		s.replica.PeerConnected(at, replica.Peer{ID: b.Peer, Zone: b.Zone, Address: b.Address, PeerAddress: b.PeerAddress}, out)
 	case event.PeerLost:
 		s.replica.PeerLost(b.Peer)
@@ -213,9 +214,7 @@
 // handleTimer lets each sub-reducer do the work that is due now, such as
 // sending heartbeats and ending requests at their deadlines.
 func (s *State) handleTimer(at model.Time) {
-	s.replica.Ready = s.isReady()
-	s.replica.HasConfig = s.catalog.HasItems()
-	s.replica.ReadyEntryInstances = len(s.directory.entries)
+	s.updateHeartbeat(at)
 	s.replica.Wake(at, &s.out)
 	s.requests.Wake(at, &s.out)
 	s.retryProposals(at)
@@ -226,6 +225,15 @@
 	}
 }
 
+// updateHeartbeat sets what this instance says of itself in heartbeats to other
+// instances.
+func (s *State) updateHeartbeat(at model.Time) {
+	s.replica.Ready = s.isReady()
+	s.replica.HasConfig = s.catalog.HasItems()
+	s.replica.ReadyEntryInstances = len(s.directory.entries)
+	s.replica.Lagging = s.agreement != nil && (s.agreement.IsLagging(at) || !s.catalog.HasItems())
+}
+
 // leaseCheckInterval is how often entry instances check the leases of
 // upstreams.
 const leaseCheckInterval = time.Second
--- a/pkg/message/fleet.go
+++ b/pkg/message/fleet.go
@@ -63,6 +63,10 @@
 	// Addresses are the peer addresses of the control instances that the sender
 	// knows. Only some of the heartbeats carry them.
 	Addresses []string `cbor:"7,keyasint,omitempty"`
+	// Lagging is true if the sender, a control instance, may lack changes that the
+	// control group has committed, for example because it is cut off from the
+	// leader or its disk has failed.
+	Lagging bool `cbor:"8,keyasint,omitempty"`
 }
 
 // RecordVersion identifies a version of a record. Key is a hash of the record's
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -234,3 +234,66 @@
 	Expect(pulled).To(BeNumerically(">", 0))
 	Expect(pulled).To(BeNumerically("<=", 2*time.Second-replica.HeartbeatInterval))
 })
+
+// Guards against an entry instance that receives its changes from control
+// instances that no longer receive them, or that counts as synced with one.
+var _ = It("entry instance avoids lagging and silent control instances", func() {
+	r, out := newEntryInstance(store{})
+	subscriptions := func() []string {
+		out.Reset()
+		r.SendHeartbeats(out)
+		var list []string
+		for id, sent := range takeSends(out) {
+			if sent[0].(*message.PeerHeartbeat).Subscribe {
+				list = append(list, string(id))
+			}
+		}
+		return list
+	}
+	heartbeat := func(at model.Time, lagging bool, ids ...model.InstanceID) {
+		for _, id := range ids {
+			r.Receive(at, id, &message.PeerHeartbeat{Control: true, Lagging: lagging}, out)
+		}
+	}
+	heartbeat(start, true, "core-a1")
+	Expect(subscriptions()).To(ConsistOf("core-a2", "core-b1"))
+	silent := start.Add(replica.AliveTimeout + 1)
+	heartbeat(silent, false, "core-a1", "core-b1", "core-c1")
+	Expect(subscriptions()).To(ConsistOf("core-a1", "core-b1"))
+	heartbeat(silent, true, "core-a1", "core-b1", "core-c1")
+	Expect(subscriptions()).To(ConsistOf("core-a1", "core-b1"), "the nearest if all are lagging")
+})
+
+// Guards against serving requests with the routes of a control instance that
+// lacks changes while others have them.
+var _ = It("instance that starts is synced with a lagging control instance only if it finds no other", func() {
+	var out event.Effects
+	s := store{}
+	r := replica.New(replica.Identity{ID: "e", Zone: "a1", Regions: regions}, s)
+	r.Start(start)
+	r.PeerConnected(start, replica.Peer{ID: "core-a1", Zone: "a1"}, &out)
+	sync := func(after model.Duration) bool {
+		r.Receive(start.Add(after), "core-a1", &message.PeerHeartbeat{Control: true, HasConfig: true, Lagging: true, Digest: s.Digest()}, &out)
+		r.Receive(start.Add(after), "core-a1", &message.Records{Complete: true}, &out)
+		return r.Synced()
+	}
+	Expect(sync(time.Second)).To(BeFalse())
+	Expect(sync(10 * time.Second)).To(BeTrue())
+})
+
+// Guards against an instance that always pulls from the same peer, which lacks
+// the same records as itself.
+var _ = It("pulls go to the peers with different digests in turn", func() {
+	r, out := newEntryInstance(store{"z1": 1})
+	pulled := map[model.InstanceID]int{}
+	for n := 1; n <= 12; n++ {
+		at := start.Add(model.Duration(n) * replica.HeartbeatInterval)
+		for _, id := range []model.InstanceID{"core-a1", "core-a2", "core-b1", "core-c1"} {
+			r.Receive(at, id, &message.PeerHeartbeat{Control: true, Digest: 99}, out)
+		}
+		for id := range takeSends(out) {
+			pulled[id]++
+		}
+	}
+	Expect(pulled).To(HaveLen(4))
+})
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -14,6 +14,10 @@
 	// HeartbeatInterval is the interval at which an instance sends a heartbeat to
 	// each of its peers. Heartbeats of upstreams are handled by package fleet.
 	HeartbeatInterval = 500 * time.Millisecond
+	// laggingSyncDelay is how long after its start an instance does not count as
+	// synced with a lagging control instance, while it may still find one that is
+	// current.
+	laggingSyncDelay = 3 * time.Second
 	// AliveTimeout is how long after its last heartbeat an instance counts as
 	// alive: three intervals plus the transmission time between regions.
 	AliveTimeout = 3*HeartbeatInterval + 200*time.Millisecond
@@ -71,8 +75,18 @@
 	// ReadyEntryInstances is the number of ready entry instances from which the
 	// peer, a control instance, receives heartbeats.
 	ReadyEntryInstances int
-
-	subscribed     bool
+	// Lagging is true if the peer, a control instance, may lack committed changes.
+	Lagging bool
+
+	// subscribed is true if the peer subscribes to this instance, and subscribedTo
+	// if this instance subscribes to the peer.
+	subscribed   bool
+	subscribedTo bool
+	// mayHaveMissed is true after this instance has subscribed to the peer, until
+	// their digests agree or records are pulled from the peer. Changes from before
+	// the subscription are not pushed.
+	mayHaveMissed  bool
+	pulledAt       model.Time
 	heartbeatsSent int
 	mismatches     int
 }
@@ -86,13 +100,17 @@
 	// requested a connection.
 	connectRequested map[string]bool
 
-	// Ready, HasConfig and ReadyEntryInstances are set by the caller and sent to
-	// the peers with the next heartbeat. They have the same meaning as in
+	// Ready, HasConfig, ReadyEntryInstances and Lagging are set by the caller and
+	// sent to the peers with the next heartbeat. They have the same meaning as in
 	// message.PeerHeartbeat.
 	Ready               bool
 	HasConfig           bool
 	ReadyEntryInstances int
+	Lagging             bool
 
+	startedAt model.Time
+	// latest is the time of the latest event that this sub-reducer handled.
+	latest        model.Time
 	nextHeartbeat model.Time
 	lastPull      model.Time
 	lastAckID     uint64
@@ -130,7 +148,10 @@
 }
 
 // Start schedules the first heartbeat.
-func (s *State) Start(at model.Time) { s.nextHeartbeat = at.Add(HeartbeatInterval) }
+func (s *State) Start(at model.Time) {
+	s.startedAt, s.latest = at, at
+	s.nextHeartbeat = at.Add(HeartbeatInterval)
+}
 
 // Synced reports whether, at some time since its start, this instance has had
 // all records of a control instance that has the configuration. Before that it
@@ -140,16 +161,22 @@
 // PeerConnected adds a connected peer and sends it a heartbeat.
 func (s *State) PeerConnected(at model.Time, p Peer, out *event.Effects) {
 	p.LastHeartbeat = at
+	s.latest = at
 	s.peers[p.ID] = &p
+	s.updateSubscriptions()
 	s.sendHeartbeat(&p, out)
 }
 
 // PeerLost removes a peer whose connection was lost.
-func (s *State) PeerLost(id model.InstanceID) { delete(s.peers, id) }
+func (s *State) PeerLost(id model.InstanceID) {
+	delete(s.peers, id)
+	s.updateSubscriptions()
+}
 
 // Receive handles a message of another instance. It returns the records that
 // changed, and false if another sub-reducer must handle the message.
 func (s *State) Receive(at model.Time, from model.InstanceID, m message.Message, out *event.Effects) (message.Records, bool) {
+	s.latest = at
 	p := s.peers[from]
 	switch m := m.(type) {
 	case *message.Records:
@@ -181,8 +208,8 @@
 	if m.AckID != 0 {
 		out.Add(event.Send{To: from, Message: &message.RecordsAck{AckID: m.AckID}})
 	}
-	if p := s.peers[from]; p != nil && p.Control && m.Complete {
-		s.synced = true
+	if p := s.peers[from]; p != nil && m.Complete {
+		s.synced = s.synced || s.maySyncWith(p)
 	}
 	if m.Complete {
 		out.Add(event.Log{Code: logevent.RecordsPulled, Fields: []logevent.Field{
@@ -270,24 +297,49 @@
 	p.LastHeartbeat = at
 	s.connectToUnknown(m.Addresses, out)
 	roleChanged := p.Control != m.Control
-	p.Control, p.Ready, p.subscribed, p.ReadyEntryInstances = m.Control, m.Ready, m.Subscribe, m.ReadyEntryInstances
+	p.Control, p.Ready, p.subscribed, p.ReadyEntryInstances, p.Lagging = m.Control, m.Ready, m.Subscribe, m.ReadyEntryInstances, m.Lagging
+	for _, added := range s.updateSubscriptions() {
+		s.sendHeartbeat(added, out)
+	}
 	if !s.self.Control && !p.Control {
 		return
 	}
 	if m.Digest == s.store.Digest() {
-		p.mismatches = 0
-		s.synced = s.synced || p.Control && m.HasConfig
+		p.mismatches, p.mayHaveMissed = 0, false
+		s.synced = s.synced || m.HasConfig && s.maySyncWith(p)
 		return
 	}
 	p.mismatches++
-	pushMayArrive := p.mismatches < mismatchesBeforePull && s.synced && !roleChanged
-	if pushMayArrive || at < s.lastPull.Add(pullInterval) || !s.mayPullFrom(p) {
+	pushMayArrive := p.mismatches < mismatchesBeforePull && s.synced && !roleChanged && !p.mayHaveMissed
+	if pushMayArrive || at < s.lastPull.Add(pullInterval) || !s.mayPullFrom(p) || s.hasOlderPull(p) {
 		return
 	}
-	s.lastPull = at
+	s.lastPull, p.pulledAt, p.mayHaveMissed = at, at, false
 	out.Add(event.Send{To: p.ID, Message: &message.Pull{Versions: s.store.Versions()}})
 }
 
+// maySyncWith reports whether this instance counts as synced once it has the
+// records of the peer. A lagging control instance may lack changes; it is
+// accepted if no current one was found in time.
+func (s *State) maySyncWith(p *Peer) bool {
+	return p.Control && (!p.Lagging || s.latest >= s.startedAt.Add(laggingSyncDelay))
+}
+
+// hasOlderPull reports whether records should rather be pulled from another peer
+// whose digest differs too, because that peer was asked longer ago. Otherwise a
+// peer that lacks the same records could take every pull.
+func (s *State) hasOlderPull(p *Peer) bool {
+	for _, other := range s.peers {
+		if other.pulledAt < p.pulledAt && other.mismatches >= mismatchesBeforePull && s.isAlive(other) && s.mayPullFrom(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// isAlive reports whether a heartbeat of the peer arrived within AliveTimeout.
+func (s *State) isAlive(p *Peer) bool { return s.latest <= p.LastHeartbeat.Add(AliveTimeout) }
+
 // mayPullFrom reports whether this instance may pull records from the peer. A
 // control instance may pull from any peer. An entry instance pulls from the
 // control instances to which it subscribes. If both of these lack a change, the
@@ -295,7 +347,7 @@
 // digest in several consecutive heartbeats, and the entry instance pulls from
 // one of them.
 func (s *State) mayPullFrom(p *Peer) bool {
-	return s.self.Control || s.subscribesTo(p) || p.mismatches > mismatchesBeforePull
+	return s.self.Control || p.subscribedTo || p.mismatches > mismatchesBeforePull
 }
 
 // NextWake returns the time at which Wake must be called.
@@ -307,7 +359,9 @@
 	if at < s.nextHeartbeat {
 		return
 	}
+	s.latest = at
 	s.nextHeartbeat = at.Add(HeartbeatInterval)
+	s.updateSubscriptions()
 	s.logSubscriptions(out)
 	s.SendHeartbeats(out)
 	for _, ack := range sortedKeys(s.pending) {
@@ -323,7 +377,7 @@
 func (s *State) logSubscriptions(out *event.Effects) {
 	var list []model.InstanceID
 	for _, p := range s.sortedPeers() {
-		if s.subscribesTo(p) {
+		if p.subscribedTo {
 			list = append(list, p.ID)
 		}
 	}
@@ -342,8 +396,8 @@
 
 func (s *State) sendHeartbeat(p *Peer, out *event.Effects) {
 	m := &message.PeerHeartbeat{
-		Control: s.self.Control, Ready: s.Ready, HasConfig: s.HasConfig, Subscribe: s.subscribesTo(p),
-		Digest: s.store.Digest(), ReadyEntryInstances: s.ReadyEntryInstances}
+		Control: s.self.Control, Ready: s.Ready, HasConfig: s.HasConfig, Subscribe: p.subscribedTo,
+		Digest: s.store.Digest(), ReadyEntryInstances: s.ReadyEntryInstances, Lagging: s.Lagging}
 	if s.self.Control && p.heartbeatsSent%addressPeriod == 0 {
 		m.Addresses = s.controlAddresses()
 	}
@@ -374,24 +428,47 @@
 	}
 }
 
-// subscribesTo reports whether this instance is an entry instance that
-// subscribes to the peer, that is, receives all changes from it. Entry
-// instances subscribe to their nearest control instances.
-func (s *State) subscribesTo(p *Peer) bool {
-	if s.self.Control || !p.Control {
-		return false
+// updateSubscriptions selects the control instances from which this instance
+// receives all changes, if it is an entry instance: the nearest ones that are
+// alive and not lagging, or else the nearest that are alive. It returns those that were not
+// selected before.
+func (s *State) updateSubscriptions() []*Peer {
+	if s.self.Control {
+		return nil
 	}
-	nearer := 0
-	for _, other := range s.peers {
-		if other.Control && other.ID != p.ID && s.nearer(other, p) {
-			nearer++
+	var control []*Peer
+	for _, p := range s.peers {
+		if p.Control {
+			control = append(control, p)
+		}
+	}
+	slices.SortFunc(control, func(a, b *Peer) int {
+		if s.preferred(a, b) {
+			return -1
+		}
+		return 1
+	})
+	var added []*Peer
+	for i, p := range control {
+		selected := i < maxSubscriptions
+		if selected && !p.subscribedTo {
+			p.mayHaveMissed = true
+			added = append(added, p)
 		}
+		p.subscribedTo = selected
 	}
-	return nearer < maxSubscriptions
+	return added
 }
 
-// nearer reports whether peer a is nearer to this instance than peer b.
-func (s *State) nearer(a, b *Peer) bool {
+// preferred reports whether this instance rather receives changes from control
+// instance a than from control instance b.
+func (s *State) preferred(a, b *Peer) bool {
+	if aliveA, aliveB := s.isAlive(a), s.isAlive(b); aliveA != aliveB {
+		return aliveA
+	}
+	if a.Lagging != b.Lagging {
+		return b.Lagging
+	}
 	if da, db := s.distance(a.Zone), s.distance(b.Zone); da != db {
 		return da < db
 	}
