Open the data folder again after a storage failure

A control instance whose disk was full for 3 s neither voted nor applied changes until its process was restarted; it answered calls with an unknown outcome and its entry instances stayed behind. Cause: a member became inactive for good after one failed write. Change: the reducer asks for the folder to be opened again 500 ms after a failure, until that succeeds. The contents are loaded and rewritten as after a restart, so that nothing is trusted that was not synced; a folder of another disk, or one that lacks applied entries, is refused.

--- a/pkg/agreement/outbox.go
+++ b/pkg/agreement/outbox.go
@@ -125,8 +125,10 @@
 }
 
 // StorageFailed handles an error of writing or syncing the state of this member.
-// The member becomes inactive, since after a restart it would not know the votes
-// and acknowledgements that it sent.
-func (s *State) StorageFailed(_ model.Time, detail string, out *event.Effects) {
-	s.failStorage(detail, out)
+// The member becomes inactive until its data folder was opened again, since after
+// a restart it would not know the votes and acknowledgements that it sent.
+func (s *State) StorageFailed(at model.Time, detail string, out *event.Effects) {
+	if s.failure == "" {
+		s.failStorage(at, detail, out)
+	}
 }
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -117,8 +118,10 @@
 	self   model.MemberID
 	loaded bool
 	// failure is the storage error that made this member inactive, "" if there
-	// was none.
-	failure string
+	// was none. reopenAt is when the member requests again that the data folder is
+	// opened; it is 0 while such a request is open.
+	failure  string
+	reopenAt model.Time
 	// stopped is true after an invariant failed. A stopped member sends no
 	// messages.
 	stopped bool
@@ -207,26 +210,42 @@
 // OpenMembership, a joining member sends them join requests.
 func (s *State) SetConnectedPeers(list []model.InstanceID) { s.connectedPeers = list }
 
+// storageRetryInterval is the time between a storage failure and the next attempt
+// to open the data folder again.
+const storageRetryInterval = 500 * time.Millisecond
+
 // Restore activates the member with the state that was read from its disk. The
-// next call of TakeCommitted returns the committed entries of this state. Further
-// calls of Restore do nothing.
+// next call of TakeCommitted returns the committed entries of this state. After a
+// storage failure, Restore activates the member again, and TakeCommitted goes on
+// after the last entry that it returned. At an active member Restore does
+// nothing.
 func (s *State) Restore(at model.Time, l event.StorageLoaded, out *event.Effects) {
-	if s.loaded {
+	if s.isActive() || s.stopped {
 		return
 	}
-	s.loaded = true
-	s.self = model.MemberID{Instance: s.config.Instance, Disk: l.Disk}
 	if l.Failure != "" {
-		s.failStorage(l.Failure, out)
+		s.loaded = true
+		s.failStorage(at, l.Failure, out)
+		return
+	}
+	appliedIndex := s.appliedIndex
+	if detail := s.checkReopened(&l); detail != "" {
+		s.failStorage(at, detail, out)
 		return
 	}
+	if s.failure != "" {
+		s.reset()
+		out.Add(event.Log{Code: logevent.AgreementStorageRecovered, Fields: []logevent.Field{logevent.F("last_index", lastIndexOf(&l))}})
+	}
+	s.loaded = true
+	s.self = model.MemberID{Instance: s.config.Instance, Disk: l.Disk}
 	s.group, s.term, s.votedFor = l.Hard.Group, l.Hard.Term, l.Hard.Vote
 	s.log = entryLog{snapshot: l.Snapshot, entries: slices.Clip(l.Entries)}
 	s.outbox.syncedIndex = s.log.lastIndex()
 	s.commitIndex = max(l.Snapshot.Index, min(l.Hard.Commit, s.log.lastIndex()))
 	s.outbox.syncedCommitIndex = s.commitIndex
-	s.appliedIndex = l.Snapshot.Index
-	s.snapshotPending = l.Snapshot.Index > 0
+	s.appliedIndex = max(appliedIndex, l.Snapshot.Index)
+	s.snapshotPending = l.Snapshot.Index > appliedIndex
 	s.updateMembers(at)
 	if s.group != "" {
 		s.noVoteUntil = at.Add(MinElectionTimeout)
@@ -235,6 +254,29 @@
 	s.nextJoinAt = at
 }
 
+// checkReopened returns why a data folder that was opened again cannot be used, ""
+// if it can. It must be the same folder, with all entries that TakeCommitted has
+// returned.
+func (s *State) checkReopened(l *event.StorageLoaded) string {
+	switch {
+	case s.self.Disk != "" && s.self.Disk != l.Disk:
+		return fmt.Sprintf("the data folder belongs to disk %s instead of %s", l.Disk, s.self.Disk)
+	case lastIndexOf(l) < s.appliedIndex:
+		return fmt.Sprintf("the data folder ends at entry %d, %d were applied", lastIndexOf(l), s.appliedIndex)
+	}
+	return ""
+}
+
+// lastIndexOf returns the index of the last entry in a data folder.
+func lastIndexOf(l *event.StorageLoaded) uint64 { return l.Snapshot.Index + uint64(len(l.Entries)) }
+
+// reset returns the member to its state before the first call of Restore.
+func (s *State) reset() {
+	fresh := New(s.config)
+	fresh.rng, fresh.connectedPeers, fresh.disabledRules = s.rng, s.connectedPeers, s.disabledRules
+	*s = *fresh
+}
+
 // Propose appends an entry with data to the log if this member leads. It
 // returns result.Success if the entry was appended, and another result code if
 // nothing was appended. An appended entry may still be lost: TakeCommitted then
@@ -361,6 +403,8 @@
 // NextWake returns when Wake must be called next, 0 for never.
 func (s *State) NextWake() model.Time {
 	switch {
+	case s.failure != "" && !s.stopped:
+		return s.reopenAt
 	case !s.isActive():
 		return 0
 	case s.role == Leader:
@@ -378,6 +422,10 @@
 
 // Wake handles all timers that are due.
 func (s *State) Wake(at model.Time, out *event.Effects) {
+	if s.reopenAt != 0 && at >= s.reopenAt && !s.stopped {
+		s.reopenAt = 0
+		out.Add(event.ReopenStorage{})
+	}
 	if !s.isActive() {
 		return
 	}
@@ -403,12 +451,17 @@
 
 // failStorage makes the member inactive after a storage error. Without storage
 // the member would not know after a restart which votes and acknowledgements it
-// sent.
-func (s *State) failStorage(detail string, out *event.Effects) {
+// sent. After a pause the member requests that the data folder is opened again:
+// the error may pass, such as that of a full disk.
+func (s *State) failStorage(at model.Time, detail string, out *event.Effects) {
 	if s.failure != "" {
+		if s.reopenAt == 0 {
+			s.reopenAt = at.Add(storageRetryInterval)
+		}
 		return
 	}
 	s.failure = detail
+	s.reopenAt = at.Add(storageRetryInterval)
 	s.role = Follower
 	s.leader = model.MemberID{}
 	s.outbox.queuedMessages = nil
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -49,9 +49,10 @@
 	Connect(address string)
 }
 
-// Storage writes to the data folder. Persist must not block.
+// Storage writes to the data folder. Its methods must not block.
 type Storage interface {
 	Persist(event.Persist)
+	Reopen()
 }
 
 // Telemetry records log events and counters. Its methods must not block.
@@ -288,6 +289,8 @@
 		l.handlers.Peers.Send(e.To, e.Message)
 	case event.Persist:
 		l.handlers.Storage.Persist(e)
+	case event.ReopenStorage:
+		l.handlers.Storage.Reopen()
 	case event.Connect:
 		l.handlers.Peers.Connect(e.Address)
 	case event.SetTimer:
--- a/pkg/control/storage_writer.go
+++ b/pkg/control/storage_writer.go
@@ -18,15 +18,19 @@
 // control goroutine never waits for a disk. Writes that are queued during a
 // sync are written and synced together afterwards.
 type StorageWriter struct {
+	fs storage.FS
+	// storage is nil if the data folder could not be opened.
 	storage *storage.Storage
-	// loaded holds the contents that the data folder had when it was opened.
+	// loaded holds the contents that the data folder had when it was last opened.
 	loaded    event.StorageLoaded
 	closeOnce sync.Once
 
 	mu      sync.Mutex
 	pending []event.Persist
+	// reopen is true if the data folder must be opened again.
+	reopen bool
 	// wake has a capacity of 1 and holds a value while pending may contain
-	// writes.
+	// writes or reopen may be true.
 	wake chan struct{}
 }
 
@@ -34,26 +38,43 @@
 // process uses the folder. If the folder cannot be opened or read for another
 // reason, Run reports that in the field Failure of the event StorageLoaded.
 func OpenStorageWriter(fs storage.FS) (*StorageWriter, error) {
-	s := &StorageWriter{wake: make(chan struct{}, 1)}
-	opened, err := storage.Open(fs)
-	switch {
-	case errors.Is(err, storage.ErrLocked):
+	s := &StorageWriter{fs: fs, wake: make(chan struct{}, 1)}
+	if err := s.open(); errors.Is(err, storage.ErrLocked) {
 		return nil, err
-	case err != nil:
-		s.loaded.Failure = err.Error()
-	default:
-		s.storage = opened
-		s.loaded = opened.Contents()
 	}
 	return s, nil
 }
 
+// open opens the data folder and sets loaded. It returns the error that loaded
+// reports.
+func (s *StorageWriter) open() error {
+	opened, err := storage.Open(s.fs)
+	if err != nil {
+		s.storage, s.loaded = nil, event.StorageLoaded{Failure: err.Error()}
+		return err
+	}
+	s.storage, s.loaded = opened, opened.Contents()
+	return nil
+}
+
 // Persist queues a write. The queue needs no limit of its own, since the
 // reducer accepts no proposals while too many log entries are uncommitted.
 func (s *StorageWriter) Persist(p event.Persist) {
 	s.mu.Lock()
 	s.pending = append(s.pending, p)
 	s.mu.Unlock()
+	s.wakeRun()
+}
+
+// Reopen drops all queued writes and opens the data folder again.
+func (s *StorageWriter) Reopen() {
+	s.mu.Lock()
+	s.pending, s.reopen = nil, true
+	s.mu.Unlock()
+	s.wakeRun()
+}
+
+func (s *StorageWriter) wakeRun() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -61,7 +82,7 @@
 }
 
 // Run reports the contents of the data folder to the sink, and then executes
-// queued writes until the context ends.
+// queued writes and calls of Reopen until the context ends.
 func (s *StorageWriter) Run(ctx context.Context, sink Sink) error {
 	sink.Report(s.loaded)
 	for {
@@ -74,13 +95,21 @@
 	}
 }
 
-// write executes all queued Persist effects. It reports the sequence number of
-// the last one as persisted, or the error of the write.
+// write opens the data folder again if that was requested, and executes all
+// queued Persist effects. It reports the sequence number of the last one as
+// persisted, or the error of the write.
 func (s *StorageWriter) write(sink Sink) {
 	s.mu.Lock()
-	batch := s.pending
-	s.pending = nil
+	batch, reopen := s.pending, s.reopen
+	s.pending, s.reopen = nil, false
 	s.mu.Unlock()
+	if reopen {
+		if s.storage != nil {
+			_ = s.storage.Close()
+		}
+		_ = s.open() // loaded holds the error
+		sink.Report(s.loaded)
+	}
 	if len(batch) == 0 || s.storage == nil {
 		return
 	}
--- a/pkg/event/agreement.go
+++ b/pkg/event/agreement.go
@@ -22,8 +22,9 @@
 	Commit uint64
 }
 
-// StorageLoaded reports the contents of the data folder. The event occurs once,
-// when an instance that belongs to the control group starts.
+// StorageLoaded reports the contents of the data folder. The event occurs when an
+// instance that belongs to the control group starts, and after each ReopenStorage
+// effect.
 type StorageLoaded struct {
 	Disk     model.DiskID
 	Hard     HardState
@@ -38,7 +39,7 @@
 type Persisted struct {
 	Seq uint64
 	// Failure is the write or sync error, empty if there is none. After a failure,
-	// nothing more is written to the data folder.
+	// nothing more is written to the data folder until it is opened again.
 	Failure string
 }
 
@@ -63,6 +64,13 @@
 
 func (Persist) isEffect() {}
 
+// ReopenStorage opens the data folder again after a failure. Persist effects from
+// before it that were not executed yet are dropped. The event StorageLoaded
+// reports the result.
+type ReopenStorage struct{}
+
+func (ReopenStorage) isEffect() {}
+
 // String returns a summary of the effect without snapshot and entry data. Digests
 // of recordings include the summary, so its format must not change.
 func (p Persist) String() string {
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -80,6 +80,8 @@
 	AgreementMembers       Code = 605
 	AgreementLeaderless    Code = 606
 	AgreementMemberLost    Code = 607
+	// AgreementStorageRecovered reports the end of an AgreementStorageFailed.
+	AgreementStorageRecovered Code = 608
 )
 
 // Info describes a log event in log lines and in docs/log-events.md.
@@ -132,6 +134,7 @@
 	{AgreementMembers, "agreement_members", LevelInfo, "the member list of the control group changed"},
 	{AgreementLeaderless, "agreement_leaderless", LevelWarn, "this member knows no leader and a vote did not end with one"},
 	{AgreementMemberLost, "agreement_member_lost", LevelWarn, "the leader removes a member of the control group that stopped answering"},
+	{AgreementStorageRecovered, "agreement_storage_recovered", LevelInfo, "the data folder can be used again; this member of the control group votes again"},
 }
 
 var byCode = func() map[Code]*Info {
