--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -121,6 +121,18 @@
 	return id == s.self || pr != nil && pr.lastAckedSentAt != 0 && at < pr.lastAckedSentAt.Add(responsiveTimeout)
 }
 
+// canLoseVoter reports whether enough of the other voters answer to form a quorum
+// after the voter id is removed.
+func (s *State) canLoseVoter(at model.Time, id model.MemberID) bool {
+	responsive := 0
+	for _, other := range s.voters {
+		if other != id && s.isResponsive(at, other) {
+			responsive++
+		}
+	}
+	return responsive >= (len(s.voters)-1)/2+1
+}
+
 // advanceLearners proposes the next membership change for a learner that has
 // caught up. It first removes the former voter of the learner's instance, whose
 // disk was lost, and then promotes the learner. In the opposite order, the loss
--- a/pkg/agreement/schedule_test.go
+++ b/pkg/agreement/schedule_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
 // defaultSchedules is the number of random schedules that TestRandomSchedules
@@ -113,3 +118,22 @@
 		})
 	}
 }
+
+// Guards against a group that cannot elect a leader because a member was removed
+// while another one was lost.
+func TestRemovalThatLeavesNoMajorityIsRefused(t *testing.T) {
+	s := newSim(1, disabledRules{})
+	s.run(4 * time.Second)
+	leader := slices.IndexFunc(s.nodes, func(n *node) bool { return n.state.role == Leader })
+	if leader < 0 || len(s.nodes) != 3 {
+		t.Fatalf("leader %d of %d nodes", leader, len(s.nodes))
+	}
+	lost, other := s.nodes[(leader+1)%3], s.nodes[(leader+2)%3]
+	s.crash(lost)
+	s.run(responsiveTimeout + time.Second)
+	s.step(s.nodes[leader], func(out *event.Effects) {
+		if _, code := s.nodes[leader].state.Remove(s.now, other.state.self, out); code != result.MembershipBusy {
+			t.Errorf("removal of %v while %v is lost: %v", other.state.self, lost.state.self, code)
+		}
+	})
+}
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -296,8 +296,8 @@
 }
 
 // Remove proposes to remove a member from the control group. The proposal is
-// rejected while another membership change is in progress, and if the member is
-// the only voter.
+// rejected while another membership change is in progress, if the member is the
+// only voter, and while too few of the other voters answer to form a quorum.
 func (s *State) Remove(at model.Time, id model.MemberID, out *event.Effects) (Position, result.Code) {
 	s.checkLease(at, out)
 	switch {
@@ -309,6 +309,8 @@
 		return Position{}, result.NotFound
 	case len(s.voters) == 1 && s.isVoter(id):
 		return Position{}, result.InvalidChange
+	case s.isVoter(id) && !s.canLoseVoter(at, id):
+		return Position{}, result.MembershipBusy
 	}
 	s.proposeMembers(at, withoutMember(s.members, id), out)
 	return Position{Index: s.log.lastIndex(), Term: s.term}, result.Success
