Confirm reads of the configuration with a majority

What operators could see: a configuration older than the one acknowledged. An instance that knew a leader answered a read from its own copy at once: while it was cut off (up to 1.2 s until it noticed), while it received the log again after a lost disk, and at a leader whose lease went on while it was suspended. Cause: the copy was taken as current without asking; no bound on its lag. Change: a read asks the leader for its commit index. The leader answers after a majority has answered messages that it sent later than the request, so that no clock is trusted, and the reading instance answers once it has applied that index. Leaders state in their messages that they accept such requests; at a leader of an earlier version an instance answers that it is not current.

--- a/pkg/agreement/election.go
+++ b/pkg/agreement/election.go
@@ -181,6 +181,7 @@
 	s.role = Follower
 	s.leader = model.MemberID{}
 	s.progress = nil
+	s.reads.confirming = nil
 	s.resetElectionTimer(at)
 	if term > s.term {
 		s.term = term
--- a/pkg/agreement/follower.go
+++ b/pkg/agreement/follower.go
@@ -40,6 +40,14 @@
 		if s.acceptHeader(from, &m.AgreementHeader, false, out) {
 			s.receiveSnapshotReply(at, m, out)
 		}
+	case *message.AgreementRead:
+		if s.acceptHeader(from, &m.AgreementHeader, false, out) && s.role == Leader {
+			s.confirmRead(at, m.From, ReadID(m.ID), out)
+		}
+	case *message.AgreementReadReply:
+		if s.acceptHeader(from, &m.AgreementHeader, false, out) {
+			s.readConfirmed(ReadID(m.ID), m.Index)
+		}
 	case *message.AgreementJoin:
 		s.receiveJoin(at, from, m, out)
 	case *message.AgreementJoinReply:
@@ -100,6 +108,7 @@
 	if !isContiguous(m.PrevIndex, m.PrevTerm, m.Term, m.Entries) || !s.acceptLeader(at, &m.AgreementHeader, out) {
 		return
 	}
+	s.leaderConfirmsReads = m.ConfirmsReads
 	s.observeLeaderCommit(at, m.CommitIndex)
 	prevIndex := m.PrevIndex
 	entries := m.Entries
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -126,7 +126,7 @@
 	prevTerm, _ := s.log.term(next - 1)
 	s.send(0, id.Instance, &message.AgreementAppend{
 		AgreementHeader: s.header(id), PrevIndex: next - 1, PrevTerm: prevTerm,
-		Entries: entries, CommitIndex: s.commitIndex, SentAt: at,
+		Entries: entries, CommitIndex: s.commitIndex, SentAt: at, ConfirmsReads: true,
 	}, out)
 }
 
@@ -144,6 +144,7 @@
 	pr := s.progress[h.From]
 	if pr != nil {
 		pr.lastAckedSentAt = max(pr.lastAckedSentAt, sentAt)
+		s.advanceReads(out)
 	}
 	return pr
 }
--- a/pkg/agreement/sim_test.go
+++ b/pkg/agreement/sim_test.go
@@ -49,6 +49,8 @@
 	// disk still counts as synced after the disk is lost.
 	disks    map[model.DiskID]*event.StorageLoaded
 	accepted int
+	// answeredReads counts the reads that were answered.
+	answeredReads int
 }
 
 // node is one instance: its process, its disk and its pending writes.
@@ -68,6 +70,9 @@
 	// process. diskTakenIndex is the highest takenIndex of all processes that ran
 	// on this disk.
 	takenIndex, diskTakenIndex uint64
+	// reads holds the open reads of this process, each with the number of entries
+	// that were committed when it began.
+	reads map[ReadID]int
 }
 
 // action is a function that runs at a point in time. Actions of the same time
@@ -216,6 +221,13 @@
 	for _, c := range n.state.TakeCommitted() {
 		s.checkTaken(n, c)
 	}
+	for _, id := range n.state.TakeReads() {
+		if began, ok := n.reads[id]; ok && n.state.appliedIndex < uint64(began) {
+			s.fail("%v answered a read with entry %d, %d were committed before", n.state.self, n.state.appliedIndex, began)
+		}
+		s.answeredReads++
+		delete(n.reads, id)
+	}
 	if n.state.appliedIndex > n.state.log.snapshot.Index+15 && n.state.appliedIndex == n.takenIndex {
 		data := make([]byte, 8+s.snapshotPadding)
 		binary.BigEndian.PutUint64(data, n.takenIndex)
@@ -398,6 +410,23 @@
 	}
 }
 
+// read begins a read at every node.
+func (s *sim) read() {
+	for _, n := range s.nodes {
+		s.runOn(n, n.processNumber, func(out *event.Effects) {
+			committed := len(s.committed)
+			id, ok := n.state.Read(s.now, out)
+			if !ok {
+				return
+			}
+			if n.reads == nil {
+				n.reads = map[ReadID]int{}
+			}
+			n.reads[id] = committed
+		})
+	}
+}
+
 // canLoseDisk reports whether every node is a voter with its present disk. The
 // group must then survive the loss of one disk.
 func (s *sim) canLoseDisk() bool {
@@ -473,6 +502,7 @@
 		s.injectFault()
 		for range s.rng.IntN(4) {
 			s.propose()
+			s.read()
 			s.run(time.Duration(s.rng.IntN(250)) * time.Millisecond)
 		}
 		s.run(time.Duration(s.rng.IntN(600)) * time.Millisecond)
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -181,6 +181,10 @@
 	progress        map[model.MemberID]*progress
 	incoming        incomingSnapshot
 
+	reads reads
+	// leaderConfirmsReads is true if the leader accepts reads.
+	leaderConfirmsReads bool
+
 	disabledRules disabledRules
 }
 
--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -43,6 +43,17 @@
 	// confirming holds the calls that wait for a majority of the control group to
 	// store the state of an upstream. The value is the upstream.
 	confirming map[uint64]model.UpstreamID
+	// reads holds the calls that read the items, in the order in which they arrived.
+	reads []*itemsRead
+}
+
+// itemsRead is a call that reads the items and waits until this instance has
+// applied all changes from before the call.
+type itemsRead struct {
+	call     event.CallID
+	id       agreement.ReadID
+	retryAt  model.Time
+	deadline model.Time
 }
 
 func newPendingCalls() pendingCalls {
@@ -56,6 +67,11 @@
 			next = p.retryAt
 		}
 	}
+	for _, r := range c.reads {
+		if next == 0 || r.retryAt < next {
+			next = r.retryAt
+		}
+	}
 	return next
 }
 
@@ -200,23 +216,70 @@
 	s.agreement.Compact(s.snapshotPosition, data, &s.out)
 }
 
-// replyWithItems answers a call with all items that are not removed. An
-// instance that knows no leader, or that is itself a leader but not current,
-// may lack the latest changes and answers NotCurrent.
-func (s *State) replyWithItems(at model.Time, b event.ItemsRequested) {
-	st := s.agreement.Status(at)
-	if st.Leader.Instance == "" || st.Role == agreement.Leader && !st.Current {
+const (
+	// readTimeout is how long a call that reads the items waits for the confirmation
+	// that this instance has all changes. Operators wait for 1 s.
+	readTimeout = 900 * time.Millisecond
+	// readRetryInterval is the interval at which the confirmation is requested
+	// again, since messages may be lost and the leader may change.
+	readRetryInterval = 300 * time.Millisecond
+)
+
+// readItems begins a call that reads the items. An instance that knows no leader
+// answers NotCurrent at once.
+func (s *State) readItems(at model.Time, b event.ItemsRequested) {
+	r := &itemsRead{call: b.Call, retryAt: at.Add(readRetryInterval), deadline: at.Add(readTimeout)}
+	var ok bool
+	if r.id, ok = s.agreement.Read(at, &s.out); !ok {
 		s.reply(b.Call, result.NotCurrent, "")
 		return
 	}
-	reply := event.ItemsReply{Call: b.Call}
+	s.calls.reads = append(s.calls.reads, r)
+}
+
+// retryReads requests the confirmations of open reads again, and ends those whose
+// deadline has been reached.
+func (s *State) retryReads(at model.Time) {
+	s.calls.reads = slices.DeleteFunc(s.calls.reads, func(r *itemsRead) bool {
+		if at >= r.deadline {
+			s.reply(r.call, result.NotCurrent, "")
+			return true
+		}
+		if at >= r.retryAt {
+			r.retryAt = min(at.Add(readRetryInterval), r.deadline)
+			if id, ok := s.agreement.Read(at, &s.out); ok {
+				r.id = id
+			}
+		}
+		return false
+	})
+}
+
+// replyToReads answers the reads for which this instance has applied all changes
+// from before the call.
+func (s *State) replyToReads() {
+	if s.agreement == nil {
+		return
+	}
+	for _, id := range s.agreement.TakeReads() {
+		s.calls.reads = slices.DeleteFunc(s.calls.reads, func(r *itemsRead) bool {
+			if r.id == id {
+				s.replyWithItems(r.call)
+			}
+			return r.id == id
+		})
+	}
+}
+
+// replyWithItems answers a call with all items that are not removed.
+func (s *State) replyWithItems(call event.CallID) {
+	reply := event.ItemsReply{Call: call}
 	for _, i := range s.catalog.Items() {
 		if !i.Removed {
 			reply.Items = append(reply.Items, i)
 		}
 	}
 	s.out.Add(event.Log{Code: logevent.ItemsRead, Fields: []logevent.Field{
-		logevent.F("call", b.Call), logevent.F("items", len(reply.Items)), logevent.F("position", s.catalog.Position()),
-		logevent.F("commit_index", st.CommitIndex), logevent.F("leader", st.Leader.Instance)}})
+		logevent.F("call", call), logevent.F("items", len(reply.Items)), logevent.F("position", s.catalog.Position())}})
 	s.out.Add(reply)
 }
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -361,6 +361,9 @@
 // control instance. It returns nil if the instance rejects the call.
 func (s *sim) itemVersions(id model.InstanceID) map[string]model.ItemVersion {
 	call := s.submit(id, func(c event.CallID) event.Body { return event.ItemsRequested{Call: c} })
+	for end := s.now.Add(time.Second); s.now < end && s.replies[call] == nil; {
+		s.run(time.Millisecond)
+	}
 	reply, ok := s.replies[call].(event.ItemsReply)
 	if !ok {
 		return nil
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -110,6 +110,7 @@
 	s.out.Reset()
 	s.handle(ev.At, ev.Body)
 	s.applyCommitted(ev.At)
+	s.replyToReads()
 	s.replyToConfirmationCalls()
 	s.stopIfDone(ev.At)
 	s.syncBalance(ev.At)
@@ -140,7 +141,7 @@
 	case event.EvacuationProposed:
 		s.proposeEvacuation(at, b)
 	case event.ItemsRequested:
-		s.replyWithItems(at, b)
+		s.readItems(at, b)
 	case event.PeerConnected:
 		s.updateHeartbeat(at)
 		s.replica.PeerConnected(at, replica.Peer{ID: b.Peer, Zone: b.Zone, Address: b.Address, PeerAddress: b.PeerAddress}, out)
@@ -218,6 +219,7 @@
 	s.replica.Wake(at, &s.out)
 	s.requests.Wake(at, &s.out)
 	s.retryProposals(at)
+	s.retryReads(at)
 	s.sendHeartbeatReport(at)
 	if s.agreement != nil {
 		s.agreement.SetConnectedPeers(s.replica.ControlPeers())
--- a/pkg/message/agreement.go
+++ b/pkg/message/agreement.go
@@ -13,6 +13,8 @@
 	KindAgreementSnapshotReply Kind = 35
 	KindAgreementJoin          Kind = 36
 	KindAgreementJoinReply     Kind = 37
+	KindAgreementRead          Kind = 38
+	KindAgreementReadReply     Kind = 39
 )
 
 func init() {
@@ -24,6 +26,8 @@
 	register[AgreementSnapshotReply](KindAgreementSnapshotReply)
 	register[AgreementJoin](KindAgreementJoin)
 	register[AgreementJoinReply](KindAgreementJoinReply)
+	register[AgreementRead](KindAgreementRead)
+	register[AgreementReadReply](KindAgreementReadReply)
 }
 
 // EntryKind is the type of a log entry.
@@ -116,6 +120,9 @@
 	// SentAt is the send time on the leader's clock. The reply contains a copy, and
 	// the leader extends its lease from this time. The wire key is "Sent".
 	SentAt model.Time `cbor:"Sent"`
+	// ConfirmsReads is true if the leader accepts AgreementRead. Earlier versions
+	// do not.
+	ConfirmsReads bool `cbor:"Reads,omitempty"`
 }
 
 // AgreementAppendReply answers an AgreementAppend. It also answers an
@@ -163,6 +170,23 @@
 	SentAt model.Time `cbor:"Sent"`
 }
 
+// AgreementRead asks the leader up to which index all committed entries lie, for a
+// read that begins now.
+type AgreementRead struct {
+	AgreementHeader
+	// ID identifies the read. The reply contains a copy.
+	ID uint64
+}
+
+// AgreementReadReply answers an AgreementRead after a majority has confirmed that
+// its sender still leads.
+type AgreementReadReply struct {
+	AgreementHeader
+	ID uint64
+	// Index is the commit index of the leader when it received the read.
+	Index uint64
+}
+
 // AgreementJoin asks for admission to the control group. It is sent by a member
 // that belongs to no group, and by a member that receives no messages from the
 // leader of its group.
@@ -206,3 +230,9 @@
 
 // Kind implements Message.
 func (*AgreementJoinReply) Kind() Kind { return KindAgreementJoinReply }
+
+// Kind implements Message.
+func (*AgreementRead) Kind() Kind { return KindAgreementRead }
+
+// Kind implements Message.
+func (*AgreementReadReply) Kind() Kind { return KindAgreementReadReply }
