Pace requests to upstreams that state a request limit

What upstreams saw: up to twice the requests a second that they had named. Class: a signal of an upstream that the protocol defines and no decision takes in. Change: the gateway reads what an upstream states about itself from the header of every response, also if its body is lost, and passes it on with the end of the send; a malformed value is logged and ignored. The pace of cold upstreams becomes the pace of any upstream with a rate: each entry instance uses an equal share of the limit, and a turn that is not used in time is lost. A response without a limit ends it only if its request was sent after the limit was last stated.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -212,17 +212,9 @@
 		return false
 	case !allowSuspected && (t.suspected(at) || t.expired):
 		return false
-	case svc.limitsColdRate() && t.needsPacing(at) && !t.pacer.allows(at, s.coldInterval(svc), pacingPhase(s.self.ID, t)):
-		return false
 	}
-	return true
-}
-
-// coldInterval returns the least time between two requests of this instance to
-// a cold upstream. All entry instances use equal shares of the request rate
-// that the upstream can handle.
-func (s *State) coldInterval(svc *service) model.Duration {
-	return model.Duration(float64(max(1, s.EntryInstances)) / svc.spec.ColdRequestRate * float64(time.Second))
+	pace, paced := s.paceOf(at, svc, t)
+	return !paced || t.pacer.allows(at, pace, pacingPhase(s.self.ID, t))
 }
 
 // estimate holds the expected times of a request at an upstream and its cost to
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -193,8 +193,8 @@
 	}
 	s.regionShift.record(t.region)
 	t.requestStarted(at)
-	if svc := s.service(t.registration.Service); svc.limitsColdRate() && t.needsPacing(at) {
-		t.pacer.advance(s.coldInterval(svc))
+	if pace, paced := s.paceOf(at, s.service(t.registration.Service), t); paced {
+		t.pacer.advance(pace)
 	}
 }
 
@@ -235,6 +235,10 @@
 	// ColdRemaining is how long the upstream stays cold according to the response,
 	// 0 if the response does not state it.
 	ColdRemaining model.Duration
+	// Responded is true if the header of a response arrived. Statement is what the
+	// upstream stated in it.
+	Responded bool
+	Statement model.UpstreamStatement
 }
 
 // Ended updates the estimates for an upstream after a request to it has ended,
@@ -247,6 +251,9 @@
 	t.requestEnded(at, end.Result)
 	t.observeReport(at, end.Load)
 	s.observeIdleReset(at, t, end)
+	if end.Responded && end.Result != Misdirected {
+		t.limit.observe(at, at.Add(-end.ResponseTime), end.Statement.RequestLimit)
+	}
 	if end.ColdRemaining > 0 {
 		t.coldUntil = max(t.coldUntil, at.Add(end.ColdRemaining))
 	}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -73,7 +71,8 @@
 	expired       bool
 
 	coldUntil model.Time
-	pacer     coldPacer
+	pacer     pacer
+	limit     requestLimit
 	idleLimit idleLimit
 
 	inFlight int
@@ -255,37 +254,3 @@
 	t.failures++
 	t.suspectUntil = at.Add(pause)
 }
-
-// maxPacingDelay is how long after its scheduled time a request to a cold
-// upstream may still be sent. A send time that is missed by more than this is
-// skipped: many instances could otherwise send their late requests at once.
-const maxPacingDelay = time.Second
-
-// coldPacer spaces this instance's requests to a cold upstream, so that all
-// instances together stay within the upstream's request rate without
-// communication. nextAt is the scheduled time of the next request.
-type coldPacer struct {
-	nextAt model.Time
-}
-
-// allows reports whether a request may be sent now. period is the time between
-// two requests. phase, from 0 to 1, is the fraction of the period by which the
-// first request is delayed; it differs between instances.
-func (p *coldPacer) allows(at model.Time, period model.Duration, phase float64) bool {
-	if p.nextAt == 0 {
-		p.nextAt = at.Add(model.Duration(phase * float64(period)))
-	}
-	if late := at.Sub(p.nextAt) - maxPacingDelay; late > 0 {
-		p.nextAt = p.nextAt.Add((late/period + 1) * period)
-	}
-	return at >= p.nextAt
-}
-
-// advance schedules the next request after one has been sent.
-func (p *coldPacer) advance(period model.Duration) { p.nextAt = p.nextAt.Add(period) }
-
-// pacingPhase returns the phase of an instance at an upstream. The phases
-// spread the requests of all instances over the period.
-func pacingPhase(self model.InstanceID, t *target) float64 {
-	return float64(mixHash(xxhash.Sum64String(string(self))^t.idHash)>>11) / (1 << 53)
-}
--- a/pkg/event/routed.go
+++ b/pkg/event/routed.go
@@ -82,6 +82,10 @@
 	// ColdRemaining is how much longer the upstream remains cold, 0 if the response
 	// does not contain this value. Its key in recordings is "ColdFor".
 	ColdRemaining model.Duration `cbor:"ColdFor"`
+	// Responded is true if the header of a response arrived, whether or not its body
+	// did. Statement is what the upstream stated in it.
+	Responded bool
+	Statement model.UpstreamStatement
 }
 
 func (RoutedArrived) isBody() {}
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,6 +37,10 @@
 	// milliseconds. A cold upstream was started recently and can handle fewer
 	// requests per second. Upstreams send the header in responses.
 	ColdRemaining string
+	// RequestLimit is the number of requests per second, a decimal number, that the
+	// upstream accepts from all instances together. Upstreams send it in all
+	// responses as long as the limit applies.
+	RequestLimit string
 }
 
 // percentScale converts the slowdown in a load header to a factor.
@@ -70,6 +75,27 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// minRequestLimit is the lowest request limit of an upstream that is applied, in
+// requests per second. With fewer requests, this instance would not learn in time
+// that the limit has ended.
+const minRequestLimit = 0.05
+
+// parseRequestLimit parses a request limit. It returns 0 if the limit is absent
+// or above model.MaxRequestLimit, and false if it is malformed or negative.
+func parseRequestLimit(text string) (float64, bool) {
+	if text == "" {
+		return 0, true
+	}
+	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	switch {
+	case err != nil || math.IsNaN(limit) || limit < 0:
+		return 0, false
+	case limit > model.MaxRequestLimit:
+		return 0, true
+	}
+	return max(limit, minRequestLimit), true
+}
+
 // keepAliveTimeout returns the timeout parameter of the Keep-Alive header: how
 // long the sender of the header keeps an idle connection open. It returns 0 if
 // the header lacks the parameter.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
 const (
@@ -120,6 +121,7 @@
 		return err
 	}
 	ended.Status = resp.StatusCode
+	ended.Responded, ended.Statement = true, e.statement(f, resp.Header)
 	ended.Load = parseLoad(resp.Header.Get(g.headers.Load))
 	ended.ColdRemaining = parseMillis(resp.Header.Get(g.headers.ColdRemaining))
 	ended.Outcome = event.SendAnswered
@@ -150,6 +152,19 @@
 	return nil
 }
 
+// statement returns what the upstream states about itself in the header of a
+// response. Malformed statements are logged and ignored.
+func (e *exchange) statement(f *event.Forward, h http.Header) model.UpstreamStatement {
+	var s model.UpstreamStatement
+	var ok bool
+	if s.RequestLimit, ok = parseRequestLimit(h.Get(e.gateway.headers.RequestLimit)); !ok {
+		e.gateway.telemetry.Log(event.Log{Code: logevent.StatementMalformed, Fields: []logevent.Field{
+			logevent.F("upstream", f.Upstream), logevent.F("header", e.gateway.headers.RequestLimit),
+			logevent.F("value", h.Get(e.gateway.headers.RequestLimit))}})
+	}
+	return s
+}
+
 // encodeRequest returns the encoded request header, followed by the body if it is
 // buffered completely.
 func (e *exchange) encodeRequest(f *event.Forward) []byte {
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -248,7 +248,8 @@
 // retried or rejected.
 func (s *State) Ended(at model.Time, ev *event.SendEnded, out *event.Effects) {
 	r := s.requests[ev.Request]
-	end := balance.End{Result: sendResult(r, ev), ResponseTime: ev.ResponseTime, ConnectTime: ev.ConnectTime, IdleTime: ev.IdleTime, Load: ev.Load, ColdRemaining: ev.ColdRemaining}
+	end := balance.End{Result: sendResult(r, ev), ResponseTime: ev.ResponseTime, ConnectTime: ev.ConnectTime, IdleTime: ev.IdleTime, Load: ev.Load, ColdRemaining: ev.ColdRemaining,
+		Responded: ev.Responded, Statement: ev.Statement}
 	if r != nil {
 		end.Cached, end.QueueTime = r.choice.Cached, r.choice.QueueTime
 	}
