Divide request limits among entry instances by demand

What callers saw: with equal shares, upstreams that state a limit were left idle while requests were refused: each instance had a turn every few seconds and lost it if no request arrived within one second. Equal shares ignore which instances have requests for an upstream. Change: pkg/rateshare at the leader of the control group divides the limits by reported demand; shares are valid for 1.5 s, without one an instance falls back to an equal share. A share accumulates one second or one request. Objects beyond the share have another upstream, the same for each request.

--- a/pkg/agreement/lease.go
+++ b/pkg/agreement/lease.go
@@ -38,6 +38,14 @@
 	return s.term
 }
 
+// LeadingSince returns when this member was elected, 0 if it is not the leader.
+func (s *State) LeadingSince() model.Time {
+	if s.role != Leader {
+		return 0
+	}
+	return s.electedAt
+}
+
 // stepDownDeadline returns when the leader steps down unless a majority answers
 // its messages before. A new leader, which has no lease yet, has LeaseDuration
 // from its election to receive the first answers.
--- a/pkg/balance/affinity.go
+++ b/pkg/balance/affinity.go
@@ -35,11 +35,19 @@
 	region                       model.Region
 	primary, secondary           *target
 	primaryScore, secondaryScore uint64
+	// firstChoice is the upstream with the highest score, whether or not its request
+	// limit leaves room for the object.
+	firstChoice      *target
+	firstChoiceScore uint64
 	// load and slots are the sums of the loads and slots of the upstreams in the
 	// group.
 	load, slots float64
 }
 
+// minObjectFraction is the least fraction of the slots of an upstream that counts
+// towards the slots of its group.
+const minObjectFraction = 0.05
+
 // addCandidate makes an upstream the primary or the secondary of the group if
 // its score is among the two highest so far.
 func (g *upstreamGroup) addCandidate(t *target, score uint64) {
@@ -94,9 +102,20 @@
 			g = &upstreamGroup{name: name, region: t.region}
 			p.groups = append(p.groups, g)
 		}
+		score, fraction := rendezvousScore(t, p.objectHash), s.objectFraction(at, t)
 		g.load += t.load(at)
-		g.slots += t.slots()
-		g.addCandidate(t, rendezvousScore(t, p.objectHash))
+		g.slots += t.slots() * max(fraction, minObjectFraction)
+		if g.firstChoice == nil || score > g.firstChoiceScore {
+			g.firstChoice, g.firstChoiceScore = t, score
+		}
+		if fraction == 1 || toUnitInterval(mixHash(score)) < fraction {
+			g.addCandidate(t, score)
+		}
+	}
+	for _, g := range p.groups {
+		if g.primary == nil {
+			g.primary = g.firstChoice
+		}
 	}
 	p.assigned = s.selectGroup(at, svc, p)
 	return p
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -100,6 +100,7 @@
 	svc.initWorkTimes(q.Objective)
 	s.regionShift.advance(at)
 	p := s.placementOf(at, svc, q)
+	s.countDemand(at, svc, p)
 	assigned, found := s.cheapest(at, svc, q, p, candidateFilter{assignedOnly: true, meetsDeadline: true})
 	if found && (q.Objective <= 0 || assigned.ResponseTime <= q.Objective) {
 		return assigned, true
@@ -213,8 +214,7 @@
 	case !allowSuspected && (t.suspected(at) || t.expired):
 		return false
 	}
-	pace, paced := s.paceOf(at, svc, t)
-	return !paced || t.pacer.allows(at, pace, pacingPhase(s.self.ID, t))
+	return s.mayPaceNow(at, svc, t)
 }
 
 // estimate holds the expected times of a request at an upstream and its cost to
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -170,6 +172,15 @@
 	s.regionShift.setInitialShares(slots)
 }
 
+// sortedServices returns the services in the order of their names.
+func (s *State) sortedServices() []*service {
+	list := make([]*service, 0, len(s.services))
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		list = append(list, s.services[name])
+	}
+	return list
+}
+
 // service returns the state of the service with the given name and creates it
 // if needed.
 func (s *State) service(name model.ServiceName) *service {
@@ -193,9 +204,7 @@
 	}
 	s.regionShift.record(t.region)
 	t.requestStarted(at)
-	if pace, paced := s.paceOf(at, s.service(t.registration.Service), t); paced {
-		t.pacer.advance(pace)
-	}
+	s.recordPaced(at, s.service(t.registration.Service), t)
 }
 
 // Result is the way in which a send to an upstream ended.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -11,6 +11,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/rateshare"
 	"github.com/anvilcrank/anvilcrank/pkg/registry"
 	"github.com/anvilcrank/anvilcrank/pkg/replica"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -74,6 +75,7 @@
 	calls            pendingCalls
 	stopping         gracefulStop
 	heartbeatReports heartbeatReports
+	rates            rateShares
 	directory        publishedDirectory
 
 	syncedRevision   uint64
@@ -130,6 +132,7 @@
 		s.requests.Arrive(at, &b, s.routes(), out)
 	case event.SendEnded:
 		s.requests.Ended(at, &b, out)
+		s.scheduleRateReport(at, &b)
 	case event.RequestCanceled:
 		s.requests.Canceled(b.ID, out)
 	case event.HeartbeatReceived:
@@ -179,6 +182,10 @@
 		}
 	case *message.UpstreamHeartbeats:
 		s.receiveHeartbeatReport(at, m)
+	case *message.RateDemands:
+		s.receiveRateDemands(at, b.From, m)
+	case *message.RateShares:
+		s.balance.SetRateShares(at, at.Add(rateshare.Validity), m.Shares)
 	default:
 		changed, ok := s.replica.Receive(at, b.From, b.Message, &s.out)
 		if ok {
@@ -221,6 +228,7 @@
 	s.retryProposals(at)
 	s.retryReads(at)
 	s.sendHeartbeatReport(at)
+	s.reportRateDemands(at)
 	if s.agreement != nil {
 		s.agreement.SetConnectedPeers(s.replica.ControlPeers())
 		s.agreement.Wake(at, &s.out)
@@ -234,6 +242,9 @@
 	s.replica.HasConfig = s.catalog.HasItems()
 	s.replica.ReadyEntryInstances = len(s.directory.entries)
 	s.replica.Lagging = s.agreement != nil && (s.agreement.IsLagging(at) || !s.catalog.HasItems())
+	if s.agreement != nil {
+		s.replica.LeaderTerm = s.agreement.LeadingTerm()
+	}
 }
 
 // leaseCheckInterval is how often entry instances check the leases of
@@ -261,7 +272,7 @@
 // sub-reducers.
 func (s *State) setTimer() {
 	next := s.replica.NextWake()
-	for _, t := range []model.Time{s.requests.NextWake(), s.calls.nextWake(), s.stopping.nextWake(), s.heartbeatReports.nextWake(s.identity.Control)} {
+	for _, t := range []model.Time{s.requests.NextWake(), s.calls.nextWake(), s.stopping.nextWake(), s.heartbeatReports.nextWake(s.identity.Control), s.rates.reportAt} {
 		if t != 0 && (next == 0 || t < next) {
 			next = t
 		}
--- a/pkg/message/fleet.go
+++ b/pkg/message/fleet.go
@@ -10,6 +10,8 @@
 	KindPull               Kind = 63
 	KindProposal           Kind = 64
 	KindUpstreamHeartbeats Kind = 65
+	KindRateDemands        Kind = 66
+	KindRateShares         Kind = 67
 )
 
 func init() {
@@ -19,6 +21,8 @@
 	register[Pull](KindPull)
 	register[Proposal](KindProposal)
 	register[UpstreamHeartbeats](KindUpstreamHeartbeats)
+	register[RateDemands](KindRateDemands)
+	register[RateShares](KindRateShares)
 }
 
 // Records carries replicated records. The receiver stores each record that is
@@ -67,6 +71,9 @@
 	// control group has committed, for example because it is cut off from the
 	// leader or its disk has failed.
 	Lagging bool `cbor:"8,keyasint,omitempty"`
+	// LeaderTerm is the term in which the sender leads the control group, 0 if it
+	// does not. The leader accepts RateDemands.
+	LeaderTerm uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // RecordVersion identifies a version of a record. Key is a hash of the record's
@@ -96,6 +103,50 @@
 	Keys []uint64 `cbor:"1,keyasint,omitempty"`
 }
 
+// RateDemand is the demand of an entry instance for an upstream that states a
+// request limit.
+type RateDemand struct {
+	_ struct{} `cbor:",toarray"`
+	// Upstream identifies the process of the upstream by a hash.
+	Upstream uint64
+	// Limit is the limit that the upstream stated last, in requests per second, 0 if
+	// it has ended. StatementAgeMs is how long ago that was, in milliseconds.
+	Limit          float64
+	StatementAgeMs int64
+	// PerSecond is the number of requests per second that the sender has for the
+	// upstream.
+	PerSecond float64
+}
+
+// RateDemands reports the demand of the sender, an entry instance, to the leader
+// of the control group.
+type RateDemands struct {
+	Demands []RateDemand `cbor:"1,keyasint,omitempty"`
+}
+
+// RateShare is the share of an entry instance in the request limit of an upstream.
+type RateShare struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint64
+	// PerSecond is the number of requests per second that the receiver may send.
+	PerSecond float64
+	// Limit and StatementAgeMs are those of the latest statement that any entry
+	// instance has received.
+	Limit          float64
+	StatementAgeMs int64
+}
+
+// RateShares answers RateDemands.
+type RateShares struct {
+	Shares []RateShare `cbor:"1,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*RateDemands) Kind() Kind { return KindRateDemands }
+
+// Kind implements Message.
+func (*RateShares) Kind() Kind { return KindRateShares }
+
 // Kind implements Message.
 func (*Records) Kind() Kind { return KindRecords }
 
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -77,6 +77,9 @@
 	ReadyEntryInstances int
 	// Lagging is true if the peer, a control instance, may lack committed changes.
 	Lagging bool
+	// LeaderTerm is the term in which the peer leads the control group, 0 if it does
+	// not.
+	LeaderTerm uint64
 
 	// subscribed is true if the peer subscribes to this instance, and subscribedTo
 	// if this instance subscribes to the peer.
@@ -100,13 +103,14 @@
 	// requested a connection.
 	connectRequested map[string]bool
 
-	// Ready, HasConfig, ReadyEntryInstances and Lagging are set by the caller and
-	// sent to the peers with the next heartbeat. They have the same meaning as in
-	// message.PeerHeartbeat.
+	// Ready, HasConfig, ReadyEntryInstances, Lagging and LeaderTerm are set by the
+	// caller and sent to the peers with the next heartbeat. They have the same
+	// meaning as in message.PeerHeartbeat.
 	Ready               bool
 	HasConfig           bool
 	ReadyEntryInstances int
 	Lagging             bool
+	LeaderTerm          uint64
 
 	startedAt model.Time
 	// latest is the time of the latest event that this sub-reducer handled.
@@ -297,7 +301,8 @@
 	p.LastHeartbeat = at
 	s.connectToUnknown(m.Addresses, out)
 	roleChanged := p.Control != m.Control
-	p.Control, p.Ready, p.subscribed, p.ReadyEntryInstances, p.Lagging = m.Control, m.Ready, m.Subscribe, m.ReadyEntryInstances, m.Lagging
+	p.Control, p.Ready, p.subscribed, p.ReadyEntryInstances = m.Control, m.Ready, m.Subscribe, m.ReadyEntryInstances
+	p.Lagging, p.LeaderTerm = m.Lagging, m.LeaderTerm
 	for _, added := range s.updateSubscriptions() {
 		s.sendHeartbeat(added, out)
 	}
@@ -397,7 +402,7 @@
 func (s *State) sendHeartbeat(p *Peer, out *event.Effects) {
 	m := &message.PeerHeartbeat{
 		Control: s.self.Control, Ready: s.Ready, HasConfig: s.HasConfig, Subscribe: p.subscribedTo,
-		Digest: s.store.Digest(), ReadyEntryInstances: s.ReadyEntryInstances, Lagging: s.Lagging}
+		Digest: s.store.Digest(), ReadyEntryInstances: s.ReadyEntryInstances, Lagging: s.Lagging, LeaderTerm: s.LeaderTerm}
 	if s.self.Control && p.heartbeatsSent%addressPeriod == 0 {
 		m.Addresses = s.controlAddresses()
 	}
@@ -508,6 +513,19 @@
 	return n
 }
 
+// Leader returns the peer that says that it leads the control group, in the
+// highest term, "" if none does.
+func (s *State) Leader() model.InstanceID {
+	var leader model.InstanceID
+	var term uint64
+	for _, p := range s.peers {
+		if p.LeaderTerm > term && s.isAlive(p) {
+			leader, term = p.ID, p.LeaderTerm
+		}
+	}
+	return leader
+}
+
 // ControlPeers returns the identifiers of the peers with the control role.
 func (s *State) ControlPeers() []model.InstanceID {
 	var list []model.InstanceID
