Accept a response without an attempt ID only on a new connection

Report: a faulty server wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that ran, or these ran at a second server. Whether it can happen here: yes, in the gateway, if the refusal carries no attempt ID, or if the client's request has none; with the ID of the earlier request it was recognized before. Cause: an error response without an ID was taken for the answer to whatever request was on its way, and a stated 'not executed' as proof for it. Change: on a connection that has carried another request such a response ends the send as lost, so that the outcome is unknown; a request without an ID is sent on a new connection only.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -140,7 +140,7 @@
 func (e *exchange) run() result.Code {
 	g := e.gateway
 	err := g.control.Submit(event.RoutedArrived{
-		ID: e.id, Label: e.request.Header.Get(g.headers.AttemptID), Host: e.request.Host, Path: e.request.URL.EscapedPath(),
+		ID: e.id, Label: e.attemptID(), Host: e.request.Host, Path: e.request.URL.EscapedPath(),
 		AffinityKey: e.request.Header.Get(g.headers.AffinityKey),
 		Timeout:     parseMillis(e.request.Header.Get(g.headers.Remaining)),
 		Replayable:  e.remainingBody == nil,
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -47,6 +47,8 @@
 	net.Conn
 	reader *bufio.Reader
 	host   *hostConns
+	// used is true if the connection has carried a request before the current one.
+	used bool
 	// bytesWritten counts the bytes of the current request that were written.
 	// As long as it is 0, the upstream cannot have executed the request.
 	bytesWritten atomic.Int64
@@ -109,13 +111,15 @@
 // apply is 0.
 type connTiming struct{ connectTime, idleTime time.Duration }
 
-// get returns an idle connection that may be reused. If there is none, it opens
-// a connection, unless this instance already has the maximum number of
-// connections to the upstream.
-func (p *pool) get(ctx context.Context, f *event.Forward) (*upstreamConn, connTiming, error) {
-	h, c := p.takeIdle(f.Address, f.MaxIdleTime)
-	if c != nil {
-		return c, connTiming{idleTime: max(time.Since(c.idleSince), 1)}, nil
+// get returns an idle connection that may be reused, unless mustBeNew is true. If
+// there is none, it opens a connection, unless this instance already has the
+// maximum number of connections to the upstream.
+func (p *pool) get(ctx context.Context, f *event.Forward, mustBeNew bool) (*upstreamConn, connTiming, error) {
+	h := p.host(f.Address)
+	if !mustBeNew {
+		if c := p.takeIdle(h, f.MaxIdleTime); c != nil {
+			return c, connTiming{idleTime: max(time.Since(c.idleSince), 1)}, nil
+		}
 	}
 	if !p.reserve(h, f.MaxConnections) {
 		return nil, connTiming{}, errTooManyConnections
@@ -129,25 +133,29 @@
 	return &upstreamConn{Conn: conn, reader: bufio.NewReader(conn), host: h}, connTiming{connectTime: max(time.Since(start), 1)}, nil
 }
 
-// takeIdle removes the most recently used reusable connection to an address
-// from the pool. It returns the hostConns of the address and the removed
-// connection, which is nil if no connection is reusable. takeIdle closes the
-// idle connections that it finds not reusable. maxIdleTime is how long a
-// reusable connection may have been idle; 0 means no limit.
-func (p *pool) takeIdle(address string, maxIdleTime time.Duration) (*hostConns, *upstreamConn) {
+// host returns the hostConns of an address.
+func (p *pool) host(address string) *hostConns {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	h := p.hosts[address]
 	if h == nil {
 		h = &hostConns{}
 		p.hosts[address] = h
 	}
-	p.mu.Unlock()
+	return h
+}
+
+// takeIdle removes the most recently used reusable connection from the pool. It
+// returns nil if no connection is reusable. takeIdle closes the idle connections
+// that it finds not reusable. maxIdleTime is how long a reusable connection may
+// have been idle; 0 means no limit.
+func (p *pool) takeIdle(h *hostConns, maxIdleTime time.Duration) *upstreamConn {
 	for {
 		p.mu.Lock()
 		n := len(h.idle)
 		if n == 0 {
 			p.mu.Unlock()
-			return h, nil
+			return nil
 		}
 		c := h.idle[n-1]
 		h.idle = h.idle[:n-1]
@@ -156,7 +164,7 @@
 		idleTooLong := maxIdleTime > 0 && now.Sub(c.idleSince) > maxIdleTime
 		if !idleTooLong && now.Before(c.idleDeadline) && isReusable(c.Conn) {
 			c.bytesWritten.Store(0)
-			return h, c
+			return c
 		}
 		p.discard(c)
 	}
@@ -193,6 +201,7 @@
 		p.discard(c)
 		return
 	}
+	c.used = true
 	c.idleSince = time.Now()
 	c.idleDeadline = c.idleSince.Add(idleTimeout)
 	p.mu.Lock()
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -56,7 +56,7 @@
 	e.mu.Lock()
 	e.cancelDial = cancel
 	e.mu.Unlock()
-	conn, timing, err := g.pool.get(ctx, f)
+	conn, timing, err := g.pool.get(ctx, f, e.attemptID() == "")
 	ended.ConnectTime, ended.IdleTime = timing.connectTime, timing.idleTime
 	if err != nil {
 		ended.Outcome = event.SendConnectFailed
@@ -93,7 +93,7 @@
 // logFailure logs a send that failed.
 func (e *exchange) logFailure(f *event.Forward, ended *event.SendEnded, err error) {
 	e.gateway.telemetry.Log(event.Log{Code: logevent.SendFailed, Fields: []logevent.Field{
-		logevent.F("request", e.request.Header.Get(e.gateway.headers.AttemptID)), logevent.F("number", f.Request),
+		logevent.F("request", e.attemptID()), logevent.F("number", f.Request),
 		logevent.F("upstream", f.Upstream), logevent.F("address", f.Address), logevent.F("attempt", f.Attempt),
 		logevent.F("outcome", ended.Outcome.String()), logevent.F("ms", ended.ResponseTime.Milliseconds()), logevent.F("error", err.Error())}})
 }
@@ -226,12 +226,17 @@
 	}
 }
 
+// attemptID returns the caller's identifier of the request, "" if there is none.
+func (e *exchange) attemptID() string { return e.request.Header.Get(e.gateway.headers.AttemptID) }
+
 // readResponse reads the header of the response to the request. It skips
 // informational responses and stale responses. A stale response answers an
 // earlier request on the connection and has a different attempt ID. An error
-// response without an attempt ID is accepted as the response to this request.
+// response without an attempt ID is accepted only on a connection that has
+// carried no other request: it may be a refusal of an earlier request that the
+// upstream wrote once more, and then says nothing about this request.
 func (e *exchange) readResponse(conn *upstreamConn) (*http.Response, error) {
-	wantID := e.request.Header.Get(e.gateway.headers.AttemptID)
+	wantID := e.attemptID()
 	for range maxStaleResponses + 1 {
 		resp, err := http.ReadResponse(conn.reader, e.request)
 		if err != nil {
@@ -241,7 +246,7 @@
 			continue
 		}
 		gotID := resp.Header.Get(e.gateway.headers.AttemptID)
-		if wantID == "" || gotID == wantID || gotID == "" && resp.StatusCode >= http.StatusBadRequest {
+		if wantID == "" || gotID == wantID || gotID == "" && resp.StatusCode >= http.StatusBadRequest && !conn.used {
 			return resp, nil
 		}
 		if resp.Close || gotID == "" {
