Limit the head of a response of an upstream to 64 KiB

Report: bytes that are no answer may come without end, in a head or a body, until the caller closes. Change: reading a head stops after 64 KiB, the send is lost and the connection is closed. pkg/proxy sets the same limit in its transports.

--- a/pkg/gateway/faulty_test.go
+++ b/pkg/gateway/faulty_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,3 +72,52 @@
 		Expect(c.outcomes()).To(Equal([]string{"lost"}), "%q", head[:cut])
 	}
 })
+
+// maxHeadBytes bounds what an upstream can write of a head without end, including
+// the buffers of the kernel.
+const maxHeadBytes = 16 << 20
+
+var _ = DescribeTable("head without end is given up before the deadline", func(start, piece string) {
+	var written atomic.Int64
+	c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, _ int) {
+		fmt.Fprint(conn, strings.ReplaceAll(start, "ID", r.Header.Get("Attempt")))
+		for block := strings.Repeat(piece, 256); written.Load() < 4*maxHeadBytes; {
+			n, err := fmt.Fprint(conn, block)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	server := startGateway(c)
+	begin := time.Now()
+	resp, _ := sendRequest(server, "POST", "a1", "x")
+	Expect(resp.StatusCode).To(Equal(502))
+	Expect(time.Since(begin)).To(BeNumerically("<", time.Second), "the deadline is 2 s after the request")
+	Expect(written.Load()).To(BeNumerically("<", maxHeadBytes))
+},
+	Entry("of header fields", "HTTP/1.1 200 OK\r\nAttempt: ID\r\n", "A: b\r\n"),
+	Entry("in one field", "HTTP/1.1 200 OK\r\nAttempt: ID\r\nA: ", "xxxxxx"),
+	Entry("in the status line", "HTTP/1.1 200 ", "xxxxxx"),
+	Entry("of informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+)
+
+var _ = It("body without end is not delivered as a whole and ends with the deadline", func() {
+	closed := make(chan struct{})
+	c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, _ int) {
+		defer close(closed)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\n\r\n", r.Header.Get("Attempt"))
+		for block := strings.Repeat("x", 8<<10); ; time.Sleep(time.Millisecond) {
+			if _, err := fmt.Fprint(conn, block); err != nil {
+				return
+			}
+		}
+	}))
+	c.bufferLimit = 1 << 16
+	server := startGateway(c)
+	begin := time.Now()
+	_, text := sendRequest(server, "GET", "a1", "")
+	Expect(text).To(ContainSubstring("EOF"))
+	Expect(time.Since(begin)).To(BeNumerically("<", 3*time.Second))
+	Eventually(closed).WithTimeout(time.Second).Should(BeClosed())
+})
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -45,7 +46,9 @@
 // progress on it at a time.
 type upstreamConn struct {
 	net.Conn
+	// reader reads the connection through head.
 	reader *bufio.Reader
+	head   headLimit
 	host   *hostConns
 	// used is true if the connection has carried a request before the current one.
 	used bool
@@ -67,6 +70,44 @@
 	return n, err
 }
 
+// maxResponseHeadBytes is the largest size of the status line and header of a
+// response.
+const maxResponseHeadBytes = 64 << 10
+
+// errHeadTooLarge means that the head of a response exceeds maxResponseHeadBytes.
+var errHeadTooLarge = errors.New("the head of the response is too large")
+
+// headLimit limits how much is read of a connection while the head of a response
+// is read, since an upstream may write one without end.
+type headLimit struct {
+	conn net.Conn
+	// active is true while a head is read. remaining is the number of bytes that may
+	// still be read of it.
+	active    bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.conn.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+// readHead reads the head of a response to a request.
+func (c *upstreamConn) readHead(r *http.Request) (*http.Response, error) {
+	c.head.active, c.head.remaining = true, maxResponseHeadBytes
+	resp, err := http.ReadResponse(c.reader, r)
+	c.head.active = false
+	return resp, err
+}
+
 // hostConns holds the connections to one address.
 type hostConns struct {
 	// idle holds the idle connections, the most recently used one last.
@@ -130,7 +171,9 @@
 		p.release(h)
 		return nil, connTiming{}, err
 	}
-	return &upstreamConn{Conn: conn, reader: bufio.NewReader(conn), host: h}, connTiming{connectTime: max(time.Since(start), 1)}, nil
+	c := &upstreamConn{Conn: conn, host: h, head: headLimit{conn: conn}}
+	c.reader = bufio.NewReader(&c.head)
+	return c, connTiming{connectTime: max(time.Since(start), 1)}, nil
 }
 
 // host returns the hostConns of an address.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -238,7 +238,7 @@
 func (e *exchange) readResponse(conn *upstreamConn) (*http.Response, error) {
 	wantID := e.attemptID()
 	for range maxStaleResponses + 1 {
-		resp, err := http.ReadResponse(conn.reader, e.request)
+		resp, err := conn.readHead(e.request)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -56,6 +56,8 @@
 	connectTimeout = 2 * time.Second
 	// idleTimeout is how long an idle connection to an upstream is kept open.
 	idleTimeout = 90 * time.Second
+	// maxResponseHeaderBytes is the largest header of a response of an upstream.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Control lists the methods of control.Loop that the proxy uses. control.Loop
@@ -148,6 +150,8 @@
 			MaxIdleConnsPerHost: key.maxConns,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			// An upstream may write a header without end.
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		}
 		p.transports[key] = t
 	}
