Match refusals of upstreams to their attempt in the proxy

Whether it can happen here: yes, for deployments with owned slots. pkg/proxy matched no response to its attempt, so that a refusal of an earlier request proved that a later one on the connection had not run. Change: a response that names another attempt ends the attempt as lost and closes the connection; after a refusal that names none, the connection is not kept. The upstream stand-in names the attempt, docs/design.md asks for it.

--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -231,6 +231,7 @@
 		return
 	}
 	id := r.Header.Get(proxy.HeaderAttempt)
+	w.Header().Set(proxy.HeaderAttempt, id)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	if ms, err := strconv.Atoi(r.Header.Get(proxy.HeaderDeadline)); err == nil {
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -87,7 +87,19 @@
 		a.reportEnd(event.AttemptEnded{Result: a.classifyFailure(err)})
 		return
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) != "" {
+	refused := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) != ""
+	answers := resp.Header.Get(HeaderAttempt)
+	if answers != "" && answers != a.dispatch.Attempt.String() {
+		a.closeConn()
+		a.reportEnd(event.AttemptEnded{Result: event.LostAfterDispatch})
+		return
+	}
+	if refused && answers == "" {
+		// If the upstream wrote this refusal once more, it could not be told from
+		// the refusal of a later request on the connection.
+		a.closeConn()
+	}
+	if refused {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, copyBufferBytes))
 		_ = resp.Body.Close()
 		a.reportEnd(event.AttemptEnded{Result: event.RefusedBeforeExecution})
@@ -99,6 +111,16 @@
 		Status: resp.StatusCode, Latency: time.Since(start)})
 }
 
+// closeConn closes the connection of the attempt, so that no other request is sent
+// on it.
+func (a *attempt) closeConn() {
+	a.connMu.Lock()
+	defer a.connMu.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
+
 // newRequest returns the request to the upstream.
 func (a *attempt) newRequest() (*http.Request, error) {
 	incoming := a.exchange.request
