Act on upstreams that state that they leave or want a pause

Change: the gateway reads both from the header of every response, also with a failure, a lost body, or an answer that nobody waits for any more, and reports them before the body has arrived. Leaving belongs to one process start; it is kept with the registration and passed on to the other instances, and works without contact to any of them. If no upstream may receive a request, it is refused at once with the time at which one may.

--- a/pkg/balance/affinity.go
+++ b/pkg/balance/affinity.go
@@ -124,7 +124,7 @@
 // canServe reports whether the upstream is in service and permitted for the
 // request. Unlike canReceiveNow, it ignores the pacing of cold upstreams.
 func (t *target) canServe(at model.Time, q *Query) bool {
-	return !t.evacuated && !t.expired && !t.suspected(at) && !slices.Contains(q.Tried, t.registration.ID) &&
+	return !t.evacuated && !t.expired && !t.suspected(at) && at >= t.pause.until && !slices.Contains(q.Tried, t.registration.ID) &&
 		(len(q.HomeRegions) == 0 || slices.Contains(q.HomeRegions, t.region))
 }
 
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -57,6 +57,7 @@
 // Choice is the selected upstream and the estimates for it.
 type Choice struct {
 	ID      model.UpstreamID
+	StartMs int64
 	Address string
 	Zone    model.Zone
 	// Cached is true if the upstream is expected to have the object of the request
@@ -181,7 +182,7 @@
 	}
 	return Choice{
 		cost: bestCost, Load: best.load(at), ReportAge: reportAge,
-		ID: best.registration.ID, Address: best.registration.Address, Zone: best.registration.Zone, Cached: s.isCached(at, p, best), objectHash: p.hash(),
+		ID: best.registration.ID, StartMs: best.registration.StartTimeMs, Address: best.registration.Address, Zone: best.registration.Zone, Cached: s.isCached(at, p, best), objectHash: p.hash(),
 		ResponseTime: model.Duration(bestEstimate.responseTime), QueueTime: model.Duration(bestEstimate.queueTime),
 		MeanWorkTime: model.Duration(svc.meanTime), MaxConnections: s.maxConnections(svc), MaxIdleTime: s.maxIdleTime(at, best)}, true
 }
@@ -214,7 +215,7 @@
 	case !allowSuspected && (t.suspected(at) || t.expired):
 		return false
 	}
-	return s.mayPaceNow(at, svc, t)
+	return t.pause.allows(at, t.inFlight) && s.mayPaceNow(at, svc, t)
 }
 
 // estimate holds the expected times of a request at an upstream and its cost to
--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// RequestLimit returns the request limit of an upstream, 0 if it has none.
+func (s *State) RequestLimit(id model.UpstreamID) float64 {
+	if t := s.targets[id]; t != nil {
+		return t.limit.perSecond
+	}
+	return 0
+}
+
 // RateDemands returns this instance's demand for the upstreams that state a
 // request limit, or did so until recently.
 func (s *State) RateDemands(at model.Time) []message.RateDemand {
--- a/pkg/balance/pacer.go
+++ b/pkg/balance/pacer.go
@@ -111,6 +111,20 @@
 	return true
 }
 
+// nextPacedAt returns when the rates that apply to the upstream permit the next
+// request of this instance, 0 if none applies.
+func (s *State) nextPacedAt(at model.Time, svc *service, t *target) model.Time {
+	var next model.Time
+	if _, ok := s.equalPace(at, svc, t); ok {
+		next = t.pacer.nextAt
+	}
+	if l := &t.limit; l.isSet() && l.hasShare(at) {
+		missing := max(0, 1-l.credit.requests)
+		next = max(next, at.Add(model.Duration(missing/max(l.share, minPacedRate)*float64(time.Second))))
+	}
+	return next
+}
+
 // recordPaced counts a request that is sent to the upstream.
 func (s *State) recordPaced(at model.Time, svc *service, t *target) {
 	if pace, ok := s.equalPace(at, svc, t); ok {
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -248,6 +248,8 @@
 	// upstream stated in it.
 	Responded bool
 	Statement model.UpstreamStatement
+	// StartMs identifies the process of the upstream to which the request was sent.
+	StartMs int64
 }
 
 // Ended updates the estimates for an upstream after a request to it has ended,
@@ -260,7 +262,7 @@
 	t.requestEnded(at, end.Result)
 	t.observeReport(at, end.Load)
 	s.observeIdleReset(at, t, end)
-	if end.Responded && end.Result != Misdirected {
+	if end.Responded && end.StartMs == t.registration.StartTimeMs {
 		t.limit.observe(at, at.Add(-end.ResponseTime), end.Statement.RequestLimit)
 	}
 	if end.ColdRemaining > 0 {
@@ -276,6 +278,7 @@
 		t.failures = 0
 		t.suspectUntil = 0
 		t.observeRefusal(at, 0)
+		t.pause.answered(at, t.slots())
 		svc := s.service(t.registration.Service)
 		// The work time is the response time without the round-trip time and the queue
 		// time. The queue time is only an estimate and may be too high, so the work
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -73,6 +73,7 @@
 	coldUntil model.Time
 	pacer     pacer
 	limit     requestLimit
+	pause     pause
 	idleLimit idleLimit
 
 	inFlight int
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -55,10 +55,11 @@
 	Reopen()
 }
 
-// Telemetry records log events and counters. Its methods must not block.
+// Telemetry records log events, counters and gauges. Its methods must not block.
 type Telemetry interface {
 	Log(event.Log)
 	Count(event.Count)
+	SetGauge(event.SetGauge)
 }
 
 // ConfigStore saves configurations. Save must not block.
@@ -304,6 +305,8 @@
 		l.handlers.Telemetry.Log(e)
 	case event.Count:
 		l.handlers.Telemetry.Count(e)
+	case event.SetGauge:
+		l.handlers.Telemetry.SetGauge(e)
 	case event.SaveConfig:
 		l.handlers.ConfigStore.Save(e)
 	case event.InvariantFailed:
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -45,6 +45,6 @@
 	ChangeProposed{}, StatusRequested{}, HistoryRequested{},
 	StorageLoaded{}, Persisted{},
 	OutcomeRequested{},
-	RoutedArrived{}, SendEnded{},
+	RoutedArrived{}, SendEnded{}, UpstreamStated{},
 	HeartbeatReceived{}, DepartureReceived{}, ItemsProposed{}, EvacuationProposed{}, ItemsRequested{},
 }
--- a/pkg/event/process.go
+++ b/pkg/event/process.go
@@ -76,6 +76,32 @@
 	return [...]string{"late_answers", "retries", "hedges", "invariant_failures", "permits_granted"}[c]
 }
 
+// Gauge identifies a metric that holds a number of upstreams of a service.
+type Gauge uint8
+
+// Gauges.
+const (
+	// UpstreamsLeaving is the number of upstreams that have stated that they leave.
+	UpstreamsLeaving Gauge = iota
+	// UpstreamsPaused is the number of upstreams that want no requests from this
+	// instance at present.
+	UpstreamsPaused
+	// UpstreamsLimited is the number of upstreams with a request limit.
+	UpstreamsLimited
+)
+
+// String returns the metric name of the gauge.
+func (g Gauge) String() string {
+	return [...]string{"upstreams_leaving", "upstreams_paused", "upstreams_limited"}[g]
+}
+
+// SetGauge sets a gauge of a service.
+type SetGauge struct {
+	Gauge   Gauge
+	Service model.ServiceName
+	Value   int
+}
+
 // InvariantFailed reports a violated invariant of the reducer. Tests and
 // benchmarks then abort. In production, the violation is counted and logged, and
 // the latest recorded events are written to a file.
@@ -91,5 +117,6 @@
 func (Publish) isEffect()         {}
 func (Log) isEffect()             {}
 func (Count) isEffect()           {}
+func (SetGauge) isEffect()        {}
 func (InvariantFailed) isEffect() {}
 func (Stopped) isEffect()         {}
--- a/pkg/event/routed.go
+++ b/pkg/event/routed.go
@@ -62,7 +62,9 @@
 	// Attempt is the number of the attempt, copied from the Forward effect.
 	Attempt  int
 	Upstream model.UpstreamID
-	Outcome  SendOutcome
+	// UpstreamStartMs is copied from the Forward effect.
+	UpstreamStartMs int64
+	Outcome         SendOutcome
 	// Status is the HTTP status of the response, 0 if no response arrived.
 	Status int
 	// ResponseTime is the time from the start of writing the request to the end of
@@ -88,16 +90,32 @@
 	Statement model.UpstreamStatement
 }
 
+// UpstreamStated reports that an upstream stated in a response that it leaves or
+// wants a pause. The event does not wait for the end of the response. The response
+// may also be one that no request waits for any more.
+type UpstreamStated struct {
+	Upstream model.UpstreamID
+	// StartMs is the start time, in Unix milliseconds, of the process to which the
+	// request was sent.
+	StartMs   int64
+	Statement model.UpstreamStatement
+}
+
 func (RoutedArrived) isBody() {}
 func (SendEnded) isBody()     {}
 
+func (UpstreamStated) isBody() {}
+
 // Forward sends a routed request to an upstream.
 type Forward struct {
 	Request model.RequestID
 	// Attempt is the number of the attempt within the request, starting at 1.
 	Attempt  int
 	Upstream model.UpstreamID
-	Address  string
+	// UpstreamStartMs is the start time of the process of the upstream in Unix
+	// milliseconds.
+	UpstreamStartMs int64
+	Address         string
 	// Deadline is the time by which the response must be complete.
 	Deadline model.Time
 	// Timeout is the time from the creation of this effect to Deadline.
--- a/pkg/fleet/ratelimits.go
+++ b/pkg/fleet/ratelimits.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"math"
+
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/rateshare"
@@ -19,12 +22,20 @@
 	leaderTerm uint64
 }
 
-// scheduleRateReport requests a report of the demand after a response that states
-// a request limit.
-func (s *State) scheduleRateReport(at model.Time, b *event.SendEnded) {
+// minLoggedLimitChange is the relative change of a request limit from which it is
+// logged.
+const minLoggedLimitChange = 0.25
+
+// limitStated requests a report of the demand after a response that states a
+// request limit, and logs a limit that differs from the previous one.
+func (s *State) limitStated(at model.Time, b *event.SendEnded, previous float64) {
 	if b.Statement.RequestLimit > 0 && s.rates.reportAt == 0 {
 		s.rates.reportAt = at
 	}
+	latest := s.balance.RequestLimit(b.Upstream)
+	if math.Abs(latest-previous) > minLoggedLimitChange*previous || latest == 0 && previous > 0 {
+		s.logStatement(b.Upstream, b.UpstreamStartMs, logevent.F("limit", latest), logevent.F("previous", previous))
+	}
 }
 
 // reportRateDemands reports the demand for upstreams with a request limit to the
--- a/pkg/fleet/ratelimits_test.go
+++ b/pkg/fleet/ratelimits_test.go
@@ -20,12 +20,20 @@
 	limitWindow = 4 * time.Second
 )
 
-// press sends requests to all running entry instances for the given time. Upstream
-// u1 states the given limit in its responses, 0 for none. press returns the times
-// at which requests were sent to u1, but not those that were sent by instances
-// for which excused returns true.
-func (s *sim) press(duration time.Duration, limit float64, excused func(model.InstanceID) bool) []model.Time {
-	var sent []model.Time
+// sent is a request that an entry instance sent to an upstream.
+type sent struct {
+	at       model.Time
+	from     model.InstanceID
+	upstream model.UpstreamID
+	startMs  int64
+}
+
+// pressAll sends requests to all running entry instances for the given time and
+// returns what they sent. answer returns what an upstream states in its response
+// to a request that was sent now; the statement reaches the instance after
+// limitWorkTime.
+func (s *sim) pressAll(duration time.Duration, answer func(sent) model.UpstreamStatement) []sent {
+	var list []sent
 	for end := s.now.Add(duration); s.now < end; s.run(pressInterval) {
 		forEachRunning(s, false, func(id model.InstanceID) {
 			n := s.nodes[id]
@@ -33,28 +41,52 @@
 			s.lastCall++
 			s.step(n, event.RoutedArrived{ID: model.RequestID(s.lastCall), Host: "h", Path: "/r/x", Replayable: true})
 			for _, e := range n.effects {
-				f, ok := e.(event.Forward)
-				if !ok {
-					continue
-				}
-				ended := event.SendEnded{Request: f.Request, Attempt: f.Attempt, Upstream: f.Upstream, Outcome: event.SendAnswered,
-					ResponseTime: limitWorkTime, Responded: true}
-				if f.Upstream == "u1" {
-					ended.Statement.RequestLimit = limit
-					if !excused(id) {
-						sent = append(sent, s.now)
-					}
+				if f, ok := e.(event.Forward); ok {
+					request := sent{s.now, id, f.Upstream, f.UpstreamStartMs}
+					list = append(list, request)
+					s.answerLater(n, &f, answer(request))
 				}
-				generation := n.generation
-				s.schedule(limitWorkTime, func() {
-					if n.generation == generation {
-						s.step(n, ended)
-					}
-				})
 			}
 		})
 	}
-	return sent
+	return list
+}
+
+// answerLater answers a request after limitWorkTime. An upstream that wants a pause
+// refuses the request.
+func (s *sim) answerLater(n *node, f *event.Forward, statement model.UpstreamStatement) {
+	ended := event.SendEnded{Request: f.Request, Attempt: f.Attempt, Upstream: f.Upstream, UpstreamStartMs: f.UpstreamStartMs,
+		Outcome: event.SendAnswered, ResponseTime: limitWorkTime, Responded: true, Statement: statement}
+	if statement.Pause > 0 {
+		ended.Outcome = event.SendNotExecuted
+	}
+	generation := n.generation
+	s.schedule(limitWorkTime, func() {
+		if n.generation != generation {
+			return
+		}
+		if statement.Leaving || statement.Pause > 0 {
+			s.step(n, event.UpstreamStated{Upstream: f.Upstream, StartMs: f.UpstreamStartMs, Statement: statement})
+		}
+		s.step(n, ended)
+	})
+}
+
+// press is pressAll with an upstream u1 that states the given limit, 0 for none. It
+// returns the times at which requests were sent to u1, but not those that were
+// sent by instances for which excused returns true.
+func (s *sim) press(duration time.Duration, limit float64, excused func(model.InstanceID) bool) []model.Time {
+	var times []model.Time
+	s.pressAll(duration, func(r sent) model.UpstreamStatement {
+		if r.upstream != "u1" {
+			return model.UpstreamStatement{}
+		}
+		if !excused(r.from) {
+			times = append(times, s.now)
+		}
+		return model.UpstreamStatement{RequestLimit: limit}
+	})
+	return times
 }
 
 // mostInWindow returns the largest number of times in any window of limitWindow.
--- a/pkg/fleet/records.go
+++ b/pkg/fleet/records.go
@@ -50,7 +50,7 @@
 
 // registrationVersion returns the key and the version of a registration. The
 // version is a hash of the start time of the upstream's process, of the
-// sequence number and of whether the upstream is deregistered. It shows only
+// sequence number and of whether the upstream is deregistered or leaving. It shows only
 // whether two registrations are the same, not which of them is newer.
 func registrationVersion(r *model.Registration) message.RecordVersion {
 	var data [17]byte
@@ -62,6 +62,9 @@
 		binary.BigEndian.PutUint64(data[8:], 0)
 		data[16] = 1
 	}
+	if r.Leaving {
+		data[16] |= 2
+	}
 	return message.RecordVersion{Key: registrationKey(r.ID), Version: xxhash.Sum64(data[:])}
 }
 
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -76,7 +76,9 @@
 	stopping         gracefulStop
 	heartbeatReports heartbeatReports
 	rates            rateShares
-	directory        publishedDirectory
+	// constraints holds the published numbers of constrained upstreams by service.
+	constraints map[model.ServiceName]constraints
+	directory   publishedDirectory
 
 	syncedRevision   uint64
 	nextSyncAt       model.Time
@@ -131,8 +133,11 @@
 		}
 		s.requests.Arrive(at, &b, s.routes(), out)
 	case event.SendEnded:
+		previous := s.balance.RequestLimit(b.Upstream)
 		s.requests.Ended(at, &b, out)
-		s.scheduleRateReport(at, &b)
+		s.limitStated(at, &b, previous)
+	case event.UpstreamStated:
+		s.upstreamStated(at, b)
 	case event.RequestCanceled:
 		s.requests.Canceled(b.ID, out)
 	case event.HeartbeatReceived:
@@ -266,6 +271,7 @@
 	s.nextSyncAt = at.Add(leaseCheckInterval)
 	s.balance.EntryInstances = max(s.replica.EntryInstanceCount(), s.balance.EntryInstances/2, 1)
 	s.balance.Sync(at, s.registry, s.catalog, s.heartbeatReports.isComplete(at))
+	s.publishConstraints(at)
 }
 
 // setTimer requests a TimerFired event for the earliest wake time of all
--- a/pkg/gateway/faulty_test.go
+++ b/pkg/gateway/faulty_test.go
@@ -10,6 +10,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
 // refusal is a response to the request with the given attempt ID, "" for none,
@@ -121,3 +124,60 @@
 	Expect(time.Since(begin)).To(BeNumerically("<", 3*time.Second))
 	Eventually(closed).WithTimeout(time.Second).Should(BeClosed())
 })
+
+// Guards against statements that are missed because the body is lost or because
+// nobody waits for the response any more, and against rubbish that has an effect.
+var _ = DescribeTable("statements of an upstream are read from every response", func(status, header string, expected model.UpstreamStatement) {
+	c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, _ int) {
+		fmt.Fprintf(conn, "HTTP/1.1 %s X\r\nAttempt: %s\r\n%s\r\nContent-Length: 10\r\n\r\nabc", status, r.Header.Get("Attempt"), header)
+		_ = conn.Close()
+	}))
+	server := startGateway(c)
+	sendRequest(server, "POST", "a1", "x")
+	var stated model.UpstreamStatement
+	Eventually(c.reported).Should(Receive(WithTransform(func(b event.Body) bool {
+		switch b := b.(type) {
+		case event.UpstreamStated:
+			Expect(b.Upstream).To(BeEquivalentTo("u"))
+			stated = b.Statement
+		case event.SendEnded:
+			Expect(b.Responded).To(BeTrue())
+			if b.Statement.RequestLimit > 0 {
+				stated.RequestLimit = b.Statement.RequestLimit
+			}
+			return true
+		}
+		return false
+	}, BeTrue())))
+	Expect(stated).To(Equal(expected))
+},
+	Entry("leaving", "200", "Leaving: 1", model.UpstreamStatement{Leaving: true}),
+	Entry("leaving with a failure", "500", "Leaving: 1", model.UpstreamStatement{Leaving: true}),
+	Entry("another value of leaving", "200", "Leaving: yes", model.UpstreamStatement{}),
+	Entry("pause in seconds", "503", "Retry-After: 2", model.UpstreamStatement{Pause: 2 * time.Second}),
+	Entry("pause with a fraction", "503", "Retry-After: 0.25", model.UpstreamStatement{Pause: 250 * time.Millisecond}),
+	Entry("pause until a date", "503", "Date: Sun, 06 Nov 1994 08:49:30 GMT\r\nRetry-After: Sun, 06 Nov 1994 08:49:37 GMT", model.UpstreamStatement{Pause: 7 * time.Second}),
+	Entry("date without a date to compare", "503", "Retry-After: Sun, 06 Nov 1994 08:49:37 GMT", model.UpstreamStatement{}),
+	Entry("negative pause", "503", "Retry-After: -3", model.UpstreamStatement{}),
+	Entry("pause that is no number", "503", "Retry-After: soon", model.UpstreamStatement{}),
+	Entry("pause of a year", "503", "Retry-After: 31536000", model.UpstreamStatement{Pause: model.MaxPause}),
+	Entry("pause with another status", "500", "Retry-After: 3", model.UpstreamStatement{}),
+	Entry("limit", "200", "Limit: 12.5", model.UpstreamStatement{RequestLimit: 12.5}),
+	Entry("negative limit", "200", "Limit: -1", model.UpstreamStatement{}),
+	Entry("limit that is no number", "200", "Limit: NaN", model.UpstreamStatement{}),
+	Entry("limit above any rate", "200", "Limit: 1e12", model.UpstreamStatement{}),
+)
+
+// Guards against a late answer whose statement is lost with it.
+var _ = It("statement in a late response to an earlier request is reported", func() {
+	c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, number int) {
+		if number == 2 {
+			respond(conn, "a1", "late", "Leaving: 1\r\n")
+		}
+		respond(conn, r.Header.Get("Attempt"), "ok", "")
+	}))
+	server := startGateway(c)
+	sendRequest(server, "GET", "a1", "")
+	sendRequest(server, "GET", "a2", "")
+	Eventually(c.reported).Should(Receive(Equal(event.UpstreamStated{Upstream: "u", Statement: model.UpstreamStatement{Leaving: true}})))
+})
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -24,7 +24,7 @@
 )
 
 var headers = gateway.Headers{AttemptID: "Attempt", Remaining: "Remaining", AffinityKey: "Object", TargetUpstream: "Upstream",
-	NotExecuted: "Not-Executed", Load: "Load", ColdRemaining: "Cold"}
+	NotExecuted: "Not-Executed", Load: "Load", ColdRemaining: "Cold", RequestLimit: "Limit", Leaving: "Leaving"}
 
 func now() model.Time { return model.Time(time.Now().UnixNano()) }
 
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -41,8 +41,18 @@
 	// upstream accepts from all instances together. Upstreams send it in all
 	// responses as long as the limit applies.
 	RequestLimit string
+	// Leaving has the value 1 in all responses of an upstream whose process is about
+	// to end.
+	Leaving string
 }
 
+// retryAfterHeader states in a response with the status 503 after how many seconds
+// the upstream accepts requests again.
+const retryAfterHeader = "Retry-After"
+
+// leavingValue is the value of the header Leaving.
+const leavingValue = "1"
+
 // percentScale converts the slowdown in a load header to a factor.
 const percentScale = 100.0
 
@@ -96,6 +106,33 @@
 	return max(limit, minRequestLimit), true
 }
 
+// parsePause parses the time after which an upstream accepts requests again: a
+// number of seconds, with or without a fraction, or a date. A date is compared with
+// the date of the response, since clocks differ. parsePause returns 0 if the time is
+// absent, and false if it is malformed, negative or above model.MaxPause; the pause
+// is then 0, or model.MaxPause.
+func parsePause(text, responseDate string) (time.Duration, bool) {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return 0, true
+	}
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		switch {
+		case math.IsNaN(seconds) || seconds < 0:
+			return 0, false
+		case seconds > model.MaxPause.Seconds():
+			return model.MaxPause, false
+		}
+		return time.Duration(seconds * float64(time.Second)), true
+	}
+	until, err := http.ParseTime(text)
+	from, fromErr := http.ParseTime(responseDate)
+	if err != nil || fromErr != nil || until.Before(from) {
+		return 0, false
+	}
+	return min(until.Sub(from), model.MaxPause), until.Sub(from) <= model.MaxPause
+}
+
 // keepAliveTimeout returns the timeout parameter of the Keep-Alive header: how
 // long the sender of the header keeps an idle connection open. It returns 0 if
 // the header lacks the parameter.
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
 const (
@@ -52,6 +53,11 @@
 	host   *hostConns
 	// used is true if the connection has carried a request before the current one.
 	used bool
+	// upstream and upstreamStartMs identify the process that sent the latest
+	// response on the connection, as far as this instance knows. They are empty
+	// before the first response.
+	upstream        model.UpstreamID
+	upstreamStartMs int64
 	// bytesWritten counts the bytes of the current request that were written.
 	// As long as it is 0, the upstream cannot have executed the request.
 	bytesWritten atomic.Int64
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -49,7 +49,7 @@
 // the request.
 func (e *exchange) send(f *event.Forward) event.SendEnded {
 	g := e.gateway
-	ended := event.SendEnded{Request: f.Request, Attempt: f.Attempt, Upstream: f.Upstream}
+	ended := event.SendEnded{Request: f.Request, Attempt: f.Attempt, Upstream: f.Upstream, UpstreamStartMs: f.UpstreamStartMs}
 	remaining := f.Deadline.Sub(g.now())
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
@@ -116,12 +116,15 @@
 	} else {
 		bodyDone <- nil
 	}
-	resp, err := e.readResponse(conn)
+	resp, err := e.readResponse(conn, f)
 	if err != nil {
 		return err
 	}
 	ended.Status = resp.StatusCode
-	ended.Responded, ended.Statement = true, e.statement(f, resp.Header)
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		conn.upstream, conn.upstreamStartMs = f.Upstream, f.UpstreamStartMs
+		ended.Responded, ended.Statement = true, g.readStatement(conn, resp)
+	}
 	ended.Load = parseLoad(resp.Header.Get(g.headers.Load))
 	ended.ColdRemaining = parseMillis(resp.Header.Get(g.headers.ColdRemaining))
 	ended.Outcome = event.SendAnswered
@@ -152,19 +155,40 @@
 	return nil
 }
 
-// statement returns what the upstream states about itself in the header of a
-// response. Malformed statements are logged and ignored.
-func (e *exchange) statement(f *event.Forward, h http.Header) model.UpstreamStatement {
+// readStatement returns what an upstream states about itself in the header of a
+// response. That it leaves or wants a pause is reported at once, since the body may
+// take long. Malformed statements are logged and ignored.
+func (g *Gateway) readStatement(conn *upstreamConn, resp *http.Response) model.UpstreamStatement {
 	var s model.UpstreamStatement
 	var ok bool
-	if s.RequestLimit, ok = parseRequestLimit(h.Get(e.gateway.headers.RequestLimit)); !ok {
-		e.gateway.telemetry.Log(event.Log{Code: logevent.StatementMalformed, Fields: []logevent.Field{
-			logevent.F("upstream", f.Upstream), logevent.F("header", e.gateway.headers.RequestLimit),
-			logevent.F("value", h.Get(e.gateway.headers.RequestLimit))}})
+	if s.RequestLimit, ok = parseRequestLimit(resp.Header.Get(g.headers.RequestLimit)); !ok {
+		g.logMalformedStatement(conn, resp.Header, g.headers.RequestLimit)
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		if s.Pause, ok = parsePause(resp.Header.Get(retryAfterHeader), resp.Header.Get("Date")); !ok {
+			g.logMalformedStatement(conn, resp.Header, retryAfterHeader)
+		}
+	}
+	switch value := resp.Header.Get(g.headers.Leaving); value {
+	case "":
+	case leavingValue:
+		s.Leaving = true
+	default:
+		g.logMalformedStatement(conn, resp.Header, g.headers.Leaving)
+	}
+	if s.Leaving || s.Pause > 0 {
+		g.control.Report(event.UpstreamStated{Upstream: conn.upstream, StartMs: conn.upstreamStartMs, Statement: s})
 	}
 	return s
 }
 
+// logMalformedStatement logs a header of an upstream that cannot be applied as it
+// is.
+func (g *Gateway) logMalformedStatement(conn *upstreamConn, h http.Header, name string) {
+	g.telemetry.Log(event.Log{Code: logevent.StatementMalformed, Fields: []logevent.Field{
+		logevent.F("upstream", conn.upstream), logevent.F("header", name), logevent.F("value", h.Get(name))}})
+}
+
 // encodeRequest returns the encoded request header, followed by the body if it is
 // buffered completely.
 func (e *exchange) encodeRequest(f *event.Forward) []byte {
@@ -235,7 +259,7 @@
 // response without an attempt ID is accepted only on a connection that has
 // carried no other request: it may be a refusal of an earlier request that the
 // upstream wrote once more, and then says nothing about this request.
-func (e *exchange) readResponse(conn *upstreamConn) (*http.Response, error) {
+func (e *exchange) readResponse(conn *upstreamConn, f *event.Forward) (*http.Response, error) {
 	wantID := e.attemptID()
 	for range maxStaleResponses + 1 {
 		resp, err := conn.readHead(e.request)
@@ -249,6 +273,11 @@
 		if wantID == "" || gotID == wantID || gotID == "" && resp.StatusCode >= http.StatusBadRequest && !conn.used {
 			return resp, nil
 		}
+		if gotID != "" && conn.upstream == f.Upstream && resp.StatusCode != http.StatusMisdirectedRequest {
+			// Nobody waits for the response any more, but what the upstream states
+			// in it holds.
+			e.gateway.readStatement(conn, resp)
+		}
 		if resp.Close || gotID == "" {
 			return nil, errResponseMismatch
 		}
--- a/pkg/model/registration.go
+++ b/pkg/model/registration.go
@@ -38,6 +38,9 @@
 	StartTimeMs int64 `cbor:"8,keyasint,omitempty"`
 	// Sequence is the number of the heartbeat that last changed the registration.
 	Sequence uint64 `cbor:"9,keyasint,omitempty"`
+	// Leaving is true if the upstream has stated in a response that this process is
+	// about to end. It remains true until the upstream is restarted.
+	Leaving bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Supersedes reports whether r replaces the registration old of the same
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -100,7 +100,11 @@
 func (s *State) Merge(at model.Time, r model.Registration) bool {
 	existing := s.entries[r.ID]
 	if existing != nil && !r.Supersedes(&existing.Registration) {
-		return false
+		_, marked := s.MarkLeaving(r.ID, r.StartTimeMs, r.Leaving)
+		return marked
+	}
+	if existing != nil && existing.StartTimeMs == r.StartTimeMs {
+		r.Leaving = r.Leaving || existing.Leaving
 	}
 	e := &Entry{Registration: r, ColdUntil: at.Add(r.ColdRemaining), LastHeartbeat: at}
 	e.ColdRemaining = 0
@@ -113,6 +117,19 @@
 	return true
 }
 
+// MarkLeaving records that the given process of an upstream has stated that it is
+// about to end, if leaving is true. It returns the registration to send to other
+// instances and whether it changed.
+func (s *State) MarkLeaving(id model.UpstreamID, startTimeMs int64, leaving bool) (model.Registration, bool) {
+	e := s.entries[id]
+	if e == nil || !leaving || e.Leaving || e.StartTimeMs != startTimeMs {
+		return model.Registration{}, false
+	}
+	e.Leaving = true
+	s.revision++
+	return e.Registration, true
+}
+
 // updateAddressOwner makes the upstream the owner of its address unless another
 // upstream with a later process start owns it.
 func (s *State) updateAddressOwner(e *Entry) {
@@ -165,11 +182,11 @@
 	}
 }
 
-// Usable reports whether an upstream accepts new requests: it is serving, and
-// no other upstream has taken over its address. It does not check whether the
-// lease has expired.
+// Usable reports whether an upstream accepts new requests: it is serving and not
+// leaving, and no other upstream has taken over its address. It does not check
+// whether the lease has expired.
 func (s *State) Usable(e *Entry) bool {
-	return e.State == model.RegistrationServing && s.addressOwners[e.Address] == e.ID
+	return e.State == model.RegistrationServing && !e.Leaving && s.addressOwners[e.Address] == e.ID
 }
 
 // Expired reports whether the lease of an upstream has expired.
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -28,6 +28,8 @@
 	// delay, which prevents callers from retrying at the same time.
 	minRetryAfter  = 150 * time.Millisecond
 	minRetryJitter = 350 * time.Millisecond
+	// maxRetryAfter bounds the delay that follows from a pause of an upstream.
+	maxRetryAfter = 30 * time.Second
 	// maxBufferLimit is the largest buffer limit of a response, in bytes. While a
 	// response is buffered, the caller has received nothing of it. If the response
 	// then fails, the request can still be retried, or its outcome can be
@@ -170,9 +172,7 @@
 // the request ends with an unknown outcome instead.
 func (s *State) send(at model.Time, r *request, fallback result.Code, out *event.Effects) {
 	remaining := r.deadline.Sub(at)
-	choice, ok := s.balance.Choose(at, &balance.Query{
-		Service: r.service, AffinityKey: r.affinityKey, Objective: r.route.Objective, Remaining: remaining, Download: r.route.Kind == model.Download,
-		HomeRegions: r.route.HomeRegions, Tried: r.tried})
+	choice, ok := s.balance.Choose(at, s.query(at, r))
 	r.choice = choice
 	if ok && !r.mayHaveExecuted && balance.WillMissDeadline(choice.ResponseTime, choice.QueueTime, choice.MeanWorkTime, remaining) {
 		ok, fallback = false, result.DeadlineTooShort
@@ -186,7 +186,7 @@
 	r.sendInProgress = true
 	s.balance.Sent(at, &choice)
 	out.Add(event.Forward{
-		Request: r.id, Attempt: r.attempts, Upstream: choice.ID, Address: choice.Address,
+		Request: r.id, Attempt: r.attempts, Upstream: choice.ID, UpstreamStartMs: choice.StartMs, Address: choice.Address,
 		Deadline: r.deadline, Timeout: remaining, MaxConnections: choice.MaxConnections, MaxIdleTime: choice.MaxIdleTime, BufferLimit: s.bufferLimit,
 	})
 }
@@ -200,14 +200,33 @@
 	if r.mayHaveExecuted {
 		code = result.UpstreamLost
 	} else {
-		retryAfter = s.retryAfter(r.choice.ResponseTime)
+		retryAfter = max(s.roomIn(at, r), s.retryAfter(r.choice.ResponseTime))
 	}
 	s.reject(at, r, code, retryAfter, out)
 }
 
+// roomIn returns how long it takes until an upstream may receive the request, as
+// far as the upstreams have stated it. A random part keeps callers that wait for
+// the same upstream from returning together.
+func (s *State) roomIn(at model.Time, r *request) model.Duration {
+	wait := min(maxRetryAfter, s.balance.RoomAt(at, s.query(at, r)).Sub(at))
+	if wait <= 0 {
+		return 0
+	}
+	return wait + model.Duration(s.random.Int64N(int64(minRetryJitter)))
+}
+
+// query returns the query for an upstream for the request.
+func (s *State) query(at model.Time, r *request) *balance.Query {
+	return &balance.Query{
+		Service: r.service, AffinityKey: r.affinityKey, Objective: r.route.Objective, Remaining: r.deadline.Sub(at), Download: r.route.Kind == model.Download,
+		HomeRegions: r.route.HomeRegions, Tried: r.tried}
+}
+
 // reject ends a request with an error response of this instance. retryAfter is
 // the delay after which the caller should retry, 0 if none is advised.
 func (s *State) reject(at model.Time, r *request, code result.Code, retryAfter model.Duration, out *event.Effects) {
+	constraints := s.balance.Constraints(at, r.service)
 	out.Add(event.Reject{Request: r.id, Code: code, RetryAfter: retryAfter})
 	out.Add(event.Log{Code: logevent.RequestRejected, Fields: []logevent.Field{
 		logevent.F("request", r.label), logevent.F("number", r.id), logevent.F("route", r.route.Name), logevent.F("version", r.route.Version),
@@ -215,7 +234,8 @@
 		logevent.F("tried", r.tried), logevent.F("ms", at.Sub(r.arrivedAt).Milliseconds()),
 		logevent.F("left_ms", r.deadline.Sub(at).Milliseconds()), logevent.F("upstream", r.choice.ID),
 		logevent.F("expected_ms", r.choice.ResponseTime.Milliseconds()), logevent.F("load", math.Round(r.choice.Load)),
-		logevent.F("report_age_ms", r.choice.ReportAge.Milliseconds()), logevent.F("advice_ms", retryAfter.Milliseconds())}})
+		logevent.F("report_age_ms", r.choice.ReportAge.Milliseconds()), logevent.F("advice_ms", retryAfter.Milliseconds()),
+		logevent.F("paused", constraints.Paused), logevent.F("limited", constraints.Limited)}})
 	s.closeRequest(r)
 }
 
@@ -249,7 +269,7 @@
 func (s *State) Ended(at model.Time, ev *event.SendEnded, out *event.Effects) {
 	r := s.requests[ev.Request]
 	end := balance.End{Result: sendResult(r, ev), ResponseTime: ev.ResponseTime, ConnectTime: ev.ConnectTime, IdleTime: ev.IdleTime, Load: ev.Load, ColdRemaining: ev.ColdRemaining,
-		Responded: ev.Responded, Statement: ev.Statement}
+		Responded: ev.Responded, Statement: ev.Statement, StartMs: ev.UpstreamStartMs}
 	if r != nil {
 		end.Cached, end.QueueTime = r.choice.Cached, r.choice.QueueTime
 	}
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -157,3 +157,12 @@
 
 // WriteMetrics writes all metrics in the Prometheus text format.
 func (t *Telemetry) WriteMetrics(w io.Writer) { t.metricSet.WritePrometheus(w) }
+
+// SetGauge sets a gauge of a service. Services beyond maxServices share one label
+// value.
+func (t *Telemetry) SetGauge(e event.SetGauge) {
+	t.mu.Lock()
+	service := boundedName(t.services, e.Service, maxServices)
+	t.mu.Unlock()
+	t.metricSet.GetOrCreateGauge("anvilcrank_"+e.Gauge.String()+`{service=`+quoteLabelValue(string(service))+`}`, nil).Set(float64(e.Value))
+}
