Sync an entry instance with a lagging control instance if none is current

Cause: since entry instances avoid lagging control instances, one that starts waited 3 s for a current one; while the group elects a leader there is none. Change: a lagging control instance is accepted at once unless a current one is connected and alive.

--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -14,10 +14,6 @@
 	// HeartbeatInterval is the interval at which an instance sends a heartbeat to
 	// each of its peers. Heartbeats of upstreams are handled by package fleet.
 	HeartbeatInterval = 500 * time.Millisecond
-	// laggingSyncDelay is how long after its start an instance does not count as
-	// synced with a lagging control instance, while it may still find one that is
-	// current.
-	laggingSyncDelay = 3 * time.Second
 	// AliveTimeout is how long after its last heartbeat an instance counts as
 	// alive: three intervals plus the transmission time between regions.
 	AliveTimeout = 3*HeartbeatInterval + 200*time.Millisecond
@@ -112,7 +108,6 @@
 	Lagging             bool
 	LeaderTerm          uint64
 
-	startedAt model.Time
 	// latest is the time of the latest event that this sub-reducer handled.
 	latest        model.Time
 	nextHeartbeat model.Time
@@ -153,7 +148,7 @@
 
 // Start schedules the first heartbeat.
 func (s *State) Start(at model.Time) {
-	s.startedAt, s.latest = at, at
+	s.latest = at
 	s.nextHeartbeat = at.Add(HeartbeatInterval)
 }
 
@@ -324,10 +319,19 @@
 }
 
 // maySyncWith reports whether this instance counts as synced once it has the
-// records of the peer. A lagging control instance may lack changes; it is
-// accepted if no current one was found in time.
+// records of the peer. A lagging control instance may lack changes; it is accepted
+// if no current one is known, for example while the control group elects a leader
+// after all instances were restarted.
 func (s *State) maySyncWith(p *Peer) bool {
-	return p.Control && (!p.Lagging || s.latest >= s.startedAt.Add(laggingSyncDelay))
+	if !p.Control || !p.Lagging {
+		return p.Control
+	}
+	for _, other := range s.peers {
+		if other.Control && !other.Lagging && s.isAlive(other) {
+			return false
+		}
+	}
+	return true
 }
 
 // hasOlderPull reports whether records should rather be pulled from another peer
