Draw replaced control instances and statements of upstreams in the soak

Change: steps that replace a control process by one at a new address, and that make an upstream leave, pause or limit its requests by its answers; checks of DRAIN, BUDGET and LIMIT for them, each shown to see a violation.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -19,8 +19,32 @@
 	// request, and Checker.retrySlack retries in addition.
 	retryBudgetWindow = 10 * time.Second
 	retryBudgetRatio  = 0.2
+	// In a pause that an upstream wants, each entry process may send it maxInPause
+	// requests, not counting those in the first pauseMargin after its first answer:
+	// one before it has been told itself, and two afterwards. A restart is excused
+	// with as many again.
+	maxInPause  = 6
+	pauseMargin = 500 * time.Millisecond
+	// In each limitWindow, an upstream with a request limit may receive limitFactor
+	// times what the limit permits, and limitSlack requests in addition.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
 )
 
+// statement is what an upstream states about itself and what it has received since.
+type statement struct {
+	leaving       bool
+	pausedUntil   time.Time
+	allowedPaused int
+	limit         float64
+	limitedUntil  time.Time
+	// toldAt is when the upstream received the first request after the statement.
+	toldAt   time.Time
+	inPause  int
+	arrivals []time.Time
+}
+
 // clientRequest is what the checker has observed of one request of a client.
 type clientRequest struct {
 	sentAt        time.Time
@@ -41,6 +65,8 @@
 	requests map[string]*clientRequest
 	// drainedAt holds the time when the drain of an upstream was acknowledged.
 	drainedAt map[string]time.Time
+	// statements holds the latest statement of each upstream.
+	statements map[string]*statement
 	// ackedVersions holds the latest acknowledged version of each route.
 	ackedVersions map[string]ackedVersion
 	// routeServices holds the service that each version of a route selects.
@@ -61,7 +87,7 @@
 // NewChecker returns a checker without observations. retrySlack retries are
 // allowed in each window in addition to retryBudgetRatio per request.
 func NewChecker(now func() time.Time, retrySlack int) *Checker {
-	return &Checker{now: now, requests: map[string]*clientRequest{}, drainedAt: map[string]time.Time{}, ackedVersions: map[string]ackedVersion{},
+	return &Checker{now: now, requests: map[string]*clientRequest{}, drainedAt: map[string]time.Time{}, statements: map[string]*statement{}, ackedVersions: map[string]ackedVersion{},
 		routeServices: map[string]map[uint32]string{}, retries: map[string][]time.Time{}, firstAttempts: map[string][]time.Time{},
 		retrySlack: retrySlack, statusCounts: map[string]int{}}
 }
@@ -129,6 +155,9 @@
 	if drainedAt, ok := c.drainedAt[upstream]; ok && now.Sub(drainedAt) > maxDrainDelay && req.sentAt.After(drainedAt.Add(maxDrainDelay)) && c.timeBoundsApply() {
 		c.addViolationLocked("DRAIN: request %s reached upstream %s %v after its drain was acknowledged", id, upstream, now.Sub(drainedAt))
 	}
+	if s := c.statements[upstream]; s != nil {
+		c.checkStatement(upstream, s, req, now)
+	}
 	req.attempts++
 	if req.attempts == 1 {
 		c.firstAttempts[service] = append(c.firstAttempts[service], now)
@@ -138,6 +167,56 @@
 	c.checkRetryBudget(service, now)
 }
 
+// checkStatement checks a request that reaches an upstream against what the
+// upstream has stated in its answers.
+func (c *Checker) checkStatement(upstream string, s *statement, req *clientRequest, now time.Time) {
+	if s.toldAt.IsZero() {
+		s.toldAt = now
+	}
+	if s.leaving && req.sentAt.After(s.toldAt.Add(maxDrainDelay)) && c.timeBoundsApply() {
+		c.addViolationLocked("DRAIN: a request reached upstream %s %v after it had stated that it leaves", upstream, now.Sub(s.toldAt))
+	}
+	if now.After(s.toldAt.Add(pauseMargin)) && now.Before(s.pausedUntil) {
+		if s.inPause++; s.inPause == s.allowedPaused+1 {
+			c.addViolationLocked("BUDGET: %d requests reached upstream %s in the pause that it had asked for", s.inPause, upstream)
+		}
+	}
+	if s.limit == 0 || now.After(s.limitedUntil) {
+		return
+	}
+	s.arrivals = append(s.arrivals, now)
+	inWindow := 0
+	for _, at := range s.arrivals {
+		if now.Sub(at) < limitWindow {
+			inWindow++
+		}
+	}
+	allowed := limitFactor*s.limit*limitWindow.Seconds() + limitSlack
+	if now.Sub(s.toldAt) > faultGracePeriod+limitWindow && c.now().Sub(c.lastFault) > faultGracePeriod+limitWindow && float64(inWindow) > allowed {
+		c.addViolationLocked("LIMIT: upstream %s with a limit of %v received %d requests in %v", upstream, s.limit, inWindow, limitWindow)
+	}
+}
+
+// LeavingStated records that an upstream states from now on that it leaves.
+func (c *Checker) LeavingStated(upstream string) { c.setStatement(upstream, statement{leaving: true}) }
+
+// PauseStated records that an upstream asks for a pause. allowed is the number of
+// requests that may reach it during the pause.
+func (c *Checker) PauseStated(upstream string, until time.Time, allowed int) {
+	c.setStatement(upstream, statement{pausedUntil: until, allowedPaused: allowed})
+}
+
+// LimitStated records that an upstream states a request limit.
+func (c *Checker) LimitStated(upstream string, perSecond float64, until time.Time) {
+	c.setStatement(upstream, statement{limit: perSecond, limitedUntil: until})
+}
+
+func (c *Checker) setStatement(upstream string, s statement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.statements[upstream] = &s
+}
+
 // checkRetryBudget compares the retries in the window that ends now with the
 // requests in this window or in the previous one, whichever are more.
 func (c *Checker) checkRetryBudget(service string, now time.Time) {
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -56,6 +56,34 @@
 				c.RequestReceived("v", "s", id, "/")
 			}
 		},
+		"DRAIN stated": func(c *Checker, advance func(time.Duration)) {
+			c.LeavingStated("u")
+			for _, id := range []string{"1", "2"} {
+				c.RequestSent(id, "r", false)
+				c.RequestReceived("u", "s", id, "/")
+				advance(maxDrainDelay + time.Second)
+			}
+		},
+		"BUDGET stated": func(c *Checker, advance func(time.Duration)) {
+			c.PauseStated("u", time.Unix(1_000_000, 0).Add(3*time.Second), 2)
+			for i := range 4 {
+				id := fmt.Sprint(i)
+				c.RequestSent(id, "r", false)
+				c.RequestReceived("u", "s", id, "/")
+				advance(pauseMargin + 100*time.Millisecond)
+			}
+		},
+		"LIMIT": func(c *Checker, advance func(time.Duration)) {
+			c.LimitStated("u", 1, time.Unix(1_000_000, 0).Add(time.Minute))
+			for i := range 30 {
+				id := fmt.Sprint(i)
+				c.RequestSent(id, "r", false)
+				c.RequestReceived("u", "s", id, "/")
+				if i == 0 {
+					advance(faultGracePeriod + limitWindow + time.Second)
+				}
+			}
+		},
 		"LOST": func(c *Checker, _ func(time.Duration)) {
 			c.RequestSent("1", "r", false)
 			c.RequestReceived("u", "s", "1", "/")
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -23,7 +23,7 @@
 	// restartMu is held by the step that restarts the process.
 	restartMu sync.Mutex
 
-	mu             sync.Mutex
+	mu             sync.Mutex // guards node and the fields below
 	command        *exec.Cmd
 	exited         chan struct{}
 	sigtermSent    bool
@@ -62,6 +62,20 @@
 	return nil
 }
 
+// ip returns the address of the process.
+func (p *process) ip() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.IP
+}
+
+// replaceBy makes the next start that of another instance.
+func (p *process) replaceBy(node standin.Node, settings string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node, p.settings = node, settings
+}
+
 // signal sends a signal to the process that was started last.
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -76,6 +76,10 @@
 	routeVersion   uint32        // latest version of the read route
 	lastRoute      standin.Route // the read route at that version
 	activeSteps    sync.WaitGroup
+	// instances counts the instances that were started, replaced ones included.
+	instances int
+	// stating holds the upstreams that have a statement now.
+	stating map[string]bool
 }
 
 // proxiedUpstream is an upstream behind its own proxy.
@@ -89,6 +93,7 @@
 func Run(ctx context.Context, options Options) (*Report, error) {
 	r := &run{options: options, checker: NewChecker(time.Now, standin.RetryBudgetSlack), httpClient: newHTTPClient()}
 	r.operator.HTTP = r.httpClient
+	r.stating = map[string]bool{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.shutDown()
@@ -160,6 +165,7 @@
 		}
 		*processes = append(*processes, p)
 	}
+	r.instances = r.options.Controls + r.options.Entries
 	for i := range r.options.Upstreams {
 		if err := r.addUpstream(ctx, services[i%len(services)], zones[i/len(services)%len(zones)], ""); err != nil {
 			return err
@@ -222,7 +228,7 @@
 }
 
 func (r *run) controlAddress(i int) string {
-	return fmt.Sprintf("%s:%d", r.controls[i%len(r.controls)].node.IP, r.ports.Control)
+	return fmt.Sprintf("%s:%d", r.controls[i%len(r.controls)].ip(), r.ports.Control)
 }
 
 // addUpstream starts an upstream behind a proxy, with a new id if id is "".
@@ -282,7 +288,7 @@
 		if time.Since(resolvedAt) > 2*time.Second {
 			// If the directory lookup fails or returns no address, the client keeps the
 			// addresses that it has.
-			directoryAddress := fmt.Sprintf("%s:%d", r.controls[rng.IntN(len(r.controls))].node.IP, r.ports.Directory)
+			directoryAddress := fmt.Sprintf("%s:%d", r.controls[rng.IntN(len(r.controls))].ip(), r.ports.Directory)
 			lookupCtx, cancel := context.WithTimeout(ctx, httpTimeout)
 			if newAddresses, err := client.Resolve(lookupCtx, directoryAddress, zone, regions[zone]); err == nil && len(newAddresses) > 0 {
 				addresses, resolvedAt = newAddresses, time.Now()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -30,7 +30,15 @@
 	ResendChange  StepKind = "resend_change"
 	RaceChange    StepKind = "race_change"
 	EvacuateZone  StepKind = "evacuate_zone"
-	firstStepAt            = 2 * time.Second
+	// ReplaceControl ends a control process for good and starts another one with an
+	// empty data folder at a new address.
+	ReplaceControl StepKind = "replace_control"
+	// StateLeaving, StatePause and StateLimit make an upstream state something about
+	// itself in its responses.
+	StateLeaving StepKind = "state_leaving"
+	StatePause   StepKind = "state_pause"
+	StateLimit   StepKind = "state_limit"
+	firstStepAt           = 2 * time.Second
 	// stepFreeEnd is the last part of a run, in which no step starts. Delays, which
 	// are not checked soon after a fault, are checked there again.
 	stepFreeEnd = 8 * time.Second
@@ -47,6 +55,7 @@
 	{KillEntry, 3}, {KillControl, 3}, {KillAll, 1}, {PauseEntry, 3}, {PauseControl, 3}, {StopEntry, 5}, {StopControl, 3}, {Reload, 2},
 	{WipeControl, 2}, {TearFile, 2}, {DelayLink, 3}, {ResetLink, 3}, {SilenceLink, 3}, {CutAnswers, 3}, {CrashUpstream, 3},
 	{DrainUpstream, 4}, {ChangeRoute, 8}, {ResendChange, 3}, {RaceChange, 2}, {EvacuateZone, 2},
+	{ReplaceControl, 2}, {StateLeaving, 3}, {StatePause, 3}, {StateLimit, 3},
 }
 
 // Step is one entry of a schedule.
@@ -59,12 +68,15 @@
 
 func (k StepKind) disruptsControl() bool {
 	switch k {
-	case KillControl, KillAll, PauseControl, StopControl, WipeControl, TearFile:
+	case KillControl, KillAll, PauseControl, StopControl, WipeControl, TearFile, ReplaceControl:
 		return true
 	}
 	return false
 }
 
+// losesDisk reports whether a control process loses its data folder.
+func (k StepKind) losesDisk() bool { return k == WipeControl || k == ReplaceControl }
+
 // Schedule returns the steps of a run. They may overlap in time. The same seed
 // and length give the same steps.
 func Schedule(seed uint64, length time.Duration) []Step {
@@ -85,16 +97,16 @@
 			}
 		}
 		if step.Kind.disruptsControl() {
-			// A control process that lost its disk (WipeControl) counts as
+			// A control process that lost its disk counts as
 			// failed until its log is restored. So for diskRepairTime after a
 			// loss no step disrupts control processes, and no disk is lost that
 			// soon after a disruption. The operands "> 0" are false until the
 			// first loss or disruption.
-			if at < wipedUntil+diskRepairTime && wipedUntil > 0 || step.Kind == WipeControl && at < disruptedUntil+diskRepairTime && disruptedUntil > 0 {
+			if at < wipedUntil+diskRepairTime && wipedUntil > 0 || step.Kind.losesDisk() && at < disruptedUntil+diskRepairTime && disruptedUntil > 0 {
 				continue
 			}
 			disruptedUntil = at + step.Duration
-			if step.Kind == WipeControl {
+			if step.Kind.losesDisk() {
 				wipedUntil = at + step.Duration
 			}
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,7 +26,7 @@
 			if wipedUntil > 0 && step.Kind.disruptsControl() {
 				g.Expect(step.At).To(BeNumerically(">=", wipedUntil+diskRepairTime))
 			}
-			if step.Kind == WipeControl {
+			if step.Kind.losesDisk() {
 				wipedUntil = step.At + step.Duration
 			}
 		}
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -64,6 +67,10 @@
 			r.activeSteps.Add(1)
 			go func() { defer r.activeSteps.Done(); r.sendRoute(ctx, step.Target+i, route) }()
 		}
+	case ReplaceControl:
+		r.kill(ctx, control, func() error { return r.replaceControl(control) })
+	case StateLeaving, StatePause, StateLimit:
+		r.stateUpstream(ctx, step)
 	case EvacuateZone:
 		zone := zones[step.Target%len(zones)]
 		r.sendUntilAnswered(ctx, func(i int) int { return r.operator.Evacuate(ctx, r.controlAddress(step.Target+i), zone, true) })
@@ -141,6 +148,74 @@
 	}
 }
 
+// replaceControl makes a control process that is down start as a new instance, with
+// an empty data folder, at a new address.
+func (r *run) replaceControl(p *process) error {
+	r.mu.Lock()
+	r.instances++
+	index := r.instances
+	r.mu.Unlock()
+	node := p.node
+	node.Name, node.IP, node.Bootstrap = fmt.Sprintf("c%d", index), processIP(index), false
+	node.DataDir = filepath.Join(r.options.Folder, fmt.Sprintf("data%d", index))
+	node.Seeds = nil
+	for _, other := range r.controls {
+		if other != p {
+			node.Seeds = append(node.Seeds, other.ip())
+		}
+	}
+	p.replaceBy(node, node.SettingsFile(r.ports, regions))
+	return os.MkdirAll(node.DataDir, 0o700)
+}
+
+const (
+	// statedLimit is the request limit that upstreams state, in requests per second.
+	statedLimit = 6.0
+	// limitDuration is how long they state it.
+	limitDuration = 10 * time.Second
+)
+
+// stateUpstream makes an upstream state that it leaves, wants a pause or limits its
+// requests. An upstream that leaves is replaced.
+func (r *run) stateUpstream(ctx context.Context, step Step) {
+	r.mu.Lock()
+	upstream := r.upstreams[step.Target%len(r.upstreams)].upstream
+	isStating := r.stating[upstream.ID]
+	r.stating[upstream.ID] = true
+	r.mu.Unlock()
+	if isStating {
+		return
+	}
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.stating, upstream.ID)
+	}()
+	switch step.Kind {
+	case StateLeaving:
+		old := r.takeUpstream(step.Target)
+		if err := r.addUpstream(ctx, old.upstream.Service, old.upstream.Zone, ""); err != nil {
+			r.checker.addViolation("SOAK: %v", err)
+		}
+		r.checker.LeavingStated(old.upstream.ID)
+		old.upstream.State(standin.Statement{Leaving: true})
+		sleep(ctx, deregisterDelay)
+		old.stopHeartbeats()
+		old.upstream.Crash()
+		old.proxy.Close()
+	case StatePause:
+		until := time.Now().Add(step.Duration)
+		r.checker.PauseStated(upstream.ID, until, maxInPause*len(r.entries))
+		upstream.State(standin.Statement{PausedUntil: until})
+		sleep(ctx, step.Duration)
+	case StateLimit:
+		r.checker.LimitStated(upstream.ID, statedLimit, time.Now().Add(limitDuration))
+		upstream.State(standin.Statement{RequestLimit: statedLimit})
+		sleep(ctx, limitDuration)
+		upstream.State(standin.Statement{})
+	}
+}
+
 // replaceUpstream starts a new upstream, drains the old one, lets it serve for
 // deregisterDelay, and deregisters it.
 func (r *run) replaceUpstream(ctx context.Context, step Step) {
