--- a/node_test.go
+++ b/node_test.go
@@ -37,8 +37,7 @@
 	}
 	c.HeartbeatInterval, c.StopGracePeriod = time.Second, 6*time.Second
 	c.RetryBudget = routed.RetryBudgetLimits{Window: 10 * time.Second, Ratio: 0.2, Slack: 10}
-	c.Headers = gateway.Headers{AttemptID: "Attempt", Remaining: "Remaining", AffinityKey: "Object", TargetUpstream: "Upstream",
-		NotExecuted: "Not-Executed", Load: "Load", ColdRemaining: "Cold"}
+	c.Headers = gateway.DefaultHeaders
 	n, err := anvilcrank.NewNode(c)
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -69,7 +68,7 @@
 
 	release := make(chan struct{})
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Attempt", r.Header.Get("Attempt"))
+		w.Header().Set("Anvilcrank-Attempt", r.Header.Get("Anvilcrank-Attempt"))
 		if r.URL.Path == "/a/slow" {
 			<-release
 		}
@@ -89,7 +88,7 @@
 		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+entryAddress+path, nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		req.Host = "h"
-		req.Header.Set("Attempt", "1")
+		req.Header.Set("Anvilcrank-Attempt", "1")
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			return 0, err.Error()
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -46,6 +46,19 @@
 	Leaving string
 }
 
+// DefaultHeaders are the product's own names.
+var DefaultHeaders = Headers{
+	AttemptID:      "Anvilcrank-Attempt",
+	Remaining:      "Anvilcrank-Deadline-Ms",
+	AffinityKey:    "Anvilcrank-Affinity-Key",
+	TargetUpstream: "Anvilcrank-Upstream",
+	NotExecuted:    "Anvilcrank-Not-Run",
+	Load:           "Anvilcrank-Load",
+	ColdRemaining:  "Anvilcrank-Cold-Ms",
+	RequestLimit:   "Anvilcrank-Request-Limit",
+	Leaving:        "Anvilcrank-Leaving",
+}
+
 // retryAfterHeader states in a response with the status 503 after how many seconds
 // the upstream accepts requests again.
 const retryAfterHeader = "Retry-After"
