Deliver complete responses when the control goroutine has ended

Cause: the end of the control goroutine raced with the delivery that it had queued, and the error response was written also after a streamed one. Change: queued commands are executed first, a complete answer is delivered without them, and nothing is written after a streamed response has begun.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -47,6 +47,12 @@
 	// has begun to stream a response to the caller. A send is one attempt at an
 	// upstream.
 	response *response
+	// answered is true if response is the upstream's answer to the request, and not
+	// a refusal.
+	answered bool
+	// started is set when the header of a streamed response is written to the
+	// caller. Nothing else may be written after it.
+	started bool
 	// truncated is set when streaming a response to the caller failed before the
 	// response was complete.
 	truncated bool
@@ -157,17 +163,39 @@
 				return code
 			}
 		case <-g.control.Done():
-			return e.writeReject(&event.Reject{Request: e.id, Code: result.UpstreamLost})
+			return e.endWithoutControl()
 		}
 	}
 }
 
+// endWithoutControl ends the request after the control goroutine has ended. The
+// commands that it left are executed first. A response that is complete is
+// delivered.
+func (e *exchange) endWithoutControl() result.Code {
+	for {
+		select {
+		case c := <-e.commands:
+			if code, ended := e.execute(c); ended {
+				return code
+			}
+			continue
+		default:
+		}
+		if e.answered {
+			e.writeResponse()
+			return result.Success
+		}
+		return e.writeReject(&event.Reject{Request: e.id, Code: result.UpstreamLost})
+	}
+}
+
 // execute executes a command. If the command ended the request, execute returns
 // the result code of the request and true.
 func (e *exchange) execute(c command) (result.Code, bool) {
 	switch {
 	case c.forward != nil:
 		ended := e.send(c.forward)
+		e.answered = ended.Outcome == event.SendAnswered && e.response != nil
 		e.gateway.control.Report(ended)
 		return 0, false
 	case c.deliver:
@@ -243,8 +271,12 @@
 
 // writeReject sends the caller an error response with the result code of the
 // rejection, and returns the code. It closes the caller's connection if the
-// request body was not read to its end.
+// request body was not read to its end. It sends nothing if a streamed response has
+// begun.
 func (e *exchange) writeReject(r *event.Reject) result.Code {
+	if e.started {
+		return r.Code
+	}
 	h := e.writer.Header()
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
--- a/pkg/gateway/faulty_test.go
+++ b/pkg/gateway/faulty_test.go
@@ -181,3 +181,23 @@
 	sendRequest(server, "GET", "a2", "")
 	Eventually(c.reported).Should(Receive(Equal(event.UpstreamStated{Upstream: "u", Statement: model.UpstreamStatement{Leaving: true}})))
 })
+
+// Guards against a whole response that the caller loses, or gets with an error
+// message in its body, because the process ends at the same moment.
+var _ = DescribeTable("response is delivered as it is if the control goroutine ends meanwhile", func(bufferLimit int) {
+	for range 20 {
+		c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, _ int) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\n\r\nwhole", r.Header.Get("Attempt"))
+			_ = conn.Close()
+		}))
+		c.bufferLimit = bufferLimit
+		c.endAfterSend = true
+		server := startGateway(c)
+		resp, text := sendRequest(server, "GET", "a1", "")
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(text).To(Equal("whole"))
+	}
+},
+	Entry("buffered", 1<<20),
+	Entry("streamed", 1),
+)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -38,6 +38,8 @@
 	maxIdleTime time.Duration
 	done        chan struct{}
 	catalog     *catalog.State
+	// endAfterSend closes done together with the decision about the first send.
+	endAfterSend bool
 
 	mu       sync.Mutex
 	ended    []event.SendEnded
@@ -79,6 +81,9 @@
 		c.mu.Unlock()
 		if b.Outcome == event.SendAnswered || b.Outcome == event.SendStreamed {
 			c.gateway.Deliver(event.Deliver{Request: b.Request})
+			if c.endAfterSend {
+				close(c.done)
+			}
 			return
 		}
 		c.gateway.Reject(event.Reject{Request: b.Request, Code: result.UpstreamLost})
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -310,6 +310,7 @@
 	if resp.ContentLength >= 0 {
 		e.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
+	e.started = true
 	e.writer.WriteHeader(resp.StatusCode)
 	if _, err := e.writer.Write(buffered.Bytes()); err != nil {
 		return err
