Apply statements of upstreams to owned slots too

Change: the parsing moves to pkg/proxy, where both front ends use it. A response or a refusal carries what the upstream stated to the owner of its slots, with the observation of the attempt. The owner grants no slots of a process that is leaving, none before the end of a pause and then one at first, and no more than the request limit in a second. The upstream stand-in can make the statements.

--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -89,6 +89,7 @@
 	coldCache          ColdCache
 	servedSinceCold    int
 	announcementFaults AnnouncementFaults
+	statement          Statement
 	loadHistory        loadHistory
 	waiters            []chan struct{}
 	rng                *rand.Rand
@@ -232,6 +233,10 @@
 	}
 	id := r.Header.Get(proxy.HeaderAttempt)
 	w.Header().Set(proxy.HeaderAttempt, id)
+	if u.addStatement(w.Header()) {
+		rejectNotExecuted(w)
+		return
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	if ms, err := strconv.Atoi(r.Header.Get(proxy.HeaderDeadline)); err == nil {
@@ -262,6 +267,42 @@
 	u.writeResponse(ctx, w, response{token: token, firstByte: rangeStart(r), holdTime: holdTime, release: release})
 }
 
+// Statement is what the upstream states about itself in its responses.
+type Statement struct {
+	Leaving bool
+	// RequestLimit is the number of requests per second that the upstream accepts, 0
+	// for any number.
+	RequestLimit float64
+	// PausedUntil is when the upstream accepts requests again.
+	PausedUntil time.Time
+}
+
+// State sets what the upstream states in its responses from now on.
+func (u *Upstream) State(s Statement) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.statement = s
+}
+
+// addStatement adds the headers of the statement to a response, and reports whether
+// the upstream refuses the request because of a pause.
+func (u *Upstream) addStatement(h http.Header) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.statement.Leaving {
+		h.Set(proxy.HeaderLeaving, "1")
+	}
+	if u.statement.RequestLimit > 0 {
+		h.Set(proxy.HeaderRequestLimit, strconv.FormatFloat(u.statement.RequestLimit, 'f', -1, 64))
+	}
+	rest := time.Until(u.statement.PausedUntil)
+	if rest <= 0 {
+		return false
+	}
+	h.Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
+	return true
+}
+
 // rejectNotExecuted sends the response that guarantees that the request was not
 // executed.
 func rejectNotExecuted(w http.ResponseWriter) {
--- a/pkg/event/request.go
+++ b/pkg/event/request.go
@@ -38,6 +38,15 @@
 	Status  int
 	// Latency is the time from dispatch to the response headers.
 	Latency model.Duration
+	// Stated is what the upstream stated in the headers.
+	Stated UpstreamStatement
+}
+
+// UpstreamStatement is what a process of an upstream stated about itself in a
+// response.
+type UpstreamStatement struct {
+	Incarnation model.Incarnation
+	Statement   model.UpstreamStatement
 }
 
 // AttemptResult is the result of an attempt.
@@ -72,6 +81,8 @@
 	Request model.RequestID
 	Attempt model.AttemptID
 	Result  AttemptResult
+	// Stated is set if the upstream refused the request.
+	Stated UpstreamStatement
 	// RelayedBytes is the number of bytes of the response body that were sent to the
 	// caller. Its key in recordings is "Relayed".
 	RelayedBytes int64 `cbor:"Relayed"`
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,24 +47,17 @@
 
 // DefaultHeaders are the product's own names.
 var DefaultHeaders = Headers{
-	AttemptID:      "Anvilcrank-Attempt",
-	Remaining:      "Anvilcrank-Deadline-Ms",
+	AttemptID:      proxy.HeaderAttempt,
+	Remaining:      proxy.HeaderDeadline,
 	AffinityKey:    "Anvilcrank-Affinity-Key",
 	TargetUpstream: "Anvilcrank-Upstream",
-	NotExecuted:    "Anvilcrank-Not-Run",
+	NotExecuted:    proxy.HeaderNotRun,
 	Load:           "Anvilcrank-Load",
 	ColdRemaining:  "Anvilcrank-Cold-Ms",
-	RequestLimit:   "Anvilcrank-Request-Limit",
-	Leaving:        "Anvilcrank-Leaving",
+	RequestLimit:   proxy.HeaderRequestLimit,
+	Leaving:        proxy.HeaderLeaving,
 }
 
-// retryAfterHeader states in a response with the status 503 after how many seconds
-// the upstream accepts requests again.
-const retryAfterHeader = "Retry-After"
-
-// leavingValue is the value of the header Leaving.
-const leavingValue = "1"
-
 // percentScale converts the slowdown in a load header to a factor.
 const percentScale = 100.0
 
@@ -98,54 +90,6 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// minRequestLimit is the lowest request limit of an upstream that is applied, in
-// requests per second. With fewer requests, this instance would not learn in time
-// that the limit has ended.
-const minRequestLimit = 0.05
-
-// parseRequestLimit parses a request limit. It returns 0 if the limit is absent
-// or above model.MaxRequestLimit, and false if it is malformed or negative.
-func parseRequestLimit(text string) (float64, bool) {
-	if text == "" {
-		return 0, true
-	}
-	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	switch {
-	case err != nil || math.IsNaN(limit) || limit < 0:
-		return 0, false
-	case limit > model.MaxRequestLimit:
-		return 0, true
-	}
-	return max(limit, minRequestLimit), true
-}
-
-// parsePause parses the time after which an upstream accepts requests again: a
-// number of seconds, with or without a fraction, or a date. A date is compared with
-// the date of the response, since clocks differ. parsePause returns 0 if the time is
-// absent, and false if it is malformed, negative or above model.MaxPause; the pause
-// is then 0, or model.MaxPause.
-func parsePause(text, responseDate string) (time.Duration, bool) {
-	text = strings.TrimSpace(text)
-	if text == "" {
-		return 0, true
-	}
-	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
-		switch {
-		case math.IsNaN(seconds) || seconds < 0:
-			return 0, false
-		case seconds > model.MaxPause.Seconds():
-			return model.MaxPause, false
-		}
-		return time.Duration(seconds * float64(time.Second)), true
-	}
-	until, err := http.ParseTime(text)
-	from, fromErr := http.ParseTime(responseDate)
-	if err != nil || fromErr != nil || until.Before(from) {
-		return 0, false
-	}
-	return min(until.Sub(from), model.MaxPause), until.Sub(from) <= model.MaxPause
-}
-
 // keepAliveTimeout returns the timeout parameter of the Keep-Alive header: how
 // long the sender of the header keeps an idle connection open. It returns 0 if
 // the header lacks the parameter.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -13,6 +13,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 )
 
 const (
@@ -159,22 +160,10 @@
 // response. That it leaves or wants a pause is reported at once, since the body may
 // take long. Malformed statements are logged and ignored.
 func (g *Gateway) readStatement(conn *upstreamConn, resp *http.Response) model.UpstreamStatement {
-	var s model.UpstreamStatement
-	var ok bool
-	if s.RequestLimit, ok = parseRequestLimit(resp.Header.Get(g.headers.RequestLimit)); !ok {
-		g.logMalformedStatement(conn, resp.Header, g.headers.RequestLimit)
-	}
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		if s.Pause, ok = parsePause(resp.Header.Get(retryAfterHeader), resp.Header.Get("Date")); !ok {
-			g.logMalformedStatement(conn, resp.Header, retryAfterHeader)
-		}
-	}
-	switch value := resp.Header.Get(g.headers.Leaving); value {
-	case "":
-	case leavingValue:
-		s.Leaving = true
-	default:
-		g.logMalformedStatement(conn, resp.Header, g.headers.Leaving)
+	s, malformed := proxy.ReadStatement(resp.StatusCode, resp.Header, g.headers.RequestLimit, g.headers.Leaving)
+	if malformed != "" {
+		g.telemetry.Log(event.Log{Code: logevent.StatementMalformed, Fields: []logevent.Field{
+			logevent.F("upstream", conn.upstream), logevent.F("header", malformed), logevent.F("value", resp.Header.Get(malformed))}})
 	}
 	if s.Leaving || s.Pause > 0 {
 		g.control.Report(event.UpstreamStated{Upstream: conn.upstream, StartMs: conn.upstreamStartMs, Statement: s})
@@ -182,13 +171,6 @@
 	return s
 }
 
-// logMalformedStatement logs a header of an upstream that cannot be applied as it
-// is.
-func (g *Gateway) logMalformedStatement(conn *upstreamConn, h http.Header, name string) {
-	g.telemetry.Log(event.Log{Code: logevent.StatementMalformed, Fields: []logevent.Field{
-		logevent.F("upstream", conn.upstream), logevent.F("header", name), logevent.F("value", h.Get(name))}})
-}
-
 // encodeRequest returns the encoded request header, followed by the body if it is
 // buffered completely.
 func (e *exchange) encodeRequest(f *event.Forward) []byte {
--- a/pkg/message/permit.go
+++ b/pkg/message/permit.go
@@ -122,6 +122,10 @@
 	HoldTime model.Duration `cbor:"Hold"`
 	// Unreachable is true if no connection to the upstream could be established.
 	Unreachable bool
+	// Incarnation is the process of the upstream that responded, 0 if none did, and
+	// Stated is what it stated about itself in its response.
+	Incarnation model.Incarnation       `cbor:"Process,omitempty"`
+	Stated      model.UpstreamStatement `cbor:"Stated,omitzero"`
 }
 
 // PermitReleaseAck acknowledges a PermitRelease.
--- a/pkg/permit/remote.go
+++ b/pkg/permit/remote.go
@@ -156,6 +156,9 @@
 	rp.observed.Latency = max(rp.observed.Latency, observed.Latency)
 	rp.observed.HoldTime = max(rp.observed.HoldTime, observed.HoldTime)
 	rp.observed.Unreachable = rp.observed.Unreachable || observed.Unreachable
+	if observed.Incarnation != 0 {
+		rp.observed.Incarnation, rp.observed.Stated = observed.Incarnation, observed.Stated
+	}
 	return true
 }
 
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -94,6 +95,12 @@
 		a.reportEnd(event.AttemptEnded{Result: event.LostAfterDispatch})
 		return
 	}
+	statement, malformed := ReadStatement(resp.StatusCode, resp.Header, HeaderRequestLimit, HeaderLeaving)
+	if malformed != "" {
+		a.proxy.telemetry.Log(event.Log{Code: logevent.StatementMalformed, Fields: []logevent.Field{
+			logevent.F("address", a.dispatch.Address), logevent.F("header", malformed), logevent.F("value", resp.Header.Get(malformed))}})
+	}
+	stated := event.UpstreamStatement{Incarnation: a.dispatch.Incarnation, Statement: statement}
 	if refused && answers == "" {
 		// If the upstream wrote this refusal once more, it could not be told from
 		// the refusal of a later request on the connection.
@@ -102,13 +109,13 @@
 	if refused {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, copyBufferBytes))
 		_ = resp.Body.Close()
-		a.reportEnd(event.AttemptEnded{Result: event.RefusedBeforeExecution})
+		a.reportEnd(event.AttemptEnded{Result: event.RefusedBeforeExecution, Stated: stated})
 		return
 	}
 	a.response.Store(resp)
 	a.proxy.control.Report(event.AttemptAnswered{
 		Request: a.dispatch.Request, Attempt: a.dispatch.Attempt,
-		Status: resp.StatusCode, Latency: time.Since(start)})
+		Status: resp.StatusCode, Latency: time.Since(start), Stated: stated})
 }
 
 // closeConn closes the connection of the attempt, so that no other request is sent
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -71,9 +71,11 @@
 	View() *view.View
 }
 
-// Telemetry receives the latency and result code of each request that has ended.
+// Telemetry receives the latency and result code of each request that has ended,
+// and log events.
 type Telemetry interface {
 	ObserveRequest(tenant model.Tenant, service model.ServiceName, class model.Class, code result.Code, latency time.Duration)
+	Log(event.Log)
 }
 
 // DialFunc opens a connection to an upstream.
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -45,6 +45,8 @@
 func (discardTelemetry) ObserveRequest(model.Tenant, model.ServiceName, model.Class, result.Code, time.Duration) {
 }
 
+func (discardTelemetry) Log(event.Log) {}
+
 func newProxy(c *stubControl) *proxy.Proxy {
 	p := proxy.New("a-1", discardTelemetry{}, func() model.Time { return model.Time(time.Now().UnixNano()) }, nil)
 	p.SetControl(c)
--- a/pkg/request/attempt.go
+++ b/pkg/request/attempt.go
@@ -13,6 +13,7 @@
 // attempt with response headers is relayed to the caller; the other attempts of
 // the request are canceled.
 func (s *State) Answered(at model.Time, ev *event.AttemptAnswered, out *event.Effects) {
+	s.observeStatement(at, ev.Attempt, &ev.Stated)
 	r := s.open[ev.Request]
 	if r == nil || !r.isOpenAttempt(ev.Attempt) || r.relayedAttempt.Seq != 0 {
 		out.Add(event.Count{Counter: event.UnmatchedAttemptEvents, Add: 1})
@@ -112,6 +113,7 @@
 // failed connection, that the upstream is unreachable, and after a completed
 // response, how long the attempt held its slot. Other ends are not reported.
 func (s *State) observeEnd(at model.Time, ev *event.AttemptEnded) {
+	s.observeStatement(at, ev.Attempt, &ev.Stated)
 	switch ev.Result {
 	case event.ConnectFailed:
 		s.slots.Observe(at, ev.Attempt, message.Observation{Unreachable: true})
@@ -128,6 +130,14 @@
 	}
 }
 
+// observeStatement reports what the upstream of an attempt has stated about itself,
+// also if nobody waits for its response any more.
+func (s *State) observeStatement(at model.Time, attempt model.AttemptID, stated *event.UpstreamStatement) {
+	if stated.Incarnation != 0 {
+		s.slots.Observe(at, attempt, message.Observation{Incarnation: stated.Incarnation, Stated: stated.Statement})
+	}
+}
+
 // isSlotFree reports whether the result of an attempt proves that its slot at the
 // upstream is free.
 func isSlotFree(res event.AttemptResult) bool {
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -24,7 +24,8 @@
 }
 
 // Choose returns an owned upstream that matches the query and has a free slot. It
-// returns nil if there is none.
+// returns nil if there is none. A request must be sent to the upstream, since it
+// counts against the upstream's request limit.
 func (s *State) Choose(at model.Time, q Query) *Upstream {
 	p := s.pools[q.Service]
 	if p == nil || len(p.ready[q.Distance]) == 0 {
@@ -34,7 +35,9 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	return candidates[s.Policy.Pick(at, candidates)]
+	u := candidates[s.Policy.Pick(at, candidates)]
+	u.health.requestSent()
+	return u
 }
 
 // sample returns the candidates for a choice: upstreams that match the query and
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -26,6 +26,7 @@
 	outlierState
 	slowStart
 	loadReport
+	statements
 }
 
 // Observe records the latency, hold time or connection failure of an attempt at an
@@ -35,6 +36,7 @@
 	if u == nil {
 		return
 	}
+	s.observeStatement(at, u, &o)
 	p := s.pools[u.Announcement.Service]
 	h := &u.health
 	if o.Unreachable {
@@ -68,15 +70,17 @@
 }
 
 // Sweep marks the outliers among the upstreams of each service as suspect, and
-// raises the slot limits of upstreams in slow start. It returns the services for
-// which it raised the limit of an upstream. The returned slice is valid until the
+// raises the slot limits of upstreams in slow start. It also makes upstreams
+// available again after a pause. It returns the services for which it raised the
+// limit of an upstream or made one available. The returned slice is valid until the
 // next call.
 func (s *State) Sweep(at model.Time) []model.ServiceName {
 	s.raisedServices = s.raisedServices[:0]
 	for _, name := range s.services() {
 		p := s.pools[name]
 		p.findOutliers(at, &s.scratch)
-		if p.raiseLimits(at) {
+		raised, resumed := p.raiseLimits(at), p.resume(at)
+		if raised || resumed {
 			s.raisedServices = append(s.raisedServices, name)
 		}
 	}
@@ -86,6 +90,9 @@
 // free returns how many more slots of the upstream may be granted at the given
 // time. During slow start, the slots in use count against the slow start limit too.
 func (u *Upstream) free(at model.Time) int {
+	if !u.health.mayReceive(at) {
+		return 0
+	}
 	free := u.Usage.Free(at)
 	if limit := u.health.limit; limit > 0 {
 		return min(free, limit-u.Usage.Used())
--- a/pkg/upstream/state.go
+++ b/pkg/upstream/state.go
@@ -242,10 +242,10 @@
 	}
 }
 
-// inService reports whether the upstream announced that it is serving and no
-// operator has drained it.
+// inService reports whether the upstream announced that it is serving, has not
+// stated that it leaves, and no operator has drained it.
 func (u *Upstream) inService() bool {
-	return u.Announcement.State == model.Serving && !u.Placement.Drained
+	return u.Announcement.State == model.Serving && !u.Placement.Drained && !u.health.leaving
 }
 
 // endOwnership ends the ownership of an upstream and closes the account of its
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -283,3 +283,62 @@
 	}
 	g.Expect(h.countChoices(8)).To(Equal(map[model.UpstreamID]int{name(3): 8}))
 })
+
+// observed is an observation of a response of the harness's upstreams with the given
+// statement.
+func observed(s model.UpstreamStatement) message.Observation {
+	return message.Observation{Incarnation: 5, Stated: s}
+}
+
+var _ = It("upstream that states that it leaves is not chosen until it is restarted", func() {
+	h := newHarness(2, 8)
+	h.endSlowStart(2)
+	h.Observe(h.at, name(0), message.Observation{Incarnation: 4, Stated: model.UpstreamStatement{Leaving: true}})
+	Expect(h.countChoices(40)[name(0)]).To(BeNumerically(">", 0), "the statement is of an earlier process")
+	h.Observe(h.at, name(0), observed(model.UpstreamStatement{Leaving: true}))
+	h.Observe(h.at, name(0), observed(model.UpstreamStatement{}))
+	h.announce(name(0), 8, false, model.Serving, 0)
+	Expect(h.countChoices(40)).To(Equal(map[model.UpstreamID]int{name(1): 40}))
+	for _, first := range []bool{true, false} {
+		h.at = h.at.Add(500 * ms)
+		h.announce(name(1), 8, false, model.Serving, 0)
+		h.Announce(h.at, event.UpstreamAnnounced{Announcement: model.Announcement{Upstream: name(0), Incarnation: 6, Service: "tabview",
+			Zone: "z", Address: "a", Slots: 8, MaxConnections: 1, State: model.Serving, First: first}}, &h.out)
+		h.MarkReady(name(0))
+	}
+	Expect(h.countChoices(40)[name(0)]).To(BeNumerically(">", 0))
+})
+
+var _ = It("upstream that wants a pause is not chosen before its end", func() {
+	h := newHarness(2, 8)
+	h.endSlowStart(2)
+	h.Observe(h.at, name(0), observed(model.UpstreamStatement{Pause: 3 * time.Second}))
+	for end := h.at.Add(2900 * ms); h.at < end; h.at = h.at.Add(100 * ms) {
+		h.announce(name(0), 8, false, model.Serving, 0)
+		h.announce(name(1), 8, false, model.Serving, 0)
+		h.Sweep(h.at)
+		Expect(h.countChoices(4)[name(0)]).To(BeZero())
+	}
+	h.at = h.at.Add(200 * ms)
+	h.Sweep(h.at)
+	Expect(h.countChoices(40)[name(0)]).To(BeNumerically(">", 0))
+})
+
+var _ = It("upstream with a request limit is chosen no more often than that", func() {
+	h := newHarness(1, 8)
+	h.endSlowStart(1)
+	h.Observe(h.at, name(0), observed(model.UpstreamStatement{RequestLimit: 5}))
+	chosen := 0
+	for range 100 {
+		h.at = h.at.Add(100 * ms)
+		h.announce(name(0), 8, false, model.Serving, 0)
+		h.Sweep(h.at)
+		if id, a := h.dispatch(false); id != "" {
+			chosen++
+			h.release(id, a)
+		}
+	}
+	Expect(chosen).To(BeNumerically("~", 50, 5))
+	h.Observe(h.at, name(0), observed(model.UpstreamStatement{}))
+	Expect(h.countChoices(20)[name(0)]).To(Equal(20))
+})
