--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -120,6 +120,8 @@
 	idle []*upstreamConn
 	// openCount counts the open connections, idle ones and those in use.
 	openCount int
+	// usedAt is when a connection was last requested.
+	usedAt time.Time
 }
 
 // pool keeps idle connections to upstreams for reuse and limits the number of
@@ -191,6 +193,7 @@
 		h = &hostConns{}
 		p.hosts[address] = h
 	}
+	h.usedAt = time.Now()
 	return h
 }
 
@@ -286,7 +289,8 @@
 		}
 		h.idle = kept
 		idleCount += len(kept)
-		if h.openCount == 0 {
+		// A connection may be about to be opened.
+		if h.openCount == 0 && now.Sub(h.usedAt) > sweepInterval {
 			delete(p.hosts, address)
 		}
 	}
