--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -253,8 +253,12 @@
 // writeResponse sends the buffered response to the caller.
 func (e *exchange) writeResponse() {
 	e.setResponseHeader(e.response.header)
-	if e.request.Method != http.MethodHead && bodyAllowed(e.response.status) {
+	switch {
+	case !bodyAllowed(e.response.status):
+	case e.request.Method != http.MethodHead:
 		e.writer.Header().Set("Content-Length", strconv.Itoa(len(e.response.body)))
+	case e.response.contentLength >= 0:
+		e.writer.Header().Set("Content-Length", strconv.FormatInt(e.response.contentLength, 10))
 	}
 	e.writer.WriteHeader(e.response.status)
 	if e.request.Method != http.MethodHead && len(e.response.body) > 0 {
--- a/pkg/gateway/faulty_test.go
+++ b/pkg/gateway/faulty_test.go
@@ -201,3 +201,11 @@
 	Entry("buffered", 1<<20),
 	Entry("streamed", 1),
 )
+
+var _ = It("response to HEAD keeps its Content-Length", func() {
+	c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, _ int) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: 1234\r\n\r\n", r.Header.Get("Attempt"))
+	}))
+	resp, _ := sendRequest(startGateway(c), "HEAD", "a1", "")
+	Expect(resp.ContentLength).To(BeEquivalentTo(1234))
+})
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -43,6 +43,9 @@
 	status int
 	header http.Header
 	body   []byte
+	// contentLength is the stated length of the body, -1 if none is stated. The
+	// response to a HEAD request states it without a body.
+	contentLength int64
 }
 
 // send sends the request to an upstream once and reads the response. The
@@ -283,7 +286,7 @@
 		return err
 	}
 	if n <= int64(bufferLimit) {
-		e.response = &response{status: resp.StatusCode, header: resp.Header, body: buffered.Bytes()}
+		e.response = &response{status: resp.StatusCode, header: resp.Header, body: buffered.Bytes(), contentLength: resp.ContentLength}
 		return nil
 	}
 	ended.Outcome = event.SendStreamed
