--- a/instance_test.go
+++ b/instance_test.go
@@ -220,6 +220,8 @@
 		{"unknown path", "GET", "/nothing", "", "", "", "1010"},
 		{"lookup of unknown service", "GET", "/v1/lookup?service=nothing", "", "", "", "1003"},
 		{"announcement that is not JSON", "POST", "/v1/announce", "", "", "{", "1001"},
+		{"announcement with data after it", "POST", "/v1/announce", "", "", `{"upstream":"u","incarnation":1,"service":"reads","zone":"a","address":"127.0.0.1:1","slots":1,"connections":1,"state":"serving"} {}`, "1001"},
+		{"announcement with a negative number in flight", "POST", "/v1/announce", "", "", `{"upstream":"u","incarnation":1,"service":"reads","zone":"a","address":"127.0.0.1:1","slots":1,"connections":1,"state":"serving","in_flight":-1}`, "1001"},
 		{"announcement with unknown field", "POST", "/v1/announce", "", "", `{"slotz":1}`, "1001"},
 		{"announcement without slots", "POST", "/v1/announce", "", "", `{"upstream":"u","incarnation":1,"service":"reads","zone":"a","address":"127.0.0.1:1","slots":0,"connections":1,"state":"serving"}`, "1001"},
 		{"deadline that is no number", "GET", "/s/reads/x", "Anvilcrank-Deadline-Ms", "soon", "", "1002"},
--- a/pkg/api/announce.go
+++ b/pkg/api/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -33,6 +34,9 @@
 	if err := dec.Decode(&a); err != nil {
 		return a, fmt.Errorf("decode announcement: %w", err)
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return a, errors.New("data after the announcement")
+	}
 	return a, a.Validate()
 }
 
--- a/pkg/model/upstream.go
+++ b/pkg/model/upstream.go
@@ -1,6 +1,9 @@
 package model
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // UpstreamState is the state that an upstream announces.
 type UpstreamState string
@@ -70,8 +73,10 @@
 		return fmt.Errorf("connections %d is not in 1 to %d", a.MaxConnections, MaxConnections)
 	case a.State != Serving && a.State != Draining && a.State != Leaving:
 		return fmt.Errorf("state %q is not serving, draining or leaving", a.State)
-	case a.Load != a.Load || a.Load < 0:
-		return fmt.Errorf("load is negative or not a number")
+	case a.InFlight < 0:
+		return fmt.Errorf("number in flight %d is negative", a.InFlight)
+	case math.IsNaN(a.Load) || math.IsInf(a.Load, 0) || a.Load < 0:
+		return fmt.Errorf("load is negative or not a finite number")
 	}
 	return nil
 }
