Share the statements of the upstream stand-ins and a test's setup

Change: one type for what a stand-in states, used by both stand-ins; the specs of the storage writer start it in one place. No behaviour changes.

--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -233,7 +233,7 @@
 	}
 	id := r.Header.Get(proxy.HeaderAttempt)
 	w.Header().Set(proxy.HeaderAttempt, id)
-	if u.addStatement(w.Header()) {
+	if statement := u.stated(); statement.AddTo(w.Header(), proxy.HeaderRequestLimit, proxy.HeaderLeaving) {
 		rejectNotExecuted(w)
 		return
 	}
@@ -267,16 +267,6 @@
 	u.writeResponse(ctx, w, response{token: token, firstByte: rangeStart(r), holdTime: holdTime, release: release})
 }
 
-// Statement is what the upstream states about itself in its responses.
-type Statement struct {
-	Leaving bool
-	// RequestLimit is the number of requests per second that the upstream accepts, 0
-	// for any number.
-	RequestLimit float64
-	// PausedUntil is when the upstream accepts requests again.
-	PausedUntil time.Time
-}
-
 // State sets what the upstream states in its responses from now on.
 func (u *Upstream) State(s Statement) {
 	u.mu.Lock()
@@ -284,23 +274,11 @@
 	u.statement = s
 }
 
-// addStatement adds the headers of the statement to a response, and reports whether
-// the upstream refuses the request because of a pause.
-func (u *Upstream) addStatement(h http.Header) bool {
+// stated returns what the upstream states now.
+func (u *Upstream) stated() Statement {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.statement.Leaving {
-		h.Set(proxy.HeaderLeaving, "1")
-	}
-	if u.statement.RequestLimit > 0 {
-		h.Set(proxy.HeaderRequestLimit, strconv.FormatFloat(u.statement.RequestLimit, 'f', -1, 64))
-	}
-	rest := time.Until(u.statement.PausedUntil)
-	if rest <= 0 {
-		return false
-	}
-	h.Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
-	return true
+	return u.statement
 }
 
 // rejectNotExecuted sends the response that guarantees that the request was not
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/internal/fake"
 	"github.com/anvilcrank/anvilcrank/platform/standin"
 )
 
@@ -198,7 +199,7 @@
 			r.checker.addViolation("SOAK: %v", err)
 		}
 		r.checker.LeavingStated(old.upstream.ID)
-		old.upstream.State(standin.Statement{Leaving: true})
+		old.upstream.State(fake.Statement{Leaving: true})
 		sleep(ctx, deregisterDelay)
 		old.stopHeartbeats()
 		old.upstream.Crash()
@@ -206,13 +207,13 @@
 	case StatePause:
 		until := time.Now().Add(step.Duration)
 		r.checker.PauseStated(upstream.ID, until, maxInPause*len(r.entries))
-		upstream.State(standin.Statement{PausedUntil: until})
+		upstream.State(fake.Statement{PausedUntil: until})
 		sleep(ctx, step.Duration)
 	case StateLimit:
 		r.checker.LimitStated(upstream.ID, statedLimit, time.Now().Add(limitDuration))
-		upstream.State(standin.Statement{RequestLimit: statedLimit})
+		upstream.State(fake.Statement{RequestLimit: statedLimit})
 		sleep(ctx, limitDuration)
-		upstream.State(standin.Statement{})
+		upstream.State(fake.Statement{})
 	}
 }
 
--- a/pkg/control/storage_writer_test.go
+++ b/pkg/control/storage_writer_test.go
@@ -15,8 +15,8 @@
 // Report implements control.Sink.
 func (r reportedEvents) Report(b event.Body) { r <- b }
 
-// Guards against reporting a failed write as persisted.
-var _ = It("write error is reported", func() {
+// runStorageWriter starts a writer with an empty data folder.
+func runStorageWriter() (*control.StorageWriter, reportedEvents) {
 	t := GinkgoTB()
 	g := NewWithT(t)
 	folder, err := storage.OpenFolder(t.TempDir())
@@ -25,6 +25,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	reported := make(reportedEvents)
 	go func() { _ = writer.Run(t.Context(), reported) }()
+	return writer, reported
+}
+
+// Guards against reporting a failed write as persisted.
+var _ = It("write error is reported", func() {
+	g := NewWithT(GinkgoTB())
+	writer, reported := runStorageWriter()
 	g.Expect((<-reported).(event.StorageLoaded).Disk).NotTo(BeEmpty())
 	writer.Persist(event.Persist{Seq: 1})
 	g.Expect(<-reported).To(Equal(event.Persisted{Seq: 1}))
@@ -36,14 +43,8 @@
 // Guards against a member of the control group that stays without its data folder
 // for good after one failed write.
 var _ = It("data folder is usable again after it was reopened", func() {
-	t := GinkgoTB()
-	g := NewWithT(t)
-	folder, err := storage.OpenFolder(t.TempDir())
-	g.Expect(err).NotTo(HaveOccurred())
-	writer, err := control.OpenStorageWriter(folder)
-	g.Expect(err).NotTo(HaveOccurred())
-	reported := make(reportedEvents)
-	go func() { _ = writer.Run(t.Context(), reported) }()
+	g := NewWithT(GinkgoTB())
+	writer, reported := runStorageWriter()
 	disk := (<-reported).(event.StorageLoaded).Disk
 	writer.Persist(event.Persist{Seq: 1, Hard: event.HardState{Term: 3}})
 	g.Expect(<-reported).To(Equal(event.Persisted{Seq: 1}))
