Pull again from an instance whose last reply brought records

Cause: since entry instances pull from the peer that was asked longest ago, an instance that starts after everything was restarted asks an instance that has just started too, and waits for further records from the one that has them. Change: the next pull goes to another peer only if the last one brought nothing.

--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -127,6 +127,34 @@
 	Expect(changed.Evacuations).To(HaveLen(1))
 })
 
+// Guards against an instance that is starting, asks an instance that lacks the same
+// records, and waits for further records from the one that has them.
+var _ = It("the next pull goes to another instance only if the last one brought nothing", func() {
+	for _, brings := range []bool{false, true} {
+		r, out := newEntryInstance(store{"z1": 1})
+		asked := map[model.InstanceID]int{}
+		for n := range 12 {
+			at := start.Add(model.Duration(n+1) * replica.HeartbeatInterval)
+			r.Receive(at, "core-a1", &message.PeerHeartbeat{Control: true, Digest: 99}, out)
+			r.Receive(at, "core-a2", &message.PeerHeartbeat{Control: true, Digest: 99}, out)
+			for id := range takeSends(out) {
+				asked[id]++
+				reply := &message.Records{Complete: true}
+				if brings {
+					reply.Evacuations = []model.Evacuation{{Zone: "z2", Position: uint64(n + 1)}}
+				}
+				r.Receive(at, id, reply, out)
+				out.Reset()
+			}
+		}
+		if brings {
+			Expect(asked).To(HaveLen(1))
+		} else {
+			Expect(asked).To(HaveLen(2))
+		}
+	}
+})
+
 // Guards against an entry instance that counts as synced, and so serves
 // requests, although it has received only a single forwarded change.
 var _ = It("instance is synced only after a complete reply, not after a single change", func() {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -84,8 +84,11 @@
 	// mayHaveMissed is true after this instance has subscribed to the peer, until
 	// their digests agree or records are pulled from the peer. Changes from before
 	// the subscription are not pushed.
-	mayHaveMissed  bool
+	mayHaveMissed bool
+	// pulledAt is when records were last pulled from the peer. pullWasEmpty is true
+	// if that brought nothing, or no answer yet.
 	pulledAt       model.Time
+	pullWasEmpty   bool
 	heartbeatsSent int
 	mismatches     int
 }
@@ -209,6 +212,7 @@
 	}
 	if p := s.peers[from]; p != nil && m.Complete {
 		s.synced = s.synced || s.maySyncWith(p)
+		p.pullWasEmpty = p.pullWasEmpty && isEmpty(&changed)
 	}
 	if m.Complete {
 		out.Add(event.Log{Code: logevent.RecordsPulled, Fields: []logevent.Field{
@@ -314,7 +318,7 @@
 	if pushMayArrive || at < s.lastPull.Add(pullInterval) || !s.mayPullFrom(p) || s.hasOlderPull(p) {
 		return
 	}
-	s.lastPull, p.pulledAt, p.mayHaveMissed = at, at, false
+	s.lastPull, p.pulledAt, p.pullWasEmpty, p.mayHaveMissed = at, at, true, false
 	out.Add(event.Send{To: p.ID, Message: &message.Pull{Versions: s.store.Versions()}})
 }
 
@@ -335,9 +339,13 @@
 }
 
 // hasOlderPull reports whether records should rather be pulled from another peer
-// whose digest differs too, because that peer was asked longer ago. Otherwise a
-// peer that lacks the same records could take every pull.
+// whose digest differs too, because the last pull from this one brought nothing and
+// the other was asked longer ago. Otherwise a peer that lacks the same records
+// could take every pull.
 func (s *State) hasOlderPull(p *Peer) bool {
+	if !p.pullWasEmpty {
+		return false
+	}
 	for _, other := range s.peers {
 		if other.pulledAt < p.pulledAt && other.mismatches >= mismatchesBeforePull && s.isAlive(other) && s.mayPullFrom(other) {
 			return true
