Count constrained upstreams at most once per second

Cause: an entry instance counted the upstreams that are leaving, paused or limited after each change of a registration, over a sorted copy of all registrations. With many upstreams that took a seventh of its processor time. Change: the metrics are updated at most every constraintsInterval.

--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -76,9 +76,11 @@
 	stopping         gracefulStop
 	heartbeatReports heartbeatReports
 	rates            rateShares
-	// constraints holds the published numbers of constrained upstreams by service.
-	constraints map[model.ServiceName]constraints
-	directory   publishedDirectory
+	// constraints holds the published numbers of constrained upstreams by service,
+	// which are published again at constraintsAt.
+	constraints   map[model.ServiceName]constraints
+	constraintsAt model.Time
+	directory     publishedDirectory
 
 	syncedRevision   uint64
 	nextSyncAt       model.Time
--- a/pkg/fleet/statements.go
+++ b/pkg/fleet/statements.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
@@ -30,9 +31,17 @@
 		logevent.F("upstream", id), logevent.F("born", startMs)}, fields...)})
 }
 
+// constraintsInterval is the shortest interval at which the metrics of constrained
+// upstreams are updated. It takes a look at all upstreams.
+const constraintsInterval = time.Second
+
 // publishConstraints updates the metrics of the upstreams that receive no or fewer
 // requests because of their statements, by service.
 func (s *State) publishConstraints(at model.Time) {
+	if at < s.constraintsAt {
+		return
+	}
+	s.constraintsAt = at.Add(constraintsInterval)
 	leaving := map[model.ServiceName]int{}
 	services := map[model.ServiceName]bool{}
 	for _, r := range s.registry.Registrations(at) {
