--- a/operations_test.go
+++ b/operations_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank"
+	"github.com/anvilcrank/anvilcrank/pkg/gateway"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -66,7 +67,7 @@
 
 	release := make(chan struct{})
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Attempt", r.Header.Get("Attempt"))
+		w.Header().Set(gateway.DefaultHeaders.AttemptID, r.Header.Get(gateway.DefaultHeaders.AttemptID))
 		switch r.URL.Path {
 		case "/a/broken":
 			panic(http.ErrAbortHandler)
@@ -94,7 +95,7 @@
 		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+entryAddress+path, nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		req.Host = "h"
-		req.Header.Set("Attempt", attemptID)
+		req.Header.Set(gateway.DefaultHeaders.AttemptID, attemptID)
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			return 0
