Answer reads while a leader of an earlier version leads

Cause: an instance of this version waits for the leader to confirm a read. A leader of an earlier version never does, so during an update every other control instance refused to return the configuration. Change: a follower that is not lagging then answers with what the leader has said to be committed, as the earlier version does. It does so only once an append of that leader shows the version.

--- a/pkg/agreement/follower.go
+++ b/pkg/agreement/follower.go
@@ -95,6 +95,9 @@
 	if at > s.lastLeaderContact.Add(maxLeaderSilence) {
 		s.caughtUp = false
 	}
+	if s.leader != h.From {
+		s.leaderReads = readsUnknown
+	}
 	s.leader = h.From
 	s.lastLeaderContact = at
 	s.nextJoinAt = at.Add(learnerJoinTimeout)
@@ -108,8 +111,11 @@
 	if !isContiguous(m.PrevIndex, m.PrevTerm, m.Term, m.Entries) || !s.acceptLeader(at, &m.AgreementHeader, out) {
 		return
 	}
-	s.leaderConfirmsReads = m.ConfirmsReads
 	s.observeLeaderCommit(at, m.CommitIndex)
+	s.leaderReads = readsUnconfirmed
+	if m.ConfirmsReads {
+		s.leaderReads = readsConfirmed
+	}
 	prevIndex := m.PrevIndex
 	entries := m.Entries
 	matchIndex := prevIndex + uint64(len(entries))
--- a/pkg/agreement/read.go
+++ b/pkg/agreement/read.go
@@ -43,10 +43,23 @@
 	index uint64
 }
 
+// leaderReads is what a leader does with reads of its followers.
+type leaderReads int
+
+const (
+	readsUnknown leaderReads = iota
+	readsConfirmed
+	// readsUnconfirmed means that the leader is of an earlier version, which knows no
+	// reads.
+	readsUnconfirmed
+)
+
 // Read begins a read of the state that the log describes. TakeReads returns the
 // identifier once the applied entries include all that were committed when the
 // read began. A read whose messages are lost is never returned. Read reports
-// false if this member knows no leader that confirms reads.
+// false if this member knows no leader. As long as a leader of an earlier version
+// leads, reads are not confirmed: a follower that is not lagging returns what the
+// leader has said to be committed, as the earlier version does.
 func (s *State) Read(at model.Time, out *event.Effects) (ReadID, bool) {
 	s.checkLease(at, out)
 	id := ReadID(s.rng.Uint64())
@@ -55,7 +68,11 @@
 		return 0, false
 	case s.role == Leader:
 		s.confirmRead(at, s.self, id, out)
-	case s.leaderConfirmsReads && s.leader != (model.MemberID{}):
+	case s.leader == (model.MemberID{}):
+		return 0, false
+	case s.leaderReads == readsUnconfirmed && !s.IsLagging(at):
+		s.reads.confirmed = append(s.reads.confirmed, confirmedRead{id: id, index: s.leaderCommitIndex})
+	case s.leaderReads == readsConfirmed:
 		s.send(0, s.leader.Instance, &message.AgreementRead{AgreementHeader: s.header(s.leader), ID: uint64(id)}, out)
 	default:
 		return 0, false
--- a/pkg/agreement/sim_test.go
+++ b/pkg/agreement/sim_test.go
@@ -51,6 +51,9 @@
 	accepted int
 	// answeredReads counts the reads that were answered.
 	answeredReads int
+	// olderLeaders removes from messages that the leader confirms reads, as if it were
+	// of an earlier version.
+	olderLeaders bool
 }
 
 // node is one instance: its process, its disk and its pending writes.
@@ -286,6 +289,11 @@
 	for _, v := range []uint64{uint64(s.now), uint64(from), uint64(to), uint64(m.Kind())} {
 		s.trace = (s.trace ^ v) * 1099511628211 // FNV-1a over words
 	}
+	if a, ok := m.(*message.AgreementAppend); ok && s.olderLeaders {
+		older := *a
+		older.ConfirmsReads = false
+		m = &older
+	}
 	if s.encodeMessages {
 		data, err := codec.EncodeMessage(m)
 		decoded, decodeErr := codec.DecodeMessage(data)
--- a/pkg/agreement/state.go
+++ b/pkg/agreement/state.go
@@ -182,8 +182,8 @@
 	incoming        incomingSnapshot
 
 	reads reads
-	// leaderConfirmsReads is true if the leader accepts reads.
-	leaderConfirmsReads bool
+	// leaderReads is what the current leader does with reads.
+	leaderReads leaderReads
 
 	disabledRules disabledRules
 }
