Send a request again if its pooled connection was closed before the first byte

Cause: http.Transport returns a connection to its pool before it returns a response without a body. An attempt that is refused without an attempt ID closes that connection afterwards, and the next attempt may already get it. countingConn counted the bytes of the failed write, so the outcome of a request of which nothing was sent was reported as unknown (3001), or the attempt was used up (2008). Change: Close of countingConn blocks later writes without counting them, and the attempt is sent again on another connection. A streamed body is not sent again. The new test failed before (LostAfterDispatch instead of RefusedBeforeExecution).

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -78,12 +78,7 @@
 		startTimer := time.AfterFunc(a.dispatch.StartBy.Sub(a.proxy.now()), a.cancelIfUnstarted)
 		defer startTimer.Stop()
 	}
-	req, err := a.newRequest()
-	if err != nil {
-		a.reportEnd(event.AttemptEnded{Result: event.ConnectFailed})
-		return
-	}
-	resp, err := a.proxy.transport(a.dispatch.Class, a.dispatch.MaxConnections).RoundTrip(req)
+	resp, err := a.roundTrip()
 	if err != nil {
 		a.reportEnd(event.AttemptEnded{Result: a.classifyFailure(err)})
 		return
@@ -118,6 +113,32 @@
 		Status: resp.StatusCode, Latency: time.Since(start), Stated: stated})
 }
 
+// roundTrip sends the request and returns the header of the response.
+// http.Transport may choose an idle connection that closeConn of an earlier
+// attempt has just closed. Nothing is sent on it, and the request is sent again
+// on another connection, unless a part of its streamed body was read.
+func (a *attempt) roundTrip() (*http.Response, error) {
+	for {
+		a.setConn(nil)
+		req, err := a.newRequest()
+		if err != nil {
+			return nil, err
+		}
+		resp, err := a.proxy.transport(a.dispatch.Class, a.dispatch.MaxConnections).RoundTrip(req)
+		if err == nil || a.ctx.Err() != nil || a.exchange.streamedBody != nil || !a.choseClosedConn() {
+			return resp, err
+		}
+	}
+}
+
+// choseClosedConn reports whether the connection of the attempt was closed before
+// any byte of its request was written.
+func (a *attempt) choseClosedConn() bool {
+	a.connMu.Lock()
+	defer a.connMu.Unlock()
+	return a.conn != nil && a.conn.closedUnused(a.writtenBefore)
+}
+
 // closeConn closes the connection of the attempt, so that no other request is sent
 // on it.
 func (a *attempt) closeConn() {
@@ -166,14 +187,19 @@
 
 // gotConn records the connection that the transport chose.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countingConn)
-	if !ok {
-		return
+	if conn, ok := info.Conn.(*countingConn); ok {
+		a.setConn(conn)
 	}
+}
+
+// setConn sets the connection of the attempt; nil means none.
+func (a *attempt) setConn(c *countingConn) {
 	a.connMu.Lock()
-	a.conn = conn
-	a.writtenBefore = conn.bytesWritten()
-	a.connMu.Unlock()
+	defer a.connMu.Unlock()
+	a.conn, a.writtenBefore = c, 0
+	if c != nil {
+		a.writtenBefore = c.bytesWritten()
+	}
 }
 
 // cancelIfUnstarted cancels the attempt if no byte of its request was written
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -7,7 +7,7 @@
 )
 
 // errWritesBlocked is returned by Write after the attempt that uses the
-// connection was reported as not executed.
+// connection was reported as not executed, or after Close.
 var errWritesBlocked = errors.New("writes to the connection are blocked")
 
 // countingConn counts the bytes written to a connection. The count can prove
@@ -18,6 +18,7 @@
 	mu            sync.Mutex
 	written       int64
 	writesBlocked bool
+	closed        bool
 }
 
 // Write implements io.Writer. It counts the bytes before it writes them, so that a
@@ -33,6 +34,24 @@
 	return c.Conn.Write(p)
 }
 
+// Close implements io.Closer. Later writes are not counted: http.Transport may
+// already have assigned the connection to another attempt, which then provably
+// sent nothing on it.
+func (c *countingConn) Close() error {
+	c.mu.Lock()
+	c.writesBlocked, c.closed = true, true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// closedUnused reports whether the connection was closed before any byte of the
+// attempt's request was passed to Write.
+func (c *countingConn) closedUnused(writtenBefore int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed && c.written == writtenBefore
+}
+
 // bytesWritten returns the number of bytes that were passed to Write.
 func (c *countingConn) bytesWritten() int64 {
 	c.mu.Lock()
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -57,6 +58,56 @@
 	Entry("without an attempt ID: the second request is sent, and refused, on a new connection", false, event.RefusedBeforeExecution),
 )
 
+// closedSilentlyConn is a connection whose Close is not noticed by a reader, so
+// that http.Transport keeps it in its pool.
+type closedSilentlyConn struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *closedSilentlyConn) Close() error { c.closed.Store(true); return nil }
+func (c *closedSilentlyConn) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against an unknown outcome of a request for which the transport chose a
+// pooled connection that an earlier attempt had just closed.
+var _ = It("request is sent on another connection if its pooled connection was closed", func() {
+	g := NewWithT(GinkgoTB())
+	var executed atomic.Int32
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		executed.Add(1)
+		w.Header().Set(proxy.HeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	DeferCleanup(upstream.Close)
+	dial := func(_ context.Context, network, address string) (net.Conn, error) {
+		conn, err := net.Dial(network, address)
+		return &closedSilentlyConn{Conn: conn}, err
+	}
+	c := newStubControl(nil)
+	p := proxy.New("a-1", discardTelemetry{}, func() model.Time { return model.Time(time.Now().UnixNano()) }, dial)
+	p.SetControl(c)
+	DeferCleanup(p.Close)
+	for seq := range uint64(2) {
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			p.Serve(httptest.NewRecorder(), httptest.NewRequest("POST", "/s/writes/x", nil), "writes", "/x")
+		}()
+		arrived := (<-c.events).(event.RequestArrived)
+		p.Dispatch(event.Dispatch{Request: arrived.ID, Attempt: model.AttemptID{Seq: seq + 1}, Address: upstream.Listener.Addr().String(),
+			Deadline: model.Time(time.Now().Add(5 * time.Second).UnixNano()), MaxConnections: 8})
+		g.Expect((<-c.events).(event.AttemptEnded).Result).To(Equal(event.RefusedBeforeExecution))
+		p.Finish(event.Finish{Request: arrived.ID, Code: result.RefusedByUpstream})
+		<-served
+	}
+	g.Expect(executed.Load()).To(BeEquivalentTo(2))
+})
+
 // repeatFirstRefusal refuses the first request on a connection and answers all
 // later ones with the same refusal. It counts later
 // requests without an attempt ID in their refusal: they could not be told apart.
