Detach a connection from its send before it is pooled again

Cause: roundTrip returned the connection to the pool before the exchange forgot it. A cancellation in between closed a connection on which another request may already run, which then ended with an unknown outcome. Change: the exchange forgets the connection first, under the lock that cancelSend takes. The flag for closed connections is not needed any more.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -218,13 +218,13 @@
 		e.cancelDial()
 	}
 	if e.conn != nil {
-		e.conn.closed.Store(true)
 		_ = e.conn.Close()
 	}
 }
 
 // setConn sets the connection that cancelSend closes; nil means none. It
-// returns false if cancelSend was already called.
+// returns false if cancelSend was already called, which may have closed the
+// previous connection.
 func (e *exchange) setConn(c *upstreamConn) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -64,9 +64,6 @@
 	// idleSince is when the connection became idle. After idleDeadline the
 	// connection is not used for new requests.
 	idleSince, idleDeadline time.Time
-	// closed is set when cancelSend closes the connection. A closed connection
-	// must not be put back into the pool.
-	closed atomic.Bool
 }
 
 // Write implements io.Writer and counts the bytes.
@@ -249,7 +246,7 @@
 	if keepAlive > 0 {
 		idleTimeout = max(minIdleTimeout, keepAlive-idleTimeoutMargin)
 	}
-	if c.closed.Load() || c.SetDeadline(time.Time{}) != nil {
+	if c.SetDeadline(time.Time{}) != nil {
 		p.discard(c)
 		return
 	}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -151,7 +151,9 @@
 		// other request can be sent on this connection.
 		resp.Close = true
 	}
-	if resp.Close || conn.reader.Buffered() > 0 {
+	// A pooled connection may be in use by another request, so cancelSend must not
+	// find it any more.
+	if !e.setConn(nil) || resp.Close || conn.reader.Buffered() > 0 {
 		g.pool.discard(conn)
 		return nil
 	}
