Survive odd registrations, items and records of other writers

Cause: values were checked for their type only. A port out of range, a number of slots near the largest integer, a start in the far future or a name of a megabyte became a registration and went to every instance: a start in the future took the address of a good upstream for ever, a name that is not UTF-8 (an escaped byte in a path) made every message that held it unreadable, the receiver closed the connection, got the same again on the next one and stopped following. One record that cannot be decoded took the whole message with it. An item without content, or an unknown route kind or state in a log line, ended the process. An item nested 9,000 deep was accepted and could not be listed any more, so no item could. One impossible load report made a whole region seem busy for a minute. Change: Registration.Validate and ValidateAddress are used where announcements arrive; a registration that an instance of another version accepted is stored, so that digests agree, but not used and takes no address. Event 208 names what is not used; the limit on log lines bounds it.

--- a/internal/simulation/upstream.go
+++ b/internal/simulation/upstream.go
@@ -50,7 +50,7 @@
 // three consecutive failures, the next announcements go to a random instance.
 func (s *sim) announce(u *fakeUpstream) {
 	a := model.Announcement{Upstream: u.id, Incarnation: u.incarnation, Service: u.service, Zone: u.zone,
-		Address: string(u.id), Slots: u.slots, MaxConnections: 100, State: u.state, First: u.firstAnnouncement}
+		Address: string(u.id) + ":80", Slots: u.slots, MaxConnections: 100, State: u.state, First: u.firstAnnouncement}
 	accepted := false
 	s.sendAnnouncement(u, a, u.ownerIndex, 0, &accepted)
 	s.after(400*time.Millisecond, func() {
--- a/node.go
+++ b/node.go
@@ -238,6 +238,13 @@
 // WriteMetrics writes all metrics in the Prometheus text format.
 func (n *Node) WriteMetrics(w io.Writer) { n.telemetry.WriteMetrics(w) }
 
+// LogMalformed logs an announcement that cannot be read or contains an invalid
+// value.
+func (n *Node) LogMalformed(upstream string, err error) {
+	n.telemetry.Log(event.Log{Code: logevent.RecordInvalid, Fields: []logevent.Field{
+		logevent.F("upstream", upstream[:min(len(upstream), model.MaxNameLength)]), logevent.F("error", err.Error())}})
+}
+
 // Heartbeat reports a heartbeat of an upstream, which registers the upstream or
 // renews its registration.
 func (n *Node) Heartbeat(ctx context.Context, r model.Registration) error {
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -17,6 +17,10 @@
 	// no reports arrive.
 	regionLoadWeight   = 0.1
 	regionLoadHalfLife = 2 * time.Second
+	// maxLoadPerSlot bounds what one report adds to the mean load of a region, in
+	// requests per slot of its upstream. One upstream that reports an impossible load
+	// must not make all others seem busy.
+	maxLoadPerSlot = 8
 	// slowdownTTL is how long the slowdown in a load report applies. It is short
 	// because the slowdown of an upstream changes many times a second.
 	slowdownTTL = 500 * time.Millisecond
@@ -227,7 +231,7 @@
 	t.reportAt = at
 	// The request whose response carries the report is no longer running.
 	t.otherLoad = max(0, float64(r.Running+r.Waiting-t.inFlight))
-	t.regionLoad.observe(at, t.otherLoad)
+	t.regionLoad.observe(at, min(t.otherLoad, maxLoadPerSlot*t.slots()))
 }
 
 // observeRefusal updates the refusal rate. refused is 1 if the upstream refused
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -93,10 +94,29 @@
 		i.Route.Objective = i.Route.Timeout + time.Minute
 		return i
 	}(), result.InvalidChange),
+	Entry("route without content", model.Item{Key: model.ItemKey{Kind: model.RouteItem, Name: "q"}, Version: 8}, result.InvalidChange),
+	Entry("item of an unknown kind", model.Item{Key: model.ItemKey{Kind: 77, Name: "q"}, Version: 8}, result.InvalidChange),
+	Entry("weight that is not finite", func() model.Item {
+		i := route("q", 8, "/q/", "reads")
+		i.Route.Splits = append(i.Route.Splits, model.Split{Service: "reads", Weight: math.Inf(1)})
+		return i
+	}(), result.InvalidChange),
 	Entry("removal of a service in use", model.Item{
 		Key: model.ItemKey{Kind: model.ServiceItem, Name: "reads"}, Version: 8, Removed: true}, result.InvalidChange),
 )
 
+// Guards against a crash of all instances by an item that an instance of another
+// version sends. The other items stay in force.
+var _ = It("items without content are stored and not used", func() {
+	s := newStateWithRoute()
+	for _, kind := range []model.ItemKind{model.RouteItem, model.ServiceItem, model.LimitsItem, 77} {
+		Expect(s.Merge(model.Item{Key: model.ItemKey{Kind: kind, Name: "odd"}, Version: 8})).To(BeTrue())
+	}
+	_, ok := s.Table().Route("h.example", "/a/x")
+	Expect(ok).To(BeTrue())
+	Expect(s.Table().Service("odd")).To(BeNil())
+})
+
 // Guards against validating a change against the state before it: a route may
 // have the same host and prefix as a route that the same change removes.
 var _ = It("change is validated against the state that results from it", func() {
--- a/pkg/catalog/check.go
+++ b/pkg/catalog/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -117,18 +118,20 @@
 	if i.Removed {
 		return nil
 	}
-	switch i.Key.Kind {
-	case model.RouteItem:
+	switch {
+	case i.Key.Kind == model.RouteItem && i.Route != nil:
 		return validateRoute(i.Key.Name, i.Route)
-	case model.ServiceItem:
+	case i.Key.Kind == model.ServiceItem && i.Service != nil:
 		if i.Service.MaxConnections < 0 || i.Service.ColdDuration < 0 || i.Service.ColdRequestRate < 0 {
 			return fmt.Errorf("service %q has a negative bound", i.Key.Name)
 		}
-	case model.LimitsItem:
+	case i.Key.Kind == model.LimitsItem && i.Limits != nil:
 		l := i.Limits
 		if l.MaxHeaderBytes <= 0 || l.MaxBodyBytes < 0 || l.HeaderTimeout <= 0 || l.IdleTimeout <= 0 {
 			return fmt.Errorf("limits have a bound that is not positive")
 		}
+	default:
+		return fmt.Errorf("%s %q has no content", i.Key.Kind, i.Key.Name)
 	}
 	return nil
 }
@@ -147,6 +150,8 @@
 		return fmt.Errorf("route %q has a timeout of %v", name, r.Timeout)
 	case r.Objective < 0 || r.Objective >= r.Timeout+maxObjectiveOverTimeout:
 		return fmt.Errorf("route %q has an objective of %v with a timeout of %v", name, r.Objective, r.Timeout)
+	case r.Kind > model.Download:
+		return fmt.Errorf("route %q has the unknown kind %d", name, r.Kind)
 	case len(r.Splits) == 0:
 		return fmt.Errorf("route %q has no service", name)
 	}
@@ -157,8 +162,8 @@
 		}
 		sum += split.Weight
 	}
-	if sum <= 0 {
-		return fmt.Errorf("route %q has no positive weight", name)
+	if !(sum > 0) || math.IsInf(sum, 0) {
+		return fmt.Errorf("route %q has no positive finite weight", name)
 	}
 	return nil
 }
--- a/pkg/catalog/table.go
+++ b/pkg/catalog/table.go
@@ -24,12 +24,13 @@
 	limits   *model.ClientLimits
 }
 
-// newTable returns the table of the items that are not removed.
+// newTable returns the table of the items that are not removed. Invalid items,
+// which an instance of another version may have sent, are left out.
 func newTable(items map[model.ItemKey]model.Item) *Table {
 	t := &Table{hosts: map[string][]NamedRoute{}, services: map[model.ServiceName]*model.ServiceSpec{}}
 	for k, i := range items {
 		switch {
-		case i.Removed:
+		case i.Removed || !isUsable(&i):
 		case k.Kind == model.RouteItem:
 			host := strings.ToLower(i.Route.Host)
 			t.hosts[host] = append(t.hosts[host], NamedRoute{k.Name, i.Version, i.Route})
@@ -55,6 +56,19 @@
 	return t
 }
 
+// isUsable reports whether the table can use an item.
+func isUsable(i *model.Item) bool {
+	switch i.Key.Kind {
+	case model.RouteItem:
+		return i.Route != nil && validateRoute(i.Key.Name, i.Route) == nil
+	case model.ServiceItem:
+		return i.Service != nil
+	case model.LimitsItem:
+		return i.Limits != nil
+	}
+	return false
+}
+
 // Route returns the route of a host with the longest prefix of the path, and
 // whether there is one. The port of the host is ignored.
 func (t *Table) Route(host, path string) (NamedRoute, bool) {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -29,10 +30,13 @@
 func sendHeartbeat(id string, zone model.Zone, sequence uint64, state model.RegistrationState) func(event.CallID) event.Body {
 	return func(c event.CallID) event.Body {
 		return event.HeartbeatReceived{Call: c, Registration: model.Registration{ID: model.UpstreamID(id), Service: "reads",
-			Address: "10.0.0.1:" + id, Zone: zone, Slots: 4, State: state, StartTimeMs: 1, Sequence: sequence}}
+			Address: addressOf(id), Zone: zone, Slots: 4, State: state, StartTimeMs: 1, Sequence: sequence}}
 	}
 }
 
+// addressOf returns an address of its own for each upstream.
+func addressOf(id string) string { return fmt.Sprintf("10.0.0.1:%d", 1+xxhash.Sum64String(id)%65535) }
+
 func newConfiguredSim(seed uint64) *sim {
 	s := newDeployment(seed)
 	ExpectWithOffset(1, s.call("core-b2", ackTimeout, proposeItems(service(7), route("r", 7)))).To(Equal(result.Success))
@@ -70,6 +74,40 @@
 	Expect(s.invariantFailures).To(BeEmpty())
 })
 
+// Guards against odd entries of other writers that end instances, or keep them from
+// following later changes.
+var _ = It("odd registration does not disturb the others", func() {
+	s := newConfiguredSim(6)
+	odd := func(change func(*model.Registration)) func(event.CallID) event.Body {
+		return func(c event.CallID) event.Body {
+			h := sendHeartbeat("odd", "a1", 1, model.RegistrationServing)(c).(event.HeartbeatReceived)
+			change(&h.Registration)
+			return h
+		}
+	}
+	Expect(s.call("core-a1", time.Second, sendHeartbeat("good", "a1", 1, model.RegistrationServing))).To(Equal(result.Success))
+	future := odd(func(r *model.Registration) { r.ID, r.StartTimeMs = "good", 1<<60 })
+	Expect(s.call("core-b1", time.Second, future)).To(Equal(result.MalformedAnnouncement))
+	for _, change := range []func(*model.Registration){
+		func(r *model.Registration) { r.Slots = 1 << 60 },
+		func(r *model.Registration) { r.Address = "10.0.0.1:70000" },
+		func(r *model.Registration) { r.State = 99 },
+		func(r *model.Registration) { r.Sequence, r.Service = 1<<64-1, "\xff" },
+	} {
+		// An instance of another version accepts what this one rejects.
+		s.submit("core-a1", odd(change))
+		s.run(time.Second)
+	}
+	Expect(s.call("core-a1", ackTimeout, proposeItems(route("r", 9)))).To(Equal(result.Success))
+	Expect(s.call("core-b1", time.Second, sendHeartbeat("good", "a1", 2, model.RegistrationDraining))).To(Equal(result.Success))
+	s.run(time.Second)
+	forEachRunning(s, false, func(id model.InstanceID) {
+		Expect(s.routeVersion(id, "/r/x")).To(BeEquivalentTo(9))
+		Expect(s.nodes[id].directory.Ready).To(BeTrue())
+	})
+	Expect(s.invariantFailures).To(BeEmpty())
+})
+
 // Guards against accepting both of two different changes that two operators
 // submit at the same time with the same version. Some instances would then use
 // one of them and some the other.
--- a/pkg/fleet/records.go
+++ b/pkg/fleet/records.go
@@ -183,6 +183,25 @@
 	}
 	for i := range m.Registrations {
 		s.logRegistration(&m.Registrations[i])
+		s.logIfInvalid(&m.Registrations[i])
+	}
+}
+
+// logIfInvalid logs a registration that is stored but not used, because it
+// contains an invalid value.
+func (s *State) logIfInvalid(r *model.Registration) {
+	if e := s.registry.Get(r.ID); e != nil && e.Invalid {
+		s.out.Add(event.Log{Code: logevent.RecordInvalid, Fields: []logevent.Field{
+			logevent.F("upstream", r.ID), logevent.F("address", r.Address), logevent.F("slots", r.Slots),
+			logevent.F("born", r.StartTimeMs), logevent.F("sequence", r.Sequence)}})
+	}
+}
+
+// logUndecodable logs that a message contains records that cannot be decoded.
+func (s *State) logUndecodable(b event.PeerReceived) {
+	if m, ok := b.Message.(*message.Records); ok && m.Undecodable > 0 {
+		s.out.Add(event.Log{Code: logevent.RecordInvalid, Fields: []logevent.Field{
+			logevent.F("peer", b.From), logevent.F("undecodable", m.Undecodable)}})
 	}
 }
 
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -194,6 +194,7 @@
 	case *message.RateShares:
 		s.balance.SetRateShares(at, at.Add(rateshare.Validity), m.Shares)
 	default:
+		s.logUndecodable(b)
 		changed, ok := s.replica.Receive(at, b.From, b.Message, &s.out)
 		if ok {
 			s.recordsMerged(at, &changed)
--- a/pkg/fleet/statements_test.go
+++ b/pkg/fleet/statements_test.go
@@ -25,7 +25,7 @@
 func (s *sim) restartUpstream(id string, startMs int64) {
 	s.call("core-b1", ackTimeout, func(c event.CallID) event.Body {
 		return event.HeartbeatReceived{Call: c, Registration: model.Registration{ID: model.UpstreamID(id), Service: "reads",
-			Address: "10.0.0.1:" + id, Zone: "a1", Slots: 4, StartTimeMs: startMs, Sequence: 1}}
+			Address: addressOf(id), Zone: "a1", Slots: 4, StartTimeMs: startMs, Sequence: 1}}
 	})
 	s.run(200 * time.Millisecond)
 }
--- a/pkg/fleet/upstreams.go
+++ b/pkg/fleet/upstreams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -31,6 +32,9 @@
 // only once a majority of the control group stores that state. A drain then
 // stays in force after the loss of this instance.
 func (s *State) receiveHeartbeat(at model.Time, b event.HeartbeatReceived) {
+	if s.rejectsStart(at, b.Call, &b.Registration) {
+		return
+	}
 	changed := s.registry.Heartbeat(at, b.Registration)
 	e := s.registry.Get(b.Registration.ID)
 	s.heartbeatReports.add(b.Registration.ID)
@@ -47,7 +51,23 @@
 	s.confirmByMajority(at, b.Call, b.Registration.ID)
 }
 
+// rejectsStart answers the call of an upstream whose process starts in the future
+// and reports whether it has.
+func (s *State) rejectsStart(at model.Time, call event.CallID, r *model.Registration) bool {
+	err := r.ValidateStart(at)
+	if err == nil {
+		return false
+	}
+	s.out.Add(event.Log{Code: logevent.RecordInvalid, Fields: []logevent.Field{
+		logevent.F("upstream", r.ID), logevent.F("address", r.Address), logevent.F("error", err.Error())}})
+	s.out.Add(event.CallReply{Call: call, Code: result.MalformedAnnouncement, Detail: err.Error()})
+	return true
+}
+
 func (s *State) receiveDeregistration(at model.Time, b event.DepartureReceived) {
+	if s.rejectsStart(at, b.Call, &model.Registration{ID: b.Upstream, StartTimeMs: b.StartTimeMs}) {
+		return
+	}
 	r, changed := s.registry.Deregister(at, b.Upstream, b.StartTimeMs)
 	if changed {
 		s.logRegistration(&r)
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -58,8 +58,16 @@
 	Leaving:        proxy.HeaderLeaving,
 }
 
-// percentScale converts the slowdown in a load header to a factor.
-const percentScale = 100.0
+const (
+	// percentScale converts the slowdown in a load header to a factor.
+	percentScale = 100.0
+	// maxReportedNumber is the largest number in a load header. A header with a
+	// larger one is malformed.
+	maxReportedNumber = 100_000
+	// maxKeepAliveSeconds bounds a Keep-Alive timeout, so that it can be converted
+	// to a duration.
+	maxKeepAliveSeconds = 3600
+)
 
 // parseLoad parses a load header. It returns nil if the header is absent or
 // malformed. Without a slowdown in the header, the slowdown is 1.
@@ -72,7 +80,7 @@
 	numbers[3] = percentScale
 	for i := range min(len(parts), len(numbers)) {
 		v, err := strconv.Atoi(strings.TrimSpace(parts[i]))
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || v > maxReportedNumber {
 			return nil
 		}
 		numbers[i] = v
@@ -100,7 +108,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second
+			return time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second
 		}
 	}
 	return 0
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -50,6 +50,9 @@
 	UpstreamTakenOver  Code = 205
 	StatementMalformed Code = 206
 	UpstreamStated     Code = 207
+	// RecordInvalid reports an announcement, an item or a record of another instance
+	// that is not used.
+	RecordInvalid Code = 208
 
 	RequestRejected Code = 301
 	RequestRepeated Code = 302
@@ -112,6 +115,7 @@
 	{UpstreamTakenOver, "upstream_taken_over", LevelWarn, "this instance took over an upstream from another instance; its slots count as in use until a handover or until the longest deadline of its service has passed"},
 	{StatementMalformed, "statement_malformed", LevelWarn, "an upstream's statement about itself in a response is malformed and was ignored"},
 	{UpstreamStated, "upstream_stated", LevelInfo, "an upstream's statement about itself changed what this instance assumes: it is leaving, wants a pause, or states another request limit"},
+	{RecordInvalid, "record_invalid", LevelWarn, "an announcement or a record that another instance sent cannot be read or contains an invalid value and is not used"},
 	{RequestRejected, "request_rejected", LevelInfo, "a routed request ended with an error response of this instance"},
 	{RequestRepeated, "request_repeated", LevelInfo, "a routed request is retried at another upstream"},
 	{SendFailed, "send_failed", LevelInfo, "a send to an upstream ended without a complete response"},
--- a/pkg/message/fleet.go
+++ b/pkg/message/fleet.go
@@ -39,6 +39,9 @@
 	// lack records. After a complete answer, the receiver has every record that the
 	// sender of the answer has.
 	Complete bool `cbor:"5,keyasint,omitempty"`
+	// Undecodable is set by the receiver: the number of records that it could not
+	// decode and left out.
+	Undecodable int `cbor:"6,keyasint,omitempty"`
 }
 
 // RecordsAck answers a Records message. It confirms that its sender stores the
--- a/pkg/model/item.go
+++ b/pkg/model/item.go
@@ -72,7 +72,15 @@
 
 // String returns the name of the kind used in metrics and logs.
 func (k RouteKind) String() string {
-	return [...]string{"idempotent", "non_idempotent", "download"}[k]
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non_idempotent"
+	case Download:
+		return "download"
+	}
+	return "unknown"
 }
 
 // Split assigns a share of a route's requests to a service.
--- a/pkg/model/registration.go
+++ b/pkg/model/registration.go
@@ -17,7 +17,15 @@
 // String returns the name of the state used in logs. The name of
 // RegistrationDeregistered is "departed".
 func (s RegistrationState) String() string {
-	return [...]string{"serving", "draining", "departed"}[s]
+	switch s {
+	case RegistrationServing:
+		return "serving"
+	case RegistrationDraining:
+		return "draining"
+	case RegistrationDeregistered:
+		return "departed"
+	}
+	return "unknown"
 }
 
 // Registration is the description of an upstream, as reported by the upstream to
--- a/pkg/model/upstream.go
+++ b/pkg/model/upstream.go
@@ -56,15 +56,19 @@
 
 // Validate returns an error for the first invalid value of the announcement.
 func (a *Announcement) Validate() error {
+	if err := ValidateName("upstream", string(a.Upstream)); err != nil {
+		return err
+	}
+	if err := ValidateName("service", string(a.Service)); err != nil {
+		return err
+	}
+	if err := ValidateName("zone", string(a.Zone)); err != nil {
+		return err
+	}
+	if err := ValidateAddress(a.Address); err != nil {
+		return err
+	}
 	switch {
-	case a.Upstream == "" || len(a.Upstream) > MaxNameLength:
-		return fmt.Errorf("upstream is empty or longer than %d bytes", MaxNameLength)
-	case a.Service == "" || len(a.Service) > MaxNameLength:
-		return fmt.Errorf("service is empty or longer than %d bytes", MaxNameLength)
-	case a.Zone == "" || len(a.Zone) > MaxNameLength:
-		return fmt.Errorf("zone is empty or longer than %d bytes", MaxNameLength)
-	case a.Address == "" || len(a.Address) > MaxNameLength:
-		return fmt.Errorf("address is empty or longer than %d bytes", MaxNameLength)
 	case a.Incarnation <= 0:
 		return fmt.Errorf("incarnation %d is not positive", a.Incarnation)
 	case a.Slots < 1 || a.Slots > MaxSlots:
--- a/pkg/peer/manager.go
+++ b/pkg/peer/manager.go
@@ -351,7 +351,9 @@
 }
 
 // receive reports the messages from an accepted connection to the control
-// goroutine, until the connection closes or a message cannot be decoded.
+// goroutine, until the connection closes. A message that cannot be decoded is
+// logged and skipped: the peer would send it again on a new connection, and later
+// messages would not arrive.
 func (m *Manager) receive(ctx context.Context, conn *websocket.Conn, remote *message.Hello) {
 	for {
 		_, data, err := conn.Read(ctx)
@@ -361,7 +363,7 @@
 		msg, err := codec.DecodeMessage(data)
 		if err != nil {
 			m.logBadMessage(remote.From, err)
-			return
+			continue
 		}
 		m.sink.Report(event.PeerReceived{From: remote.From, Incarnation: remote.Incarnation, Message: msg})
 	}
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -78,6 +78,38 @@
 	Expect(usable(s, "new")).To(BeTrue())
 })
 
+// Guards against an odd registration that reaches this instance through another one:
+// it must not be used, nor take the address or the place of a good one.
+var _ = DescribeTable("registration with an invalid value is stored and not used", func(change func(*model.Registration)) {
+	s := registry.New(time.Second)
+	good := registration("good", 5, 1)
+	s.Merge(start, good)
+	odd := registration("odd", 6, 1)
+	change(&odd)
+	Expect(s.Merge(start, odd)).To(BeTrue())
+	Expect(usable(s, "odd")).To(BeFalse())
+	Expect(usable(s, "good")).To(BeTrue())
+	Expect(odd.State.String()).NotTo(BeEmpty())
+	Expect(s.Registrations(start)).To(HaveLen(2))
+},
+	Entry("state", func(r *model.Registration) { r.State = 200 }),
+	Entry("slots", func(r *model.Registration) { r.Slots = 1 << 60 }),
+	Entry("start in the future", func(r *model.Registration) { r.StartTimeMs = 1 << 60 }),
+	Entry("sequence", func(r *model.Registration) { r.Sequence = 1<<64 - 1 }),
+	Entry("service that is not UTF-8", func(r *model.Registration) { r.Service = "\xff" }),
+	Entry("no zone", func(r *model.Registration) { r.Zone = "" }),
+)
+
+var _ = It("registration with a port out of range is not used", func() {
+	s := registry.New(time.Second)
+	for _, address := range []string{"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1", ":80"} {
+		r := registration("odd", 6, 1)
+		r.Address = address
+		s.Merge(start, r)
+		Expect(usable(s, "odd")).To(BeFalse(), address)
+	}
+})
+
 var _ = It("registration changes when the upstream becomes cold again", func() {
 	s := registry.New(time.Second)
 	s.Heartbeat(start, registration("u", 5, 1))
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -35,6 +35,9 @@
 	// Confirmed is true if a majority of the control group has stored the
 	// registration.
 	Confirmed bool
+	// Invalid is true if the registration contains an invalid value. It is retained,
+	// so that all instances hold the same records, but its upstream is not usable.
+	Invalid bool
 }
 
 // State holds the registrations of all upstreams.
@@ -106,11 +109,14 @@
 	if existing != nil && existing.StartTimeMs == r.StartTimeMs {
 		r.Leaving = r.Leaving || existing.Leaving
 	}
-	e := &Entry{Registration: r, ColdUntil: at.Add(r.ColdRemaining), LastHeartbeat: at}
+	e := &Entry{Registration: r, ColdUntil: at.Add(r.ColdRemaining), LastHeartbeat: at,
+		Invalid: r.Validate() != nil || r.ValidateStart(at) != nil}
 	e.ColdRemaining = 0
 	s.entries[r.ID] = e
 	s.revision++
-	s.updateAddressOwner(e)
+	if !e.Invalid {
+		s.updateAddressOwner(e)
+	}
 	if r.State == model.RegistrationDeregistered && (existing == nil || existing.State != model.RegistrationDeregistered) {
 		s.retainDeregistered(r.ID)
 	}
@@ -186,7 +192,7 @@
 // leaving, and no other upstream has taken over its address. It does not check
 // whether the lease has expired.
 func (s *State) Usable(e *Entry) bool {
-	return e.State == model.RegistrationServing && !e.Leaving && s.addressOwners[e.Address] == e.ID
+	return e.State == model.RegistrationServing && !e.Leaving && !e.Invalid && s.addressOwners[e.Address] == e.ID
 }
 
 // Expired reports whether the lease of an upstream has expired.
--- a/pkg/routed/routed_test.go
+++ b/pkg/routed/routed_test.go
@@ -34,7 +34,7 @@
 		c.Merge(model.Item{Key: model.ItemKey{Kind: model.ServiceItem, Name: svc}, Version: 1, Service: &model.ServiceSpec{}})
 		for _, n := range []string{"1", "2", "3"} {
 			r.Heartbeat(start, model.Registration{ID: model.UpstreamID(svc + n), Service: model.ServiceName(svc),
-				Address: "10.0.0." + n + ":" + svc, Zone: "z", Slots: 4, StartTimeMs: 1, Sequence: 1})
+				Address: "10.0." + map[string]string{"reads": "0.", "writes": "1."}[svc] + n + ":80", Zone: "z", Slots: 4, StartTimeMs: 1, Sequence: 1})
 		}
 	}
 	for _, route := range routes {
--- a/pkg/state/bench_test.go
+++ b/pkg/state/bench_test.go
@@ -26,7 +26,7 @@
 		for i := range 1000 {
 			step(event.UpstreamAnnounced{Announcement: model.Announcement{
 				Upstream: model.UpstreamID(fmt.Sprintf("u%03d", i)), Incarnation: 1, Service: "tabview", Zone: "z",
-				Address: "a", Slots: 3, MaxConnections: 100, State: model.Serving, First: first}})
+				Address: "a:80", Slots: 3, MaxConnections: 100, State: model.Serving, First: first}})
 		}
 		at = at.Add(500 * time.Millisecond)
 	}
--- a/pkg/state/shifts_test.go
+++ b/pkg/state/shifts_test.go
@@ -68,7 +68,7 @@
 		Services: []model.Service{{Name: "tabview", Profile: "p"}}}})
 	for _, first := range []bool{true, false} {
 		step(event.UpstreamAnnounced{Announcement: model.Announcement{Upstream: "u", Incarnation: 1, Service: "tabview",
-			Zone: "b1", Address: "a", Slots: 4, MaxConnections: 1, State: model.Serving, First: first}})
+			Zone: "b1", Address: "a:80", Slots: 4, MaxConnections: 1, State: model.Serving, First: first}})
 	}
 	grants := func(seq uint64, spill string) int {
 		n := 0
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -61,7 +61,7 @@
 // for the first registration of an upstream process.
 func (h *harness) announce(id model.UpstreamID, slots int, first bool, state model.UpstreamState, load float64) {
 	h.Announce(h.at, event.UpstreamAnnounced{Announcement: model.Announcement{Upstream: id, Incarnation: 5, Service: "tabview",
-		Zone: "z", Address: "a", Slots: slots, MaxConnections: 1, State: state, First: first, Load: load}}, &h.out)
+		Zone: "z", Address: "a:80", Slots: slots, MaxConnections: 1, State: state, First: first, Load: load}}, &h.out)
 }
 
 // dispatch grants a slot of the upstream that Choose returns. It returns "" if
@@ -303,7 +303,7 @@
 		h.at = h.at.Add(500 * ms)
 		h.announce(name(1), 8, false, model.Serving, 0)
 		h.Announce(h.at, event.UpstreamAnnounced{Announcement: model.Announcement{Upstream: name(0), Incarnation: 6, Service: "tabview",
-			Zone: "z", Address: "a", Slots: 8, MaxConnections: 1, State: model.Serving, First: first}}, &h.out)
+			Zone: "z", Address: "a:80", Slots: 8, MaxConnections: 1, State: model.Serving, First: first}}, &h.out)
 		h.MarkReady(name(0))
 	}
 	Expect(h.countChoices(40)[name(0)]).To(BeNumerically(">", 0))
