--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -187,23 +187,6 @@
 		MeanWorkTime: model.Duration(svc.meanTime), MaxConnections: s.maxConnections(svc), MaxIdleTime: s.maxIdleTime(at, best)}, true
 }
 
-// minWorkFraction is the fraction of the expected work time that every request
-// is assumed to need. It is below 1 because some requests of a service take far
-// less time than others.
-const minWorkFraction = 0.5
-
-// WillMissDeadline reports whether a request is expected to miss its deadline.
-// A request that has to wait for a slot is expected to miss it unless the mean
-// work time also fits into the remaining time. Work that is aborted at its
-// deadline would take a slot from other requests and leave its object uncached.
-func WillMissDeadline(responseTime, queueTime, meanWorkTime, remaining model.Duration) bool {
-	work := responseTime - queueTime
-	if queueTime > 0 {
-		return queueTime+max(work, meanWorkTime) > remaining
-	}
-	return model.Duration(minWorkFraction*float64(work)) > remaining
-}
-
 // canReceiveNow reports whether an upstream may receive the request at this
 // time.
 func (s *State) canReceiveNow(at model.Time, svc *service, t *target, q *Query, allowSuspected bool) bool {
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -168,7 +168,7 @@
 
 // send selects an upstream and forwards the request to it. If no upstream can
 // serve the request in time, the request is rejected with the result code
-// fallback or DeadlineTooShort. If an earlier attempt may have been executed,
+// fallback, DeadlineTooShort or QueueFull. If an earlier attempt may have been executed,
 // the request ends with an unknown outcome instead.
 func (s *State) send(at model.Time, r *request, fallback result.Code, out *event.Effects) {
 	remaining := r.deadline.Sub(at)
@@ -177,6 +177,9 @@
 	if ok && !r.mayHaveExecuted && balance.WillMissDeadline(choice.ResponseTime, choice.QueueTime, choice.MeanWorkTime, remaining) {
 		ok, fallback = false, result.DeadlineTooShort
 	}
+	if ok && !r.mayHaveExecuted && balance.QueueTooLong(choice.QueueTime, r.route.Objective) {
+		ok, fallback = false, result.QueueFull
+	}
 	if !ok || remaining < minAttemptTime {
 		s.rejectWithRetryAfter(at, r, fallback, out)
 		return
