Let queues take 0.6 of the objective, and return callers when there is room

Change: the limit is 0.6, and the advice to refused callers includes the time until the queue is short enough.

--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -10,7 +10,7 @@
 	// maxQueueFraction is the fraction of a route's latency objective that a request
 	// may spend in the queue of an upstream. It leaves the time for work on a cached
 	// object and for the network.
-	maxQueueFraction = 0.4
+	maxQueueFraction = 0.6
 )
 
 // WillMissDeadline reports whether a request is expected to miss its deadline.
@@ -38,5 +38,14 @@
 // is admitted while the queue is short, so that the object gets cached. The
 // objective is 0 if the route has none, which permits any queue.
 func QueueTooLong(queueTime, objective model.Duration) bool {
-	return objective > 0 && queueTime > model.Duration(maxQueueFraction*float64(objective))
+	return ExcessQueueTime(queueTime, objective) > 0
+}
+
+// ExcessQueueTime returns how long it takes until the queue is short enough for the
+// request, if no others are admitted until then.
+func ExcessQueueTime(queueTime, objective model.Duration) model.Duration {
+	if objective <= 0 {
+		return 0
+	}
+	return max(0, queueTime-model.Duration(maxQueueFraction*float64(objective)))
 }
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -203,7 +203,7 @@
 	if r.mayHaveExecuted {
 		code = result.UpstreamLost
 	} else {
-		retryAfter = max(s.roomIn(at, r), s.retryAfter(r.choice.ResponseTime))
+		retryAfter = max(s.roomIn(at, r), s.retryAfter(r.choice.ResponseTime)+balance.ExcessQueueTime(r.choice.QueueTime, r.route.Objective))
 	}
 	s.reject(at, r, code, retryAfter, out)
 }
