Answer every request that a planned stop overtakes

What callers saw in the report: requests taken late in the grace period were passed on and cut at its end without an answer. It can happen here: requests were accepted for 3 s whatever they need, and at 5/6 of the grace period the process ended while the goroutines of open requests waited for their upstreams; 300 ms later their connections were closed. Change: in a stop, a request is sent only if twice its expected response time fits into the rest of the grace period, otherwise rejected as not run before it is sent; its deadline is the end of the process at the latest, so that the upstream ends it. At 7/8 of the grace period open sends are canceled and their requests answered; the process ends when that is done.

--- a/node_test.go
+++ b/node_test.go
@@ -72,6 +72,10 @@
 		if r.URL.Path == "/a/slow" {
 			<-release
 		}
+		if r.URL.Path == "/a/stuck" {
+			<-r.Context().Done()
+			return
+		}
 		fmt.Fprint(w, r.Method, " ", r.URL.Path)
 	}))
 	t.Cleanup(upstream.Close)
@@ -79,7 +83,7 @@
 	change := []model.Item{
 		{Key: model.ItemKey{Kind: model.ServiceItem, Name: "s"}, Version: 1, Service: &model.ServiceSpec{}, Document: []byte("s")},
 		{Key: model.ItemKey{Kind: model.RouteItem, Name: "r"}, Version: 1, Document: []byte("r"), Route: &model.Route{
-			Host: "h", Prefix: "/a/", Timeout: 5 * time.Second, MaxAttempts: 1, Splits: []model.Split{{Service: "s", Weight: 1}}}},
+			Host: "h", Prefix: "/a/", Timeout: 20 * time.Second, MaxAttempts: 1, Splits: []model.Split{{Service: "s", Weight: 1}}}},
 	}
 	g.Eventually(func() error { return control[1].ChangeItems(ctx, change) }).WithTimeout(20 * time.Second).Should(Succeed())
 	g.Expect(control[2].Heartbeat(ctx, model.Registration{ID: "u", Service: "s", Zone: "z", Slots: 4, StartTimeMs: 1, Sequence: 1,
@@ -107,13 +111,18 @@
 	g.Expect(items).To(HaveLen(2))
 
 	// A graceful stop completes open requests and removes the instance from
-	// lookups.
-	slow := make(chan string, 1)
+	// lookups. A request that its upstream never answers gets an answer before the
+	// end of the grace period.
+	slow, stuck := make(chan string, 1), make(chan int, 1)
 	go func() { _, body := call("/a/slow"); slow <- body }()
+	go func() { status, _ := call("/a/stuck"); stuck <- status }()
 	time.Sleep(100 * time.Millisecond)
+	stopAt := time.Now().Add(6 * time.Second)
 	entry.Stop()
 	g.Eventually(func() []string { return control[0].Directory().Resolve("z", "r") }).WithTimeout(5 * time.Second).Should(BeEmpty())
 	close(release)
 	g.Eventually(slow).WithTimeout(10 * time.Second).Should(Receive(Equal("GET /a/slow")))
+	g.Eventually(stuck).WithTimeout(10 * time.Second).Should(Receive(Equal(http.StatusGatewayTimeout)))
 	g.Eventually(done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+	g.Expect(time.Now()).To(BeTemporally("<", stopAt))
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -39,7 +39,9 @@
 
 func newConfiguredSim(seed uint64) *sim {
 	s := newDeployment(seed)
-	ExpectWithOffset(1, s.call("core-b2", ackTimeout, proposeItems(service(7), route("r", 7)))).To(Equal(result.Success))
+	long := route("long", 7)
+	long.Route.Kind, long.Route.Timeout, long.Route.Objective = model.NonIdempotent, time.Minute, 2*time.Second
+	ExpectWithOffset(1, s.call("core-b2", ackTimeout, proposeItems(service(7), route("r", 7), long))).To(Equal(result.Success))
 	s.run(time.Second)
 	return s
 }
@@ -270,6 +272,55 @@
 	Expect(n.effects).To(ContainElement(event.Reject{Request: 9997, Code: result.Stopping}))
 })
 
+// Guards against requests that are sent to an upstream so late in a planned stop that
+// the process ends first, and against callers whose connection is closed without an
+// answer. The upstream needs 900 ms for each request, and never answers the last one.
+var _ = It("each request in a planned stop is answered or refused before it is sent", func() {
+	for tenth := range 10 {
+		s := newConfiguredSim(uint64(tenth))
+		s.call("core-b1", ackTimeout, sendHeartbeat("1", "a1", 1, model.RegistrationServing))
+		s.run(time.Second)
+		n := s.nodes["edge-a1"]
+		grace := n.identity.StopGracePeriod
+		s.step(n, event.RoutedArrived{ID: 9000, Host: "h", Path: "/long/x"})
+		s.step(n, event.StopRequested{})
+		stopAt := s.now.Add(grace)
+		s.run(grace * time.Duration(tenth) / 10)
+		if n.stopped {
+			Expect(tenth).To(BeNumerically(">", 5), "one request is open until the end of the grace period")
+			continue
+		}
+		n.effects = nil
+		s.step(n, event.RoutedArrived{ID: 9001, Host: "h", Path: "/long/x"})
+		for _, e := range n.effects {
+			if f, ok := e.(event.Forward); ok {
+				Expect(f.Deadline).To(BeNumerically("<=", stopAt))
+				s.run(900 * time.Millisecond)
+				Expect(n.stopped).To(BeFalse(), fmt.Sprint("tenth ", tenth))
+				s.step(n, event.SendEnded{Request: f.Request, Attempt: 1, Upstream: f.Upstream, UpstreamStartMs: 1,
+					Outcome: event.SendAnswered, ResponseTime: 900 * time.Millisecond})
+				Expect(n.effects).To(ContainElement(event.Deliver{Request: 9001}))
+			}
+			if r, ok := e.(event.Reject); ok {
+				Expect(r.Code).To(Equal(result.Stopping))
+				Expect(tenth).To(BeNumerically(">=", 4), "there was time")
+			}
+		}
+		// The send that never ends is canceled, and its caller is answered.
+		for !n.stopped {
+			n.effects = nil
+			s.run(50 * time.Millisecond)
+			for _, e := range n.effects {
+				if _, ok := e.(event.CancelSend); ok {
+					s.step(n, event.SendEnded{Request: 9000, Attempt: 1, Outcome: event.SendCanceled, Upstream: "1", UpstreamStartMs: 1})
+					Expect(n.effects).To(ContainElement(event.Reject{Request: 9000, Code: result.DeadlineAfterDispatch}))
+				}
+			}
+			Expect(s.now).To(BeNumerically("<", stopAt))
+		}
+	}
+})
+
 // Guards against a control instance at a new address that replaces a lost one
 // but never becomes a voter.
 var _ = It("new control instance joins the control group in place of a lost one", func() {
--- a/pkg/fleet/stopping.go
+++ b/pkg/fleet/stopping.go
@@ -18,19 +18,24 @@
 	// time, because clients with a cached lookup result may still connect to it.
 	minEntryStopTime = 3 * time.Second
 	// graceReserveFraction is the fraction of the grace period that is kept in
-	// reserve: the process stops this long before the end of the grace period even
-	// if requests are open.
-	graceReserveFraction = 1.0 / 6
+	// reserve: this long before the end of the grace period, the sends that are still
+	// open are canceled and their requests are answered.
+	graceReserveFraction = 1.0 / 8
+	// cancelTime is how long after that the process ends, even if a canceled send has
+	// not ended.
+	cancelTime = 150 * time.Millisecond
 )
 
 // gracefulStop is the state of a graceful stop. From earliestStop on, the
-// process stops as soon as no request is open. At stopDeadline it stops even if
-// requests are open. requestedAt is 0 if no stop was requested.
+// process stops as soon as no request is open. At stopDeadline the open requests
+// are ended, and cancelTime later the process stops in any case. requestedAt is 0 if
+// no stop was requested, canceled is true from stopDeadline on.
 type gracefulStop struct {
 	requestedAt, earliestStop, stopDeadline model.Time
 	// nextCheckAt is the time for which a timer event is requested, to check again
 	// whether the process can stop.
 	nextCheckAt model.Time
+	canceled    bool
 	done        bool
 }
 
@@ -68,20 +73,28 @@
 	}
 	s.stopping.nextCheckAt = s.stopping.earliestStop
 	s.stopping.stopDeadline = at.Add(max(model.Duration((1-graceReserveFraction)*float64(s.identity.StopGracePeriod)), minEntryStopTime))
+	s.requests.StopAt(s.stopping.stopDeadline)
 }
 
 // stopIfDone stops the process if a stop was requested, earliestStop has been
-// reached and no request is open. At stopDeadline it stops the process even if
-// requests are open.
+// reached and no request is open. At stopDeadline it ends the open requests, so that
+// their callers get an answer instead of a closed connection.
 func (s *State) stopIfDone(at model.Time) {
 	st := &s.stopping
 	if !st.requested() || st.done || at < st.earliestStop {
 		return
 	}
-	if s.requests.OpenRequests > 0 && at < st.stopDeadline {
+	if at >= st.stopDeadline && !st.canceled {
+		st.canceled = true
+		s.requests.EndAll(at, &s.out)
+	}
+	if s.requests.OpenRequests > 0 && at < st.stopDeadline.Add(cancelTime) {
 		// Each open request ends with an event, which leads to another check. The
-		// timer is needed only for the deadline.
+		// timer is needed only for the two times.
 		st.nextCheckAt = st.stopDeadline
+		if st.canceled {
+			st.nextCheckAt = st.stopDeadline.Add(cancelTime)
+		}
 		return
 	}
 	st.done = true
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -1,7 +1,9 @@
 package routed
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/alarm"
@@ -20,6 +22,10 @@
 	// minAttemptTime is the least remaining time of a request that may be sent to
 	// an upstream.
 	minAttemptTime = 30 * time.Millisecond
+	// stopTimeFactor multiplies the expected response time of a request that is sent
+	// while the process stops. It must end before the process does, since a request
+	// that may not be repeated must not be cut.
+	stopTimeFactor = 2
 	// defaultTimeout is the timeout of requests for routes that have none.
 	defaultTimeout = 30 * time.Second
 	// minRetryAfter is the fixed part of the delay after which a rejected caller
@@ -99,6 +105,8 @@
 	budgets     map[model.ServiceName]*retryBudget
 	splitters   map[string]*splitter
 	alarms      alarm.Queue[model.RequestID]
+	// stopAt is when this process stops, 0 if no stop was requested.
+	stopAt model.Time
 	// OpenRequests is the number of requests that have not ended.
 	OpenRequests int
 }
@@ -171,12 +179,16 @@
 // fallback, DeadlineTooShort or QueueFull. If an earlier attempt may have been executed,
 // the request ends with an unknown outcome instead.
 func (s *State) send(at model.Time, r *request, fallback result.Code, out *event.Effects) {
+	s.limitToStop(r)
 	remaining := r.deadline.Sub(at)
 	choice, ok := s.balance.Choose(at, s.query(at, r))
 	r.choice = choice
 	if ok && !r.mayHaveExecuted && balance.WillMissDeadline(choice.ResponseTime, choice.QueueTime, choice.MeanWorkTime, remaining) {
 		ok, fallback = false, result.DeadlineTooShort
 	}
+	if ok && !r.mayHaveExecuted && s.stopAt != 0 && stopTimeFactor*choice.ResponseTime > s.stopAt.Sub(at) {
+		ok, fallback = false, result.Stopping
+	}
 	if ok && !r.mayHaveExecuted && balance.QueueTooLong(choice.QueueTime, r.route.Objective) {
 		ok, fallback = false, result.QueueFull
 	}
@@ -194,6 +206,26 @@
 	})
 }
 
+// StopAt tells that this process stops at the given time. Requests that are sent
+// until then get it as their deadline, so that the upstream ends them in time.
+func (s *State) StopAt(at model.Time) { s.stopAt = at }
+
+// limitToStop moves the deadline of a request to the time when this process stops
+// if that is earlier.
+func (s *State) limitToStop(r *request) {
+	if s.stopAt != 0 && s.stopAt < r.deadline {
+		r.deadline = s.stopAt
+		s.alarms.Add(r.deadline, r.id)
+	}
+}
+
+// EndAll ends all open requests as if their deadlines had been reached.
+func (s *State) EndAll(at model.Time, out *event.Effects) {
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		s.endAtDeadline(at, id, out)
+	}
+}
+
 // rejectWithRetryAfter ends a request for which no upstream returned a
 // response. If the request may have been executed, its outcome is unknown: the
 // code is replaced by UpstreamLost. Otherwise the rejection states when to
@@ -368,19 +400,24 @@
 		if !ok {
 			return
 		}
-		r := s.requests[id]
-		if r == nil || r.ended {
-			continue
-		}
-		r.deadlineReached = true
-		if r.sendInProgress {
-			// The send then ends with an outcome that states whether the request may
-			// have been executed.
-			out.Add(event.CancelSend{Request: id})
-			continue
-		}
-		s.expire(at, r, out)
+		s.endAtDeadline(at, id, out)
+	}
+}
+
+// endAtDeadline ends a request that is open. If a send is in progress, it is
+// canceled; it then ends with an outcome that states whether the request may have
+// been executed.
+func (s *State) endAtDeadline(at model.Time, id model.RequestID, out *event.Effects) {
+	r := s.requests[id]
+	if r == nil || r.ended {
+		return
+	}
+	r.deadlineReached = true
+	if r.sendInProgress {
+		out.Add(event.CancelSend{Request: id})
+		return
 	}
+	s.expire(at, r, out)
 }
 
 // expire ends a request whose deadline has been reached without a response.
