Send fewer messages between instances, and pay for a change only

Change: no pings while messages of the peer arrive. With more than nine control instances, heartbeats without a subscription are sent less often, and say so. Heartbeats with the same content are one message, encoded once; addresses are sent when they change. Subscribed entry instances get changes in batches, at most one each 50 ms; the others get them through their subscriptions. The digest follows each change. Reports find registrations by key. Upstreams are synced to the selection at most every 25 ms, and entry instances are listed when one of them changes or every 100 ms. Drains and deregistrations are still sent to all peers at once. Tests: digest against a full pass over random changes; batches; one message for equal heartbeats; number of heartbeats with 27 control instances.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/catalog"
 	"github.com/anvilcrank/anvilcrank/pkg/directory"
@@ -18,8 +19,16 @@
 	ready     bool
 	stopping  bool
 	published bool
+	// entryRevision is the revision of the peers from which entries follows. At
+	// checkAt they are determined again, since heartbeats may have stopped.
+	entryRevision uint64
+	checkAt       model.Time
 }
 
+// entryCheckInterval is how often an instance checks which entry instances have
+// stopped sending heartbeats.
+const entryCheckInterval = 100 * time.Millisecond
+
 // isReady reports whether this instance is an entry instance that accepts new
 // client connections. An entry instance accepts them from the time when it has
 // received the configuration and the registrations of upstreams, until it is
@@ -31,7 +40,11 @@
 // publishDirectory publishes a new directory view if its content has changed.
 func (s *State) publishDirectory(at model.Time) {
 	d := &s.directory
-	entries := s.liveEntries(at)
+	entries := d.entries
+	if revision := s.replica.EntryRevision(); revision != d.entryRevision || at >= d.checkAt {
+		d.entryRevision, d.checkAt = revision, at.Add(entryCheckInterval)
+		entries = s.liveEntries(at)
+	}
 	ready, table, stopping := s.isReady(), s.routes(), s.stopping.requested()
 	if d.published && ready == d.ready && table == d.table && stopping == d.stopping && slices.Equal(entries, d.entries) {
 		return
@@ -41,7 +54,7 @@
 		s.updateHeartbeat(at)
 		s.replica.SendHeartbeats(&s.out)
 	}
-	*d = publishedDirectory{entries: entries, table: table, ready: ready, stopping: stopping, published: true}
+	d.entries, d.table, d.ready, d.stopping, d.published = entries, table, ready, stopping, true
 	s.out.Add(event.PublishDirectory{View: &directory.View{
 		Ready: ready, Stopping: stopping, Table: table, Entries: entries, Regions: s.identity.Regions}})
 }
--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -177,7 +177,7 @@
 		s.catalog = catalog.Restore(*snapshot)
 		s.snapshotPosition = e.Index
 		s.records.itemChanges++
-		s.replica.Forward(recordsForEntryInstances(snapshot.Items, snapshot.Evacuations), &s.out)
+		s.replica.Forward(at, recordsForEntryInstances(snapshot.Items, snapshot.Evacuations), &s.out)
 		return
 	}
 	c, err := s.codec.DecodeCommand(e.Data)
@@ -192,7 +192,7 @@
 	if len(r.ChangedItems) > 0 || len(r.ChangedEvacuations) > 0 {
 		s.records.itemChanges++
 		s.logConfigInForce(r.ChangedItems, r.ChangedEvacuations)
-		s.replica.Forward(recordsForEntryInstances(r.ChangedItems, r.ChangedEvacuations), &s.out)
+		s.replica.Forward(at, recordsForEntryInstances(r.ChangedItems, r.ChangedEvacuations), &s.out)
 	}
 	if c.Origin == s.identity.ID && c.Incarnation == s.identity.Incarnation && s.calls.proposals[c.Call] != nil {
 		delete(s.calls.proposals, c.Call)
--- a/pkg/fleet/records.go
+++ b/pkg/fleet/records.go
@@ -1,10 +1,6 @@
 package fleet
 
 import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
@@ -17,59 +13,22 @@
 	state *State
 	// itemChanges counts the changes of items and evacuations.
 	itemChanges uint64
-	// digest is the cached digest of all records. It was computed for the registry
-	// revision digestRevision and the value digestItemChanges of itemChanges.
-	// digestValid is false until the first computation.
-	digest            uint64
-	digestRevision    uint64
+	// itemDigest is the cached digest of items and evacuations. It was computed for
+	// the value digestItemChanges of itemChanges.
+	itemDigest        uint64
 	digestItemChanges uint64
-	digestValid       bool
-}
-
-// recordKey returns the key by which instances compare the versions of a
-// record. It is a hash of the kind and the name of the record.
-func recordKey(kind byte, parts ...string) uint64 {
-	h := xxhash.New()
-	_, _ = h.Write([]byte{kind})
-	for _, p := range parts {
-		_, _ = h.WriteString(p)
-		_, _ = h.Write([]byte{0})
-	}
-	return h.Sum64()
 }
 
 func itemVersion(i *model.Item) message.RecordVersion {
-	return message.RecordVersion{Key: recordKey('i', i.Key.Kind.String(), i.Key.Name), Version: uint64(i.Version)}
+	return message.RecordVersion{Key: message.RecordKey('i', i.Key.Kind.String(), i.Key.Name), Version: uint64(i.Version)}
 }
 
 func evacuationVersion(e *model.Evacuation) message.RecordVersion {
-	return message.RecordVersion{Key: recordKey('e', string(e.Zone)), Version: e.Position}
-}
-
-func registrationKey(id model.UpstreamID) uint64 { return recordKey('u', string(id)) }
-
-// registrationVersion returns the key and the version of a registration. The
-// version is a hash of the start time of the upstream's process, of the
-// sequence number and of whether the upstream is deregistered or leaving. It shows only
-// whether two registrations are the same, not which of them is newer.
-func registrationVersion(r *model.Registration) message.RecordVersion {
-	var data [17]byte
-	binary.BigEndian.PutUint64(data[:], uint64(r.StartTimeMs))
-	binary.BigEndian.PutUint64(data[8:], r.Sequence)
-	if r.State == model.RegistrationDeregistered {
-		// Two instances that receive the same deregistration may assign different
-		// sequence numbers, so the number is left out.
-		binary.BigEndian.PutUint64(data[8:], 0)
-		data[16] = 1
-	}
-	if r.Leaving {
-		data[16] |= 2
-	}
-	return message.RecordVersion{Key: registrationKey(r.ID), Version: xxhash.Sum64(data[:])}
+	return message.RecordVersion{Key: message.RecordKey('e', string(e.Zone)), Version: e.Position}
 }
 
-// Versions implements replica.Store.
-func (r *records) Versions() []message.RecordVersion {
+// itemVersions returns the versions of the items and evacuations.
+func (r *records) itemVersions() []message.RecordVersion {
 	var list []message.RecordVersion
 	items := r.state.catalog.Snapshot()
 	for i := range items.Items {
@@ -78,27 +37,28 @@
 	for i := range items.Evacuations {
 		list = append(list, evacuationVersion(&items.Evacuations[i]))
 	}
+	return list
+}
+
+// Versions implements replica.Store.
+func (r *records) Versions() []message.RecordVersion {
+	list := r.itemVersions()
 	regs := r.state.registry.Registrations(0)
 	for i := range regs {
-		list = append(list, registrationVersion(&regs[i]))
+		list = append(list, message.RegistrationVersion(&regs[i]))
 	}
 	return list
 }
 
 // Digest implements replica.Store.
 func (r *records) Digest() uint64 {
-	revision := r.state.registry.Revision()
-	if r.digestValid && r.digestRevision == revision && r.digestItemChanges == r.itemChanges {
-		return r.digest
-	}
-	r.digest, r.digestRevision, r.digestItemChanges, r.digestValid = 0, revision, r.itemChanges, true
-	for _, v := range r.Versions() {
-		var data [16]byte
-		binary.BigEndian.PutUint64(data[:], v.Key)
-		binary.BigEndian.PutUint64(data[8:], v.Version)
-		r.digest ^= xxhash.Sum64(data[:])
-	}
-	return r.digest
+	if r.digestItemChanges != r.itemChanges {
+		r.itemDigest, r.digestItemChanges = 0, r.itemChanges
+		for _, v := range r.itemVersions() {
+			r.itemDigest ^= v.Hash()
+		}
+	}
+	return r.itemDigest ^ r.state.registry.Digest()
 }
 
 // Missing implements replica.Store.
@@ -126,7 +86,7 @@
 		}
 	}
 	for _, reg := range r.state.registry.Registrations(at) {
-		if isMissing(registrationVersion(&reg)) {
+		if isMissing(message.RegistrationVersion(&reg)) {
 			m.Registrations = append(m.Registrations, reg)
 		}
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -82,11 +82,14 @@
 	constraintsAt model.Time
 	directory     publishedDirectory
 
-	syncedRevision   uint64
-	nextSyncAt       model.Time
-	snapshotPosition uint64
-	timerAt          model.Time
-	startedAt        model.Time
+	// syncedRevision is the revision of the records that package balance has. The next
+	// sync is due at nextSyncAt, or after minSyncInterval if the revision changes.
+	syncedRevision       uint64
+	lastSyncAt           model.Time
+	nextSyncAt, resyncAt model.Time
+	snapshotPosition     uint64
+	timerAt              model.Time
+	startedAt            model.Time
 }
 
 // New returns the state of an instance before its first event.
@@ -259,9 +262,13 @@
 // upstreams.
 const leaseCheckInterval = time.Second
 
+// minSyncInterval is the least time between two syncs. A sync goes through all
+// registrations, and many of them can change at the same time.
+const minSyncInterval = 25 * time.Millisecond
+
 // syncBalance passes the registrations, services and evacuations to package
-// balance if they have changed. It also does so every leaseCheckInterval, so
-// that expired leases take effect.
+// balance if they have changed, at most every minSyncInterval. It also does so
+// every leaseCheckInterval, so that expired leases take effect.
 func (s *State) syncBalance(at model.Time) {
 	if s.identity.Control {
 		return
@@ -270,7 +277,11 @@
 	if revision == s.syncedRevision && at < s.nextSyncAt {
 		return
 	}
+	if s.resyncAt = s.lastSyncAt.Add(minSyncInterval); at < s.resyncAt && at < s.nextSyncAt {
+		return
+	}
 	s.syncedRevision = revision
+	s.lastSyncAt, s.resyncAt = at, 0
 	s.nextSyncAt = at.Add(leaseCheckInterval)
 	s.balance.EntryInstances = max(s.replica.EntryInstanceCount(), s.balance.EntryInstances/2, 1)
 	s.balance.Sync(at, s.registry, s.catalog, s.heartbeatReports.isComplete(at))
@@ -281,7 +292,7 @@
 // sub-reducers.
 func (s *State) setTimer() {
 	next := s.replica.NextWake()
-	for _, t := range []model.Time{s.requests.NextWake(), s.calls.nextWake(), s.stopping.nextWake(), s.heartbeatReports.nextWake(s.identity.Control), s.rates.reportAt} {
+	for _, t := range []model.Time{s.requests.NextWake(), s.calls.nextWake(), s.stopping.nextWake(), s.heartbeatReports.nextWake(s.identity.Control), s.rates.reportAt, s.resyncAt} {
 		if t != 0 && (next == 0 || t < next) {
 			next = t
 		}
--- a/pkg/fleet/statements.go
+++ b/pkg/fleet/statements.go
@@ -17,7 +17,7 @@
 func (s *State) upstreamStated(at model.Time, b event.UpstreamStated) {
 	if reg, changed := s.registry.MarkLeaving(b.Upstream, b.StartMs, b.Statement.Leaving); changed {
 		s.logStatement(b.Upstream, b.StartMs, logevent.F("leaving", true))
-		s.replica.Push(message.Records{Registrations: []model.Registration{reg}}, &s.out)
+		s.replica.Push(at, message.Records{Registrations: []model.Registration{reg}}, &s.out)
 	}
 	if pause := b.Statement.Pause; pause > 0 && s.balance.Pause(b.Upstream, b.StartMs, at.Add(pause)) {
 		s.logStatement(b.Upstream, b.StartMs, logevent.F("pause_ms", pause.Milliseconds()), logevent.F("until", int64(at.Add(pause))))
--- a/pkg/fleet/upstreams.go
+++ b/pkg/fleet/upstreams.go
@@ -43,7 +43,7 @@
 	}
 	if e.State == model.RegistrationServing {
 		if changed {
-			s.replica.Push(message.Records{Registrations: []model.Registration{e.RegistrationAt(at)}}, &s.out)
+			s.replica.Push(at, message.Records{Registrations: []model.Registration{e.RegistrationAt(at)}}, &s.out)
 		}
 		s.out.Add(event.CallReply{Call: b.Call, Code: result.Success})
 		return
@@ -167,7 +167,7 @@
 	}
 	m := &message.UpstreamHeartbeats{}
 	for id := range s.heartbeatReports.upstreams {
-		m.Keys = append(m.Keys, registrationKey(id))
+		m.Keys = append(m.Keys, message.RegistrationKey(id))
 	}
 	slices.Sort(m.Keys)
 	clear(s.heartbeatReports.upstreams)
@@ -181,13 +181,7 @@
 		s.heartbeatReports.uninterruptedSince = at
 	}
 	s.heartbeatReports.receivedAt = at
-	reported := make(map[uint64]bool, len(m.Keys))
 	for _, k := range m.Keys {
-		reported[k] = true
-	}
-	for _, r := range s.registry.Registrations(at) {
-		if reported[registrationKey(r.ID)] {
-			s.registry.ForwardedHeartbeat(at, r.ID)
-		}
+		s.registry.ForwardedHeartbeat(at, k)
 	}
 }
--- a/pkg/message/fleet.go
+++ b/pkg/message/fleet.go
@@ -77,14 +77,9 @@
 	// LeaderTerm is the term in which the sender leads the control group, 0 if it
 	// does not. The leader accepts RateDemands.
 	LeaderTerm uint64 `cbor:"9,keyasint,omitempty"`
-}
-
-// RecordVersion identifies a version of a record. Key is a hash of the record's
-// key, and Version is a hash of its version.
-type RecordVersion struct {
-	_       struct{} `cbor:",toarray"`
-	Key     uint64
-	Version uint64
+	// Intervals is the number of heartbeat intervals until the sender's next heartbeat
+	// to the receiver if it is more than one, else 0.
+	Intervals int `cbor:"10,keyasint,omitempty"`
 }
 
 // Pull asks for all records of the receiver that the sender lacks or has in a
--- a/pkg/peer/manager.go
+++ b/pkg/peer/manager.go
@@ -32,6 +32,10 @@
 	// peer without a TCP reset is detected after at most pingInterval plus
 	// pingTimeout.
 	pingInterval = time.Second
+	// recentMessage is the age up to which a received message shows that the peer and
+	// the network are well, so that no ping is needed. It exceeds the time between two
+	// heartbeats of a peer.
+	recentMessage = 1700 * time.Millisecond
 	// pingTimeout is how long to wait for the pong before the connection is closed.
 	// It allows for one retransmitted packet between regions.
 	pingTimeout = 2 * time.Second
@@ -82,6 +86,10 @@
 	lastData    []byte
 	// connections holds the established outbound connections.
 	connections map[model.InstanceID]*outboundConn
+	// receivedAt holds for each peer when the latest message arrived, in nanoseconds
+	// since startedAt by the steady clock.
+	receivedAt map[model.InstanceID]*atomic.Int64
+	startedAt  time.Time
 	// dialed holds the addresses for which maintainConnection was started.
 	dialed map[string]bool
 	// ctx is the context of Run, nil before Run.
@@ -116,6 +124,8 @@
 		client:      o.Client,
 		scheme:      "ws",
 		connections: map[model.InstanceID]*outboundConn{},
+		receivedAt:  map[model.InstanceID]*atomic.Int64{},
+		startedAt:   time.Now(),
 		dialed:      map[string]bool{},
 	}
 	if o.TLS {
@@ -197,7 +207,7 @@
 		Address: remote.Address, PeerAddress: remote.PeerAddress})
 	m.logger.Log(event.Log{Code: logevent.PeerConnected, Fields: []logevent.Field{logevent.F("peer", remote.From)}})
 	connCtx, closeConn := context.WithCancel(conn.CloseRead(ctx))
-	go checkConnection(connCtx, conn, closeConn)
+	go m.checkConnection(connCtx, conn, m.receivedFrom(remote.From), closeConn)
 	m.writeQueued(connCtx, conn, outbound)
 	closeConn()
 	m.mu.Lock()
@@ -247,14 +257,30 @@
 	}
 }
 
+// receivedFrom returns when the latest message of a peer arrived.
+func (m *Manager) receivedFrom(peer model.InstanceID) *atomic.Int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := m.receivedAt[peer]
+	if at == nil {
+		at = &atomic.Int64{}
+		m.receivedAt[peer] = at
+	}
+	return at
+}
+
 // checkConnection pings the peer until the context ends, and closes the
-// connection when the peer does not answer. Pings do not delay queued messages.
-func checkConnection(ctx context.Context, conn *websocket.Conn, closeConn func()) {
+// connection when the peer does not answer. Pings do not delay queued messages. No
+// ping is sent while messages of the peer arrive.
+func (m *Manager) checkConnection(ctx context.Context, conn *websocket.Conn, receivedAt *atomic.Int64, closeConn func()) {
 	ping := time.NewTicker(pingInterval)
 	defer ping.Stop()
 	for {
 		select {
 		case <-ping.C:
+			if last := receivedAt.Load(); last != 0 && time.Since(m.startedAt)-time.Duration(last) < recentMessage {
+				continue
+			}
 			pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 			err := conn.Ping(pingCtx)
 			cancel()
@@ -355,11 +381,13 @@
 // logged and skipped: the peer would send it again on a new connection, and later
 // messages would not arrive.
 func (m *Manager) receive(ctx context.Context, conn *websocket.Conn, remote *message.Hello) {
+	receivedAt := m.receivedFrom(remote.From)
 	for {
 		_, data, err := conn.Read(ctx)
 		if err != nil {
 			return
 		}
+		receivedAt.Store(int64(time.Since(m.startedAt)))
 		msg, err := codec.DecodeMessage(data)
 		if err != nil {
 			m.logBadMessage(remote.From, err)
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -1,11 +1,14 @@
 package registry_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/registry"
 )
@@ -110,6 +113,33 @@
 	}
 })
 
+// Guards against a digest that is kept up to date by changes and no longer follows
+// from the registrations: instances with the same records would pull them for ever.
+var _ = It("digest follows from the registrations alone", func() {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		s := registry.New(time.Second)
+		for range 400 {
+			r := registration(fmt.Sprint("u", rng.IntN(12)), int64(rng.IntN(4)+1), uint64(rng.IntN(9)))
+			switch rng.IntN(5) {
+			case 0:
+				s.Deregister(start, r.ID, r.StartTimeMs)
+			case 1:
+				s.MarkLeaving(r.ID, r.StartTimeMs, true)
+			case 2:
+				s.Heartbeat(start, draining(r))
+			default:
+				s.Merge(start, r)
+			}
+		}
+		want := uint64(0)
+		for _, r := range s.Registrations(start) {
+			want ^= message.RegistrationVersion(&r).Hash()
+		}
+		Expect(s.Digest()).To(Equal(want), fmt.Sprint("seed ", seed))
+	}
+})
+
 var _ = It("registration changes when the upstream becomes cold again", func() {
 	s := registry.New(time.Second)
 	s.Heartbeat(start, registration("u", 5, 1))
@@ -126,6 +156,6 @@
 	s.Heartbeat(start, registration("u", 5, 1))
 	Expect(s.Expired(start.Add(4*time.Second), s.Get("u"))).To(BeFalse())
 	Expect(s.Expired(start.Add(4*time.Second+1), s.Get("u"))).To(BeTrue())
-	s.ForwardedHeartbeat(start.Add(3*time.Second), "u")
+	s.ForwardedHeartbeat(start.Add(3*time.Second), message.RegistrationKey("u"))
 	Expect(s.Expired(start.Add(5*time.Second), s.Get("u"))).To(BeFalse())
 })
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -50,8 +51,11 @@
 	// addressOwners holds, for each address, the upstream that uses it now: the
 	// one with the latest process start.
 	addressOwners map[string]model.UpstreamID
-	deregistered  []model.UpstreamID
-	revision      uint64
+	// keys holds the upstream of each record key.
+	keys         map[uint64]model.UpstreamID
+	deregistered []model.UpstreamID
+	revision     uint64
+	digest       uint64
 }
 
 // New returns an empty registry for upstreams with the given heartbeat
@@ -61,9 +65,16 @@
 		Lease:         leaseIntervals * interval,
 		entries:       map[model.UpstreamID]*Entry{},
 		addressOwners: map[string]model.UpstreamID{},
+		keys:          map[uint64]model.UpstreamID{},
 	}
 }
 
+// Digest returns a hash of the versions of all registrations.
+func (s *State) Digest() uint64 { return s.digest }
+
+// versionHash returns the contribution of a registration to the digest.
+func versionHash(r *model.Registration) uint64 { return message.RegistrationVersion(r).Hash() }
+
 // Revision returns a number that increases with each change of a registration.
 func (s *State) Revision() uint64 { return s.revision }
 
@@ -112,7 +123,12 @@
 	e := &Entry{Registration: r, ColdUntil: at.Add(r.ColdRemaining), LastHeartbeat: at,
 		Invalid: r.Validate() != nil || r.ValidateStart(at) != nil}
 	e.ColdRemaining = 0
+	if existing != nil {
+		s.digest ^= versionHash(&existing.Registration)
+	}
+	s.digest ^= versionHash(&e.Registration)
 	s.entries[r.ID] = e
+	s.keys[message.RegistrationKey(r.ID)] = r.ID
 	s.revision++
 	if !e.Invalid {
 		s.updateAddressOwner(e)
@@ -131,7 +147,9 @@
 	if e == nil || !leaving || e.Leaving || e.StartTimeMs != startTimeMs {
 		return model.Registration{}, false
 	}
+	s.digest ^= versionHash(&e.Registration)
 	e.Leaving = true
+	s.digest ^= versionHash(&e.Registration)
 	s.revision++
 	return e.Registration, true
 }
@@ -157,6 +175,8 @@
 	oldest := s.deregistered[0]
 	s.deregistered = s.deregistered[1:]
 	if e := s.entries[oldest]; e != nil && e.State == model.RegistrationDeregistered {
+		s.digest ^= versionHash(&e.Registration)
+		delete(s.keys, message.RegistrationKey(oldest))
 		delete(s.entries, oldest)
 	}
 }
@@ -181,9 +201,9 @@
 }
 
 // ForwardedHeartbeat records that another instance received a heartbeat of the
-// upstream.
-func (s *State) ForwardedHeartbeat(at model.Time, id model.UpstreamID) {
-	if e := s.entries[id]; e != nil {
+// upstream with the record key.
+func (s *State) ForwardedHeartbeat(at model.Time, key uint64) {
+	if e := s.entries[s.keys[key]]; e != nil {
 		e.LastHeartbeat = at
 	}
 }
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -327,3 +327,91 @@
 	}
 	Expect(pulled).To(HaveLen(4))
 })
+
+// newControlInstance returns a control instance that is connected to entry instances,
+// all of which subscribe, and to other control instances.
+func newControlInstance(entries, control int) (*replica.State, *event.Effects) {
+	var out event.Effects
+	r := replica.New(replica.Identity{ID: "core", Control: true, Zone: "a1", Regions: regions}, store{})
+	r.Start(start)
+	for i := range entries + control {
+		id := model.InstanceID(fmt.Sprintf("peer-%03d", i))
+		r.PeerConnected(start, replica.Peer{ID: id, Zone: "a1", Address: "a", PeerAddress: string(id)}, &out)
+		r.Receive(start, id, &message.PeerHeartbeat{Control: i >= entries, Subscribe: i < entries, Ready: true}, &out)
+	}
+	out.Reset()
+	return r, &out
+}
+
+// Guards against a message to each subscriber for each of many upstreams that
+// register at the same time.
+var _ = It("changes that follow each other are sent to subscribers together", func() {
+	r, out := newControlInstance(2, 1)
+	change := func(at model.Time, position uint64) {
+		r.Push(at, message.Records{Evacuations: []model.Evacuation{{Zone: "z", Position: position}}}, out)
+	}
+	change(start, 1)
+	Expect(takeSends(out)).To(HaveLen(3), "the first change is sent at once")
+	for position := range uint64(40) {
+		change(start.Add(time.Duration(position)*time.Millisecond), position+2)
+	}
+	sends := takeSends(out)
+	Expect(sends).To(HaveLen(1), "only the control instance gets each change at once")
+	Expect(sends["peer-002"]).To(HaveLen(40))
+	at := r.NextWake()
+	Expect(at).To(Equal(start.Add(50 * time.Millisecond)))
+	r.Wake(at, out)
+	sends = takeSends(out)
+	Expect(sends["peer-000"]).To(HaveLen(1))
+	Expect(sends["peer-001"][0].(*message.Records).Evacuations).To(HaveLen(40))
+	Expect(r.NextWake()).To(BeNumerically(">", at))
+})
+
+// Guards against encoding a heartbeat for each of many peers that receive the same
+// content, and against sending the addresses in each of them.
+var _ = It("peers that get the same heartbeat share one message", func() {
+	r, out := newControlInstance(30, 3)
+	r.Wake(r.NextWake(), out)
+	for _, list := range takeSends(out) {
+		Expect(list[0].(*message.PeerHeartbeat).Addresses).To(HaveLen(3), "they are new")
+	}
+	for range 3 {
+		r.Wake(r.NextWake(), out)
+		messages := map[message.Message]int{}
+		for _, list := range takeSends(out) {
+			Expect(list).To(HaveLen(1))
+			Expect(list[0].(*message.PeerHeartbeat).Addresses).To(BeEmpty())
+			messages[list[0]]++
+		}
+		Expect(messages).To(HaveLen(1))
+	}
+})
+
+// Guards against a number of heartbeats at an entry instance that grows with the number
+// of control instances, and against taking instances that send less often for lost.
+var _ = It("heartbeats without a subscription are sent less often with many control instances", func() {
+	var out event.Effects
+	r := replica.New(replica.Identity{ID: "e", Zone: "a1", Regions: regions}, store{})
+	r.Start(start)
+	for i := range 27 {
+		id := model.InstanceID(fmt.Sprintf("core-%02d", i))
+		r.PeerConnected(start, replica.Peer{ID: id, Zone: "b1", PeerAddress: string(id)}, &out)
+		r.Receive(start, id, &message.PeerHeartbeat{Control: true, Intervals: 3}, &out)
+	}
+	out.Reset()
+	sent := 0
+	for range 12 {
+		r.Wake(r.NextWake(), &out)
+		for _, list := range takeSends(&out) {
+			sent += len(list)
+		}
+	}
+	Expect(sent).To(Equal(2*12 + 25*4))
+
+	control := replica.New(replica.Identity{ID: "core", Control: true, Zone: "a1", Regions: regions}, store{})
+	control.Start(start)
+	control.PeerConnected(start, replica.Peer{ID: "e", Zone: "a1"}, &out)
+	control.Receive(start, "e", &message.PeerHeartbeat{Ready: true, Intervals: 3}, &out)
+	Expect(control.EntryInstances(start.Add(3 * time.Second))).To(HaveLen(1))
+	Expect(control.EntryInstances(start.Add(5 * time.Second))).To(BeEmpty())
+})
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -26,8 +26,20 @@
 	// peers at the same time.
 	pullInterval = time.Second
 	// addressPeriod is the period, in heartbeats to a peer, at which a heartbeat
-	// also carries the addresses of the control instances.
-	addressPeriod = 3
+	// also carries the addresses of the control instances. They are also sent when
+	// they have changed.
+	addressPeriod = 20
+	// fullRatePeers is the number of control instances up to which all heartbeats
+	// between entry and control instances are sent every HeartbeatInterval. With more
+	// of them, those between instances without a subscription are sent less often, so
+	// that their number does not grow with the fleet.
+	fullRatePeers = 9
+	// maxIntervals is the largest number of intervals between two heartbeats. An
+	// instance that is lost without notice is then detected within 5 s.
+	maxIntervals = 3
+	// batchInterval is the least time between two messages with changed records to
+	// the subscribed entry instances. Many upstreams register at the same time.
+	batchInterval = 50 * time.Millisecond
 	// maxSubscriptions is the number of control instances to which an entry
 	// instance subscribes. It subscribes to two, so that changes still arrive
 	// without delay when one of them is lost.
@@ -66,8 +78,10 @@
 	Control bool
 	// Ready is true if the peer accepts new client connections.
 	Ready bool
-	// LastHeartbeat is when the latest heartbeat of the peer arrived.
+	// LastHeartbeat is when the latest heartbeat of the peer arrived. Intervals is the
+	// number of heartbeat intervals until the next one.
 	LastHeartbeat model.Time
+	Intervals     int
 	// ReadyEntryInstances is the number of ready entry instances from which the
 	// peer, a control instance, receives heartbeats.
 	ReadyEntryInstances int
@@ -87,10 +101,14 @@
 	mayHaveMissed bool
 	// pulledAt is when records were last pulled from the peer. pullWasEmpty is true
 	// if that brought nothing, or no answer yet.
-	pulledAt       model.Time
-	pullWasEmpty   bool
-	heartbeatsSent int
-	mismatches     int
+	pulledAt     model.Time
+	pullWasEmpty bool
+	mismatches   int
+	// heartbeatsSent counts the heartbeats sent to the peer, and intervalsPassed the
+	// intervals since the last one. addressesSent is the revision of the addresses in
+	// the latest heartbeat that carried them.
+	heartbeatsSent, intervalsPassed int
+	addressesSent                   uint64
 }
 
 // State is the sub-reducer that replicates records between instances.
@@ -98,6 +116,16 @@
 	self  Identity
 	store Store
 	peers map[model.InstanceID]*Peer
+	// sorted holds the peers in the order of their identifiers.
+	sorted []*Peer
+	// entryRevision changes with the entry instances among the peers, and
+	// addressRevision with the control instances.
+	entryRevision, addressRevision uint64
+	// batch holds the changed records for the subscribed entry instances that are sent
+	// at batchAt; batchAt is 0 if there are none. batchSentAt is when the latest batch
+	// was sent.
+	batch                message.Records
+	batchAt, batchSentAt model.Time
 	// connectRequested holds the addresses to which this instance has already
 	// requested a connection.
 	connectRequested map[string]bool
@@ -165,13 +193,35 @@
 	p.LastHeartbeat = at
 	s.latest = at
 	s.peers[p.ID] = &p
+	s.peersChanged()
 	s.updateSubscriptions()
-	s.sendHeartbeat(&p, out)
+	s.sendHeartbeats([]*Peer{&p}, out)
 }
 
+// peersChanged sorts the peers again.
+func (s *State) peersChanged() {
+	s.sorted = make([]*Peer, 0, len(s.peers))
+	for _, p := range s.peers {
+		s.sorted = append(s.sorted, p)
+	}
+	slices.SortFunc(s.sorted, func(a, b *Peer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	s.entryRevision++
+}
+
+// EntryRevision returns a number that changes when an entry instance connects, is
+// lost, becomes ready or alive, or is no longer ready. It does not change when
+// heartbeats stop.
+func (s *State) EntryRevision() uint64 { return s.entryRevision }
+
 // PeerLost removes a peer whose connection was lost.
 func (s *State) PeerLost(id model.InstanceID) {
 	delete(s.peers, id)
+	s.peersChanged()
 	s.updateSubscriptions()
 }
 
@@ -219,34 +269,52 @@
 			logevent.F("peer", from), logevent.F("items", len(changed.Items)), logevent.F("evacuations", len(changed.Evacuations)),
 			logevent.F("registrations", len(changed.Registrations))}})
 	}
-	if !isEmpty(&changed) && s.self.Control {
-		s.forward(&changed, from, out)
+	if s.self.Control {
+		s.Forward(at, changed, out)
 	}
 	return changed
 }
 
-// forward sends changed records to the subscribed entry instances, but not to
-// the instance except, from which they were received.
-func (s *State) forward(r *message.Records, except model.InstanceID, out *event.Effects) {
-	for _, p := range s.sortedPeers() {
-		if p.subscribed && !p.Control && p.ID != except {
-			out.Add(event.Send{To: p.ID, Message: r})
-		}
+// Forward sends changed records to the subscribed entry instances: at once if none
+// were sent within batchInterval, else together with later ones.
+func (s *State) Forward(at model.Time, r message.Records, out *event.Effects) {
+	if isEmpty(&r) {
+		return
+	}
+	s.batch.Items = append(s.batch.Items, r.Items...)
+	s.batch.Evacuations = append(s.batch.Evacuations, r.Evacuations...)
+	s.batch.Registrations = append(s.batch.Registrations, r.Registrations...)
+	if s.batchAt == 0 {
+		s.batchAt = max(at, s.batchSentAt.Add(batchInterval))
 	}
+	s.sendBatch(at, out)
 }
 
-// Forward sends records that were changed by the replicated log to the
-// subscribed entry instances.
-func (s *State) Forward(r message.Records, out *event.Effects) {
-	if !isEmpty(&r) {
-		s.forward(&r, s.self.ID, out)
+// sendBatch sends the batch to the subscribed entry instances if it is due.
+func (s *State) sendBatch(at model.Time, out *event.Effects) {
+	if s.batchAt == 0 || at < s.batchAt {
+		return
+	}
+	r := s.batch
+	s.batch, s.batchAt, s.batchSentAt = message.Records{}, 0, at
+	for _, p := range s.sorted {
+		if p.subscribed && !p.Control {
+			out.Add(event.Send{To: p.ID, Message: &r})
+		}
 	}
 }
 
-// Push sends records that were changed at this instance to all peers.
-func (s *State) Push(r message.Records, out *event.Effects) {
-	for _, p := range s.sortedPeers() {
-		out.Add(event.Send{To: p.ID, Message: &r})
+// Push sends records that were changed at this instance to all control instances
+// and to the subscribed entry instances. The other entry instances receive them
+// from the control instances to which they subscribe.
+func (s *State) Push(at model.Time, r message.Records, out *event.Effects) {
+	for _, p := range s.sorted {
+		if p.Control {
+			out.Add(event.Send{To: p.ID, Message: &r})
+		}
+	}
+	if s.self.Control {
+		s.Forward(at, r, out)
 	}
 }
 
@@ -260,7 +328,7 @@
 	s.pending[s.lastAckID] = c
 	withAckID := r
 	withAckID.AckID = s.lastAckID
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.sorted {
 		if p.Control {
 			out.Add(event.Send{To: p.ID, Message: &withAckID})
 		} else {
@@ -297,14 +365,18 @@
 // if the digests of the two instances differ and a push in transit is unlikely
 // to be the reason.
 func (s *State) receiveHeartbeat(at model.Time, p *Peer, m *message.PeerHeartbeat, out *event.Effects) {
-	p.LastHeartbeat = at
+	if !s.isAlive(p) || p.Control != m.Control || p.Ready != m.Ready {
+		s.entryRevision++
+	}
+	p.LastHeartbeat, p.Intervals = at, m.Intervals
 	s.connectToUnknown(m.Addresses, out)
 	roleChanged := p.Control != m.Control
+	if roleChanged && m.Control {
+		s.addressRevision++
+	}
 	p.Control, p.Ready, p.subscribed, p.ReadyEntryInstances = m.Control, m.Ready, m.Subscribe, m.ReadyEntryInstances
 	p.Lagging, p.LeaderTerm = m.Lagging, m.LeaderTerm
-	for _, added := range s.updateSubscriptions() {
-		s.sendHeartbeat(added, out)
-	}
+	s.sendHeartbeats(s.updateSubscriptions(), out)
 	if !s.self.Control && !p.Control {
 		return
 	}
@@ -354,8 +426,15 @@
 	return false
 }
 
-// isAlive reports whether a heartbeat of the peer arrived within AliveTimeout.
-func (s *State) isAlive(p *Peer) bool { return s.latest <= p.LastHeartbeat.Add(AliveTimeout) }
+// isAlive reports whether the peer counts as alive.
+func (s *State) isAlive(p *Peer) bool { return p.isAlive(s.latest) }
+
+// isAlive reports whether a heartbeat of the peer arrived within AliveTimeout, or
+// within a correspondingly longer time if the peer sends them less often.
+func (p *Peer) isAlive(at model.Time) bool {
+	slower := time.Duration(min(max(p.Intervals, 1), maxIntervals)-1) * 3 * HeartbeatInterval
+	return at <= p.LastHeartbeat.Add(AliveTimeout+slower)
+}
 
 // mayPullFrom reports whether this instance may pull records from the peer. A
 // control instance may pull from any peer. An entry instance pulls from the
@@ -368,11 +447,17 @@
 }
 
 // NextWake returns the time at which Wake must be called.
-func (s *State) NextWake() model.Time { return s.nextHeartbeat }
+func (s *State) NextWake() model.Time {
+	if s.batchAt != 0 {
+		return min(s.batchAt, s.nextHeartbeat)
+	}
+	return s.nextHeartbeat
+}
 
-// Wake does nothing until the next heartbeat is due. It then sends heartbeats
-// to all peers and fails the confirmations whose deadline has been reached.
+// Wake sends the batch of changed records and the heartbeats that are due, and
+// fails the confirmations whose deadline has been reached.
 func (s *State) Wake(at model.Time, out *event.Effects) {
+	s.sendBatch(at, out)
 	if at < s.nextHeartbeat {
 		return
 	}
@@ -380,7 +465,7 @@
 	s.nextHeartbeat = at.Add(HeartbeatInterval)
 	s.updateSubscriptions()
 	s.logSubscriptions(out)
-	s.SendHeartbeats(out)
+	s.sendDueHeartbeats(out)
 	for _, ack := range sortedKeys(s.pending) {
 		if c := s.pending[ack]; at >= c.deadline {
 			delete(s.pending, ack)
@@ -393,7 +478,7 @@
 // if they are not those that were logged last.
 func (s *State) logSubscriptions(out *event.Effects) {
 	var list []model.InstanceID
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.sorted {
 		if p.subscribedTo {
 			list = append(list, p.ID)
 		}
@@ -405,28 +490,86 @@
 }
 
 // SendHeartbeats sends a heartbeat to each peer.
-func (s *State) SendHeartbeats(out *event.Effects) {
-	for _, p := range s.sortedPeers() {
-		s.sendHeartbeat(p, out)
+func (s *State) SendHeartbeats(out *event.Effects) { s.sendHeartbeats(s.sorted, out) }
+
+// sendDueHeartbeats sends a heartbeat to each peer to which one is due.
+func (s *State) sendDueHeartbeats(out *event.Effects) {
+	var due []*Peer
+	for _, p := range s.sorted {
+		p.intervalsPassed++
+		if p.intervalsPassed >= s.intervalsTo(p) {
+			due = append(due, p)
+		}
 	}
+	s.sendHeartbeats(due, out)
 }
 
-func (s *State) sendHeartbeat(p *Peer, out *event.Effects) {
+// intervalsTo returns the number of heartbeat intervals between two heartbeats to
+// the peer.
+func (s *State) intervalsTo(p *Peer) int {
+	if s.self.Control == p.Control || p.subscribed || p.subscribedTo {
+		return 1
+	}
+	control := 0
+	for _, other := range s.sorted {
+		if other.Control {
+			control++
+		}
+	}
+	return min(maxIntervals, (control+fullRatePeers-1)/fullRatePeers)
+}
+
+// heartbeatVariant identifies the contents in which heartbeats sent at the same time
+// differ.
+type heartbeatVariant struct {
+	subscribe, addresses bool
+	intervals            int
+}
+
+// sendHeartbeats sends a heartbeat to each of the peers. Peers that receive the same
+// content receive one message in a row, since such a message is encoded once.
+func (s *State) sendHeartbeats(peers []*Peer, out *event.Effects) {
+	var order []heartbeatVariant
+	receivers := map[heartbeatVariant][]*Peer{}
+	for _, p := range peers {
+		v := heartbeatVariant{subscribe: p.subscribedTo, intervals: s.intervalsTo(p)}
+		if s.self.Control && (p.heartbeatsSent%addressPeriod == 0 || p.addressesSent != s.addressRevision) {
+			v.addresses, p.addressesSent = true, s.addressRevision
+		}
+		p.heartbeatsSent++
+		p.intervalsPassed = 0
+		if receivers[v] == nil {
+			order = append(order, v)
+		}
+		receivers[v] = append(receivers[v], p)
+	}
+	for _, v := range order {
+		m := s.heartbeat(v)
+		for _, p := range receivers[v] {
+			out.Add(event.Send{To: p.ID, Message: m})
+		}
+	}
+}
+
+// heartbeat returns the heartbeat of this instance.
+func (s *State) heartbeat(v heartbeatVariant) *message.PeerHeartbeat {
 	m := &message.PeerHeartbeat{
-		Control: s.self.Control, Ready: s.Ready, HasConfig: s.HasConfig, Subscribe: p.subscribedTo,
+		Control: s.self.Control, Ready: s.Ready, HasConfig: s.HasConfig, Subscribe: v.subscribe,
 		Digest: s.store.Digest(), ReadyEntryInstances: s.ReadyEntryInstances, Lagging: s.Lagging, LeaderTerm: s.LeaderTerm}
-	if s.self.Control && p.heartbeatsSent%addressPeriod == 0 {
+	if v.intervals > 1 {
+		m.Intervals = v.intervals
+	}
+	if v.addresses {
 		m.Addresses = s.controlAddresses()
 	}
-	p.heartbeatsSent++
-	out.Add(event.Send{To: p.ID, Message: m})
+	return m
 }
 
 // controlAddresses returns the peer addresses of the connected control
 // instances.
 func (s *State) controlAddresses() []string {
 	var list []string
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.sorted {
 		if p.Control {
 			list = append(list, p.PeerAddress)
 		}
@@ -507,8 +650,8 @@
 // EntryInstances returns the peers that are entry instances, alive and ready.
 func (s *State) EntryInstances(at model.Time) []Peer {
 	var list []Peer
-	for _, p := range s.sortedPeers() {
-		if !p.Control && p.Ready && at <= p.LastHeartbeat.Add(AliveTimeout) {
+	for _, p := range s.sorted {
+		if !p.Control && p.Ready && p.isAlive(at) {
 			list = append(list, *p)
 		}
 	}
@@ -541,7 +684,7 @@
 // ControlPeers returns the identifiers of the peers with the control role.
 func (s *State) ControlPeers() []model.InstanceID {
 	var list []model.InstanceID
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.sorted {
 		if p.Control {
 			list = append(list, p.ID)
 		}
@@ -552,26 +695,12 @@
 // Peers returns all peers in the order of their identifiers.
 func (s *State) Peers() []Peer {
 	var list []Peer
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.sorted {
 		list = append(list, *p)
 	}
 	return list
 }
 
-func (s *State) sortedPeers() []*Peer {
-	list := make([]*Peer, 0, len(s.peers))
-	for _, p := range s.peers {
-		list = append(list, p)
-	}
-	slices.SortFunc(list, func(a, b *Peer) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
 func sortedKeys[V any](m map[uint64]V) []uint64 {
 	list := make([]uint64, 0, len(m))
 	for k := range m {
