Limit informational responses apart from stale ones, and flush streamed parts

Two faults that were only read, both in send.go. Three informational (1xx) responses used up the allowance of stale responses, and the request, which ran, ended with an unknown outcome: they have a limit of their own, 20. A part of a streamed response stayed in the buffer of net/http until the next part came, which an upstream may write much later: each part is flushed.

--- a/pkg/gateway/faulty_test.go
+++ b/pkg/gateway/faulty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -209,3 +210,58 @@
 	resp, _ := sendRequest(startGateway(c), "HEAD", "a1", "")
 	Expect(resp.ContentLength).To(BeEquivalentTo(1234))
 })
+
+// Guards against a request that ends with an unknown outcome because its upstream
+// wrote several informational responses before the response.
+var _ = It("informational responses do not count as stale ones", func() {
+	c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, _ int) {
+		for range 5 {
+			fmt.Fprint(conn, "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
+		}
+		respond(conn, r.Header.Get("Attempt"), "executed", "")
+	}))
+	resp, body := sendRequest(startGateway(c), "GET", "a1", "")
+	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	Expect(body).To(Equal("executed"))
+})
+
+// Guards against an upstream that writes informational responses without end.
+var _ = It("endless informational responses end the send", func() {
+	c := newFakeControl(startUpstream(func(conn net.Conn, _ *http.Request, _ string, _ int) {
+		for {
+			if _, err := fmt.Fprint(conn, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+				return
+			}
+		}
+	}))
+	sendRequest(startGateway(c), "GET", "a1", "")
+	Expect(c.outcomes()).To(Equal([]string{"lost"}))
+})
+
+// Guards against a part of a streamed response that reaches the caller only with the
+// next part, which the upstream may write much later.
+var _ = It("parts of a streamed response are sent on at once", func() {
+	release := make(chan struct{})
+	c := newFakeControl(startUpstream(func(conn net.Conn, r *http.Request, _ string, _ int) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: 40\r\n\r\n%s", r.Header.Get("Attempt"), strings.Repeat("a", 20))
+		<-release
+		fmt.Fprint(conn, strings.Repeat("b", 20))
+	}))
+	c.bufferLimit = 10
+	server := startGateway(c)
+	req, _ := http.NewRequest("GET", server.URL+"/x", nil)
+	req.Header.Set("Attempt", "a1")
+	received := make(chan string, 1)
+	go func() {
+		defer GinkgoRecover()
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		first := make([]byte, 20)
+		_, err = io.ReadFull(resp.Body, first)
+		Expect(err).NotTo(HaveOccurred())
+		received <- string(first)
+	}()
+	Eventually(received).WithTimeout(time.Second).Should(Receive(Equal(strings.Repeat("a", 20))))
+	close(release)
+})
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -20,8 +20,11 @@
 	// maxStaleResponses is how many stale responses may precede the response to
 	// a request. If more of them arrive, the send fails. A stale response has
 	// the attempt ID of an earlier request on the connection. It is read and
-	// discarded. Informational (1xx) responses count too.
+	// discarded.
 	maxStaleResponses = 2
+	// maxInformationalResponses is how many informational (1xx) responses may precede
+	// the response to a request.
+	maxInformationalResponses = 20
 	// maxStaleBodyBytes limits the body of a stale response that is read and
 	// discarded. The send fails if the body has this size or more.
 	maxStaleBodyBytes = 1 << 20
@@ -34,6 +37,10 @@
 	copyBufferBytes = 32 << 10
 )
 
+// errTooManyInformational means that an upstream wrote more than
+// maxInformationalResponses.
+var errTooManyInformational = errors.New("too many informational responses")
+
 // errResponseMismatch means that the connection did not return a response with
 // the attempt ID of the request.
 var errResponseMismatch = errors.New("the response belongs to another request")
@@ -249,13 +256,10 @@
 func (e *exchange) readResponse(conn *upstreamConn, f *event.Forward) (*http.Response, error) {
 	wantID := e.attemptID()
 	for range maxStaleResponses + 1 {
-		resp, err := conn.readHead(e.request)
+		resp, err := e.readFinalHead(conn)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 200 {
-			continue
-		}
 		gotID := resp.Header.Get(e.gateway.headers.AttemptID)
 		if wantID == "" || gotID == wantID || gotID == "" && resp.StatusCode >= http.StatusBadRequest && !conn.used {
 			return resp, nil
@@ -275,6 +279,17 @@
 	return nil, errResponseMismatch
 }
 
+// readFinalHead reads the head of the next response that is not informational.
+func (e *exchange) readFinalHead(conn *upstreamConn) (*http.Response, error) {
+	for range maxInformationalResponses + 1 {
+		resp, err := conn.readHead(e.request)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errTooManyInformational
+}
+
 // readBody buffers the body of a response. A body larger than bufferLimit bytes is
 // streamed to the caller instead.
 func (e *exchange) readBody(resp *http.Response, bufferLimit int, ended *event.SendEnded) error {
@@ -299,15 +314,35 @@
 	}
 	e.started = true
 	e.writer.WriteHeader(resp.StatusCode)
-	if _, err := e.writer.Write(buffered.Bytes()); err != nil {
+	caller := &flushingWriter{Writer: e.writer, controller: http.NewResponseController(e.writer)}
+	if _, err := caller.Write(buffered.Bytes()); err != nil {
 		return err
 	}
 	body := &upstreamBody{Reader: resp.Body}
-	_, err = io.CopyBuffer(e.writer, body, make([]byte, copyBufferBytes))
+	_, err = io.CopyBuffer(caller, body, make([]byte, copyBufferBytes))
 	ended.Truncated = body.readFailed
 	return err
 }
 
+// flushingWriter flushes after each write. An upstream may pause for long after a
+// part of its response.
+type flushingWriter struct {
+	io.Writer
+	controller *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (w *flushingWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if err != nil {
+		return n, err
+	}
+	if err := w.controller.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return n, err
+	}
+	return n, nil
+}
+
 // upstreamBody records whether a read from the upstream failed. io.CopyBuffer
 // returns one error for failed reads and for failed writes to the caller.
 type upstreamBody struct {
