Write recordings without blocking the control goroutine

Cause: WriteTo held the recorder's lock during all I/O, and Record, which the control goroutine calls for each event, waits for it. Change: the events are copied under the lock and written after it.

--- a/pkg/control/recorder.go
+++ b/pkg/control/recorder.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,9 +93,13 @@
 
 // WriteTo writes the recording as frames with a length prefix: the header, then
 // each event followed by the 8-byte digest of its effects.
+//
+// The events are copied first, so that a slow writer does not block Record.
 func (r *Recorder) WriteTo(w io.Writer) (int64, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	ring := slices.Concat(r.ring[r.next:], r.ring[:r.next])
+	dropped := r.dropped
+	r.mu.Unlock()
 	var total int64
 	writeFrame := func(data []byte) error {
 		frame := binary.BigEndian.AppendUint32(nil, uint32(len(data)))
@@ -102,15 +107,15 @@
 		total += int64(n)
 		return err
 	}
-	encoded, err := cbor.Marshal(header{Identity: r.identity, Dropped: r.dropped, Events: len(r.ring)})
+	encoded, err := cbor.Marshal(header{Identity: r.identity, Dropped: dropped, Events: len(ring)})
 	if err != nil {
 		return 0, fmt.Errorf("encode recording: %w", err)
 	}
 	if err := writeFrame(encoded); err != nil {
 		return total, fmt.Errorf("write recording: %w", err)
 	}
-	for i := range r.ring {
-		rec := &r.ring[(r.next+i)%len(r.ring)]
+	for i := range ring {
+		rec := &ring[i]
 		data, err := codec.EncodeEvent(rec.event)
 		if err != nil {
 			return total, err
