Say that a change was not submitted when the control goroutine has ended

Cause: a call whose event was never submitted, because the control goroutine had ended, was answered with change_unknown (504): operators then ask and resend for nothing.

--- a/pkg/api/admin.go
+++ b/pkg/api/admin.go
@@ -256,8 +256,11 @@
 	})
 	if err != nil {
 		code := result.ChangeUnknown
-		if errors.Is(err, control.ErrQueueFull) {
+		switch {
+		case errors.Is(err, control.ErrQueueFull):
 			code = result.ControlQueueFull
+		case errors.Is(err, control.ErrNotSubmitted):
+			code = result.Stopping
 		}
 		return result.Errorf(code, "%v", err)
 	}
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,10 @@
 // ErrStopped reports that Loop.Run has ended.
 var ErrStopped = errors.New("control loop stopped")
 
+// ErrNotSubmitted reports that the event of a call did not reach the reducer, so that
+// the call has no effect. The error also wraps ErrQueueFull or ErrStopped.
+var ErrNotSubmitted = errors.New("not submitted")
+
 // Dispatcher executes the effects for requests to upstreams whose slots are
 // owned by instances. Its methods must not block.
 type Dispatcher interface {
@@ -205,7 +210,7 @@
 		l.callsMu.Unlock()
 	}()
 	if err := l.Submit(body(id)); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrNotSubmitted, err)
 	}
 	select {
 	case e := <-reply:
