--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -21,6 +21,10 @@
 	rng        *rand.Rand
 }
 
+// lookupRetryDelay is how long a caller waits after a lookup that no instance
+// answered.
+const lookupRetryDelay = 20 * time.Millisecond
+
 // run sends requests one after another, with pauses, until the context ends. It
 // returns the results of the requests.
 func (c *caller) run(ctx context.Context) []deployment.Result {
@@ -28,6 +32,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		instance, err := c.Instance(ctx, c.service.Name)
 		if err != nil {
+			latency.Sleep(ctx, lookupRetryDelay)
 			continue
 		}
 		request := fake.Request{
