Save registrations at control instances for the start after a loss of all

Cause, by the log of one entry instance: it became ready with the 13 registrations that its control instance had heard of by then; 85 came 1.3 s later, the rest after 2.6 s. Until then a few upstreams got all requests, and objects were placed on upstreams that did not have them. Ruled out: entry instances that forget loads and work times (in the play of pkg/routed a restart of all of them costs nothing). Change: control instances save the registrations to a file with a checksum, on a goroutine of its own, at most every 2 s when they have changed, and load it at the start. A registration that is out of date is corrected by the next heartbeat, or its lease expires.

--- a/node.go
+++ b/node.go
@@ -96,6 +96,8 @@
 	gateway    *gateway.Gateway
 	peers      *peer.Manager
 	storage    *control.StorageWriter
+	// registrations is nil at entry instances.
+	registrations *control.RegistrationFile
 
 	listener     net.Listener
 	peerListener net.Listener
@@ -131,6 +133,8 @@
 		Forwarder: n.gateway, Peers: n.peers, Telemetry: n.telemetry, OnInvariantFailed: n.invariantFailed}
 	if n.storage != nil {
 		handlers.Storage = n.storage
+		n.registrations = control.NewRegistrationFile(c.Data, n.telemetry)
+		handlers.RegistrationStore = n.registrations
 	}
 	n.loop = control.NewLoop(fleet.New(identity, codec.CommandCodec{}), clock, nil, handlers)
 	sink.loop = n.loop
@@ -184,6 +188,7 @@
 	background(func(ctx context.Context) error { return n.peers.Run(ctx, n.config.Peers) })
 	if n.storage != nil {
 		background(func(ctx context.Context) error { return n.storage.Run(ctx, n.loop) })
+		background(func(ctx context.Context) error { return n.registrations.Run(ctx, n.loop) })
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, n.peers)
--- a/pkg/codec/change.go
+++ b/pkg/codec/change.go
@@ -50,6 +50,20 @@
 	return decode[model.Config]("configuration", data)
 }
 
+// EncodeRegistrations encodes the registrations of upstreams for their file.
+func EncodeRegistrations(list []model.Registration) ([]byte, error) {
+	return encode("registrations", list)
+}
+
+// DecodeRegistrations decodes registrations that EncodeRegistrations encoded.
+func DecodeRegistrations(data []byte) ([]model.Registration, error) {
+	list, err := decode[[]model.Registration]("registrations", data)
+	if err != nil {
+		return nil, err
+	}
+	return *list, nil
+}
+
 // ChangeCodec encodes and decodes the changes and snapshots of the replicated
 // log that package state uses.
 type ChangeCodec struct{}
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -72,6 +72,11 @@
 	Save(event.SaveConfig)
 }
 
+// RegistrationStore saves the registrations of upstreams. Its methods must not block.
+type RegistrationStore interface {
+	Save(event.SaveRegistrations)
+}
+
 // Handlers are the components that execute effects.
 type Handlers struct {
 	// Dispatcher is nil on instances with the entry or control role.
@@ -84,6 +89,8 @@
 	ConfigStore ConfigStore
 	// Storage is nil on instances outside the control group.
 	Storage Storage
+	// RegistrationStore is set only on instances with the control role.
+	RegistrationStore RegistrationStore
 	// OnPublish, if not nil, is called after a view was published. It must not
 	// block.
 	OnPublish func(*view.View)
@@ -314,6 +321,8 @@
 		l.handlers.Telemetry.SetGauge(e)
 	case event.SaveConfig:
 		l.handlers.ConfigStore.Save(e)
+	case event.SaveRegistrations:
+		l.handlers.RegistrationStore.Save(e)
 	case event.InvariantFailed:
 		l.handlers.OnInvariantFailed(e)
 	case event.Stopped:
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -46,5 +46,5 @@
 	StorageLoaded{}, Persisted{},
 	OutcomeRequested{},
 	RoutedArrived{}, SendEnded{}, UpstreamStated{},
-	HeartbeatReceived{}, DepartureReceived{}, ItemsProposed{}, EvacuationProposed{}, ItemsRequested{},
+	HeartbeatReceived{}, DepartureReceived{}, ItemsProposed{}, EvacuationProposed{}, ItemsRequested{}, RegistrationsLoaded{},
 }
--- a/pkg/event/fleet.go
+++ b/pkg/event/fleet.go
@@ -42,11 +42,18 @@
 	Call CallID
 }
 
-func (HeartbeatReceived) isBody()  {}
-func (DepartureReceived) isBody()  {}
-func (ItemsProposed) isBody()      {}
-func (EvacuationProposed) isBody() {}
-func (ItemsRequested) isBody()     {}
+// RegistrationsLoaded reports the registrations that a control instance saved before
+// its process started.
+type RegistrationsLoaded struct {
+	Registrations []model.Registration
+}
+
+func (HeartbeatReceived) isBody()   {}
+func (DepartureReceived) isBody()   {}
+func (ItemsProposed) isBody()       {}
+func (EvacuationProposed) isBody()  {}
+func (ItemsRequested) isBody()      {}
+func (RegistrationsLoaded) isBody() {}
 
 // CallReply answers a call with a result code. If the input of the call is invalid,
 // Detail describes the error.
@@ -68,9 +75,16 @@
 	View *directory.View
 }
 
-func (CallReply) isEffect()        {}
-func (ItemsReply) isEffect()       {}
-func (PublishDirectory) isEffect() {}
+// SaveRegistrations saves the registrations of upstreams in the data folder. Nothing
+// depends on whether that succeeds.
+type SaveRegistrations struct {
+	Registrations []model.Registration
+}
+
+func (CallReply) isEffect()         {}
+func (ItemsReply) isEffect()        {}
+func (PublishDirectory) isEffect()  {}
+func (SaveRegistrations) isEffect() {}
 
 // CallID returns the call that the effect answers.
 func (r CallReply) CallID() CallID { return r.Call }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -76,6 +76,44 @@
 	Expect(s.invariantFailures).To(BeEmpty())
 })
 
+// Guards against entry instances that become ready after a restart of all instances
+// and know only the upstreams that sent a heartbeat since: these get all requests, and
+// objects are requested from other upstreams than before. Two disks may be lost.
+var _ = It("upstreams are known at once after a restart of all instances", func() {
+	for seed := range uint64(5) {
+		s := newConfiguredSim(seed)
+		for i := range 30 {
+			Expect(s.call("core-b1", ackTimeout, sendHeartbeat(fmt.Sprint("u", i), "a1", 1, model.RegistrationServing))).To(Equal(result.Success))
+		}
+		Expect(s.call("core-b1", ackTimeout, sendHeartbeat("u1", "a1", 2, model.RegistrationDraining))).To(Equal(result.Success))
+		s.run(4 * time.Second)
+		s.losePower("core-c1", "core-a2")
+		ready := map[model.InstanceID]bool{}
+		for range 100 {
+			s.run(50 * time.Millisecond)
+			forEachRunning(s, false, func(id model.InstanceID) {
+				if ready[id] || !s.nodes[id].directory.Ready {
+					return
+				}
+				ready[id] = true
+				n, used := s.nodes[id], map[model.UpstreamID]bool{}
+				n.effects = nil
+				for i := range 116 {
+					s.step(n, event.RoutedArrived{ID: model.RequestID(5000 + i), Host: "h", Path: "/r/x"})
+				}
+				for _, e := range n.effects {
+					if f, ok := e.(event.Forward); ok {
+						used[f.Upstream] = true
+					}
+				}
+				Expect(len(used)).To(BeNumerically(">=", 25), fmt.Sprintf("seed %d: %s", seed, id))
+				Expect(used).NotTo(HaveKey(model.UpstreamID("u1")))
+			})
+		}
+		Expect(ready).To(HaveLen(6))
+	}
+})
+
 // Guards against odd entries of other writers that end instances, or keep them from
 // following later changes.
 var _ = It("odd registration does not disturb the others", func() {
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -65,6 +65,8 @@
 	// diskFailed is true after a failed write until the data folder was opened
 	// again. diskFails makes all writes to the data folder fail.
 	diskFailed, diskFails bool
+	// registrations are those in the data folder.
+	registrations []model.Registration
 }
 
 func newSim(seed uint64) *sim {
@@ -111,6 +113,7 @@
 	s.step(n, event.Started{})
 	if n.stored != nil {
 		s.step(n, *n.stored)
+		s.step(n, event.RegistrationsLoaded{Registrations: n.registrations})
 	}
 	for _, id := range s.order {
 		if other := s.nodes[id]; other != n && other.up {
@@ -184,6 +187,7 @@
 	n := s.nodes[id]
 	n.stored = &event.StorageLoaded{Disk: model.DiskID(fmt.Sprint("disk-", id, "-", n.generation))}
 	n.identity.BootstrapMembers = nil
+	n.registrations = nil
 }
 
 // connect reports to node n that it is connected to the other node. Two entry
@@ -256,6 +260,12 @@
 					s.step(n, event.Persisted{Seq: e.Seq})
 				}
 			})
+		case event.SaveRegistrations:
+			s.schedule(diskSyncTime, func() {
+				if n.generation == generation && !n.diskFails {
+					n.registrations = e.Registrations
+				}
+			})
 		case event.ReopenStorage:
 			s.schedule(diskSyncTime, func() {
 				switch {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -87,9 +87,14 @@
 	syncedRevision       uint64
 	lastSyncAt           model.Time
 	nextSyncAt, resyncAt model.Time
-	snapshotPosition     uint64
-	timerAt              model.Time
-	startedAt            model.Time
+	// savedRevision is the revision of the registrations that were saved last. They
+	// are saved again at nextSaveAt at the earliest.
+	savedRevision uint64
+	nextSaveAt    model.Time
+
+	snapshotPosition uint64
+	timerAt          model.Time
+	startedAt        model.Time
 }
 
 // New returns the state of an instance before its first event.
@@ -149,6 +154,8 @@
 		s.receiveHeartbeat(at, b)
 	case event.DepartureReceived:
 		s.receiveDeregistration(at, b)
+	case event.RegistrationsLoaded:
+		s.loadRegistrations(at, b)
 	case event.ItemsProposed:
 		s.proposeItems(at, b)
 	case event.EvacuationProposed:
@@ -239,6 +246,7 @@
 	s.retryProposals(at)
 	s.retryReads(at)
 	s.sendHeartbeatReport(at)
+	s.saveRegistrations(at)
 	s.reportRateDemands(at)
 	if s.agreement != nil {
 		s.agreement.SetConnectedPeers(s.replica.ControlPeers())
--- a/pkg/fleet/upstreams.go
+++ b/pkg/fleet/upstreams.go
@@ -51,6 +51,30 @@
 	s.confirmByMajority(at, b.Call, b.Registration.ID)
 }
 
+// registrationSaveInterval is the least time between two saves of the registrations.
+const registrationSaveInterval = 2 * time.Second
+
+// saveRegistrations saves the registrations if they have changed. After a restart of
+// all instances, upstreams are known at once instead of one after the other with
+// their heartbeats: entry instances that know a few of them send these all requests,
+// and place objects elsewhere than before.
+func (s *State) saveRegistrations(at model.Time) {
+	revision := s.registry.Revision()
+	if !s.identity.Control || at < s.nextSaveAt || revision == s.savedRevision {
+		return
+	}
+	s.savedRevision, s.nextSaveAt = revision, at.Add(registrationSaveInterval)
+	s.out.Add(event.SaveRegistrations{Registrations: s.registry.Registrations(at)})
+}
+
+// loadRegistrations takes over saved registrations, except those about which this
+// instance knows more by now. Their leases expire if no heartbeat follows.
+func (s *State) loadRegistrations(at model.Time, b event.RegistrationsLoaded) {
+	changed := s.records.Merge(at, &message.Records{Registrations: b.Registrations})
+	s.savedRevision = s.registry.Revision()
+	s.replica.Push(at, changed, &s.out)
+}
+
 // rejectsStart answers the call of an upstream whose process starts in the future
 // and reports whether it has.
 func (s *State) rejectsStart(at model.Time, call event.CallID, r *model.Registration) bool {
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -53,6 +53,9 @@
 	// RecordInvalid reports an announcement, an item or a record of another instance
 	// that is not used.
 	RecordInvalid Code = 208
+	// RegistrationsNotSaved reports that the file with registrations could not be read
+	// or written.
+	RegistrationsNotSaved Code = 209
 
 	RequestRejected Code = 301
 	RequestRepeated Code = 302
@@ -116,6 +119,7 @@
 	{StatementMalformed, "statement_malformed", LevelWarn, "an upstream's statement about itself in a response is malformed and was ignored"},
 	{UpstreamStated, "upstream_stated", LevelInfo, "an upstream's statement about itself changed what this instance assumes: it is leaving, wants a pause, or states another request limit"},
 	{RecordInvalid, "record_invalid", LevelWarn, "an announcement or a record that another instance sent cannot be read or contains an invalid value and is not used"},
+	{RegistrationsNotSaved, "registrations_not_saved", LevelWarn, "the file with the registrations of upstreams could not be read or written; after a restart this instance learns them from heartbeats"},
 	{RequestRejected, "request_rejected", LevelInfo, "a routed request ended with an error response of this instance"},
 	{RequestRepeated, "request_repeated", LevelInfo, "a routed request is retried at another upstream"},
 	{SendFailed, "send_failed", LevelInfo, "a send to an upstream ended without a complete response"},
