Look up routes in a time that does not depend on their number

Cause: the routes of a host were tried one by one, from the longest prefix. Change: a map by prefix; only the parts of the path up to one of its slashes are looked up, since prefixes end with a slash.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -135,8 +135,23 @@
 		Expect(ok).To(BeTrue())
 		Expect(found.Name).To(Equal(name), path)
 	}
-	_, ok := s.Table().Route("h.example", "/ax")
-	Expect(ok).To(BeFalse())
+	for _, path := range []string{"/ax", "/a", "", "a/x"} {
+		_, ok := s.Table().Route("h.example", path)
+		Expect(ok).To(BeFalse(), path)
+	}
+})
+
+// Guards against instances that use different routes of two with the same host and
+// prefix.
+var _ = It("of two routes with the same prefix the one with the higher version is selected", func() {
+	for _, names := range [][]string{{"p", "q"}, {"q", "p"}} {
+		s := newStateWithRoute()
+		s.Merge(route(names[0], 8, "/c/", "reads"))
+		s.Merge(route(names[1], 8, "/c/", "reads"))
+		s.Merge(route("o", 7, "/c/", "reads"))
+		found, _ := s.Table().Route("h.example", "/c/x")
+		Expect(found.Name).To(Equal("p"))
+	}
 })
 
 // Guards against instances that have different items in force because they
--- a/pkg/catalog/table.go
+++ b/pkg/catalog/table.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"slices"
 	"strings"
 
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -17,9 +16,8 @@
 // Table holds the routes, services and client limits in force, indexed for the
 // routing of requests. It is immutable.
 type Table struct {
-	// hosts holds the routes by lower-case host name, those with the longest
-	// prefix first.
-	hosts    map[string][]NamedRoute
+	// hosts holds the routes by lower-case host name and prefix.
+	hosts    map[string]map[string]NamedRoute
 	services map[model.ServiceName]*model.ServiceSpec
 	limits   *model.ClientLimits
 }
@@ -27,32 +25,18 @@
 // newTable returns the table of the items that are not removed. Invalid items,
 // which an instance of another version may have sent, are left out.
 func newTable(items map[model.ItemKey]model.Item) *Table {
-	t := &Table{hosts: map[string][]NamedRoute{}, services: map[model.ServiceName]*model.ServiceSpec{}}
+	t := &Table{hosts: map[string]map[string]NamedRoute{}, services: map[model.ServiceName]*model.ServiceSpec{}}
 	for k, i := range items {
 		switch {
 		case i.Removed || !isUsable(&i):
 		case k.Kind == model.RouteItem:
-			host := strings.ToLower(i.Route.Host)
-			t.hosts[host] = append(t.hosts[host], NamedRoute{k.Name, i.Version, i.Route})
+			t.addRoute(NamedRoute{k.Name, i.Version, i.Route})
 		case k.Kind == model.ServiceItem:
 			t.services[model.ServiceName(k.Name)] = i.Service
 		case k.Kind == model.LimitsItem:
 			t.limits = i.Limits
 		}
 	}
-	for _, routes := range t.hosts {
-		slices.SortFunc(routes, func(a, b NamedRoute) int {
-			if d := len(b.Prefix) - len(a.Prefix); d != 0 {
-				return d
-			}
-			// Two operators can add routes with the same host and prefix concurrently.
-			// The route with the higher version takes precedence.
-			if a.Version != b.Version {
-				return compareFromLess(a.Version > b.Version)
-			}
-			return strings.Compare(a.Name, b.Name)
-		})
-	}
 	return t
 }
 
@@ -69,14 +53,32 @@
 	return false
 }
 
+// addRoute adds a route. Two operators can add routes with the same host and prefix
+// concurrently; the route with the higher version then takes precedence.
+func (t *Table) addRoute(r NamedRoute) {
+	host := strings.ToLower(r.Host)
+	if t.hosts[host] == nil {
+		t.hosts[host] = map[string]NamedRoute{}
+	}
+	other, ok := t.hosts[host][r.Prefix]
+	if !ok || r.Version > other.Version || r.Version == other.Version && r.Name < other.Name {
+		t.hosts[host][r.Prefix] = r
+	}
+}
+
 // Route returns the route of a host with the longest prefix of the path, and
-// whether there is one. The port of the host is ignored.
+// whether there is one. The port of the host is ignored. Prefixes end with a slash,
+// so only the parts of the path up to one of its slashes are looked up.
 func (t *Table) Route(host, path string) (NamedRoute, bool) {
 	if name, _, found := strings.Cut(host, ":"); found {
 		host = name
 	}
-	for _, r := range t.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	routes := t.hosts[strings.ToLower(host)]
+	if routes == nil {
+		return NamedRoute{}, false
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := routes[path[:end+1]]; ok {
 			return r, true
 		}
 	}
