Do not dispatch a request that was canceled while its claim was pending

Cause: ClaimDecided did not look at canceled: a request whose caller had disconnected before the ledger granted its claim was executed. Change: the claim is withdrawn and the request ends. The new test failed before.

--- a/pkg/request/request_test.go
+++ b/pkg/request/request_test.go
@@ -99,6 +99,34 @@
 	h.out.Reset()
 }
 
+// ledgerStub records the claims that were withdrawn.
+type ledgerStub struct{ abandoned []model.RequestID }
+
+func (l *ledgerStub) Claim(model.Time, *event.RequestArrived, *event.Effects) {}
+func (l *ledgerStub) Abandon(_ model.Time, id model.RequestID, _ *event.Effects) {
+	l.abandoned = append(l.abandoned, id)
+}
+func (l *ledgerStub) Record(model.Time, model.RequestID, *model.Answer, *event.Effects) {}
+
+// Guards against executing a request whose caller disconnected before the ledger
+// decided on its claim.
+var _ = It("request that was canceled while its claim was pending is not dispatched", func() {
+	g := NewWithT(GinkgoTB())
+	h := newHarness(1)
+	ledger := &ledgerStub{}
+	h.State = request.New("i", 1, h, ledger)
+	h.Configure(&model.Config{
+		Services: []model.Service{{Name: "tabview", Profile: "p"}},
+		Profiles: []model.Profile{{Name: "p", Repeat: model.RetryNever, MaxAttempts: 1, DeadlineMs: 1000, QueueLimit: 4, Spill: model.SpillAny}},
+	})
+	h.Arrive(h.at, &event.RequestArrived{ID: 7, Service: "tabview", Method: "POST", Key: model.IdempotencyKey{Text: "k"}, Replayable: true}, &h.out)
+	h.Canceled(h.at, 7, &h.out)
+	h.ClaimDecided(h.at, request.ClaimDecision{Request: 7, Code: result.Success}, &h.out)
+	g.Expect(h.dispatches()).To(BeEmpty())
+	g.Expect(effects[event.Finish](&h.out)).To(Equal([]event.Finish{{Request: 7, Code: result.CanceledByCaller}}))
+	g.Expect(ledger.abandoned).To(Equal([]model.RequestID{7}))
+})
+
 // Guards against retrying every failed request, which would aggravate an overload.
 var _ = It("retries stay within the budget", func() {
 	g := NewWithT(GinkgoTB())
--- a/pkg/request/state.go
+++ b/pkg/request/state.go
@@ -212,6 +212,8 @@
 	case d.Code != result.Success:
 		delete(s.open, d.Request)
 		out.Add(event.Finish{Request: d.Request, Code: d.Code})
+	case r.canceled:
+		s.finish(at, r, result.CanceledByCaller, out)
 	default:
 		s.admit(at, r, out)
 	}
