Fail confirmations at their deadlines

Cause: Wake did so with a heartbeat only, every 500 ms, so that a negative reply to a drain could leave 1.4 s after the call; upstreams wait 1 s. Change: the deadlines count for the next wake. The new test failed before.

--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -367,6 +367,17 @@
 	Expect(r.NextWake()).To(BeNumerically(">", at))
 })
 
+// Guards against a negative reply to a drain that comes later than upstreams wait for
+// it, because it was sent with the next heartbeat only.
+var _ = It("confirmation fails at its deadline", func() {
+	r, out := newControlInstance(1, 4)
+	deadline := start.Add(130 * time.Millisecond)
+	r.Confirm(7, message.Records{Evacuations: []model.Evacuation{{Zone: "z", Position: 1}}}, 3, deadline, out)
+	Expect(r.NextWake()).To(Equal(deadline))
+	r.Wake(deadline, out)
+	Expect(r.TakeConfirmations()).To(Equal([]replica.Confirmation{{Token: 7}}))
+})
+
 // Guards against encoding a heartbeat for each of many peers that receive the same
 // content, and against sending the addresses in each of them.
 var _ = It("peers that get the same heartbeat share one message", func() {
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -448,16 +448,21 @@
 
 // NextWake returns the time at which Wake must be called.
 func (s *State) NextWake() model.Time {
+	next := s.nextHeartbeat
 	if s.batchAt != 0 {
-		return min(s.batchAt, s.nextHeartbeat)
+		next = min(next, s.batchAt)
 	}
-	return s.nextHeartbeat
+	for _, c := range s.pending {
+		next = min(next, c.deadline)
+	}
+	return next
 }
 
 // Wake sends the batch of changed records and the heartbeats that are due, and
 // fails the confirmations whose deadline has been reached.
 func (s *State) Wake(at model.Time, out *event.Effects) {
 	s.sendBatch(at, out)
+	s.failConfirmations(at)
 	if at < s.nextHeartbeat {
 		return
 	}
@@ -466,6 +471,10 @@
 	s.updateSubscriptions()
 	s.logSubscriptions(out)
 	s.sendDueHeartbeats(out)
+}
+
+// failConfirmations fails the confirmations whose deadline has been reached.
+func (s *State) failConfirmations(at model.Time) {
 	for _, ack := range sortedKeys(s.pending) {
 		if c := s.pending[ack]; at >= c.deadline {
 			delete(s.pending, ack)
