--- a/node.go
+++ b/node.go
@@ -170,7 +170,9 @@
 		_ = n.peerListener.Close()
 		return err
 	}
-	n.storage, err = control.OpenStorageWriter(folder)
+	if n.storage, err = control.OpenStorageWriter(folder); err != nil {
+		_ = n.peerListener.Close()
+	}
 	return err
 }
 
--- a/node_test.go
+++ b/node_test.go
@@ -13,9 +13,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/anvilcrank/anvilcrank"
+	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/gateway"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/routed"
+	"github.com/anvilcrank/anvilcrank/pkg/storage"
 )
 
 // freeAddress returns an address with a port that is currently free.
@@ -47,6 +49,24 @@
 	return n, done
 }
 
+// Guards against a node that keeps its address after its start failed, so that the
+// next start fails too.
+func TestFailedStartReleasesTheListener(t *testing.T) {
+	g := NewWithT(t)
+	address, data := freeAddress(g, "127.0.0.1"), t.TempDir()
+	c := anvilcrank.NodeConfig{ID: "c1", Control: true, PeerListen: address, Data: data, LogLevel: "error"}
+	folder, err := storage.OpenFolder(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	other, err := control.OpenStorageWriter(folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer other.Close()
+	_, err = anvilcrank.NewNode(c)
+	g.Expect(err).To(MatchError(storage.ErrLocked))
+	l, err := net.Listen("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = l.Close()
+}
+
 // The test runs a control node and an entry node, changes the configuration,
 // sends a heartbeat of an upstream, and sends requests to the entry node. Guards
 // against two failures: the requests do not reach the upstream, or a graceful
