Take no write lock for metrics beyond the label limit

Cause: a name above the limit was never found under its own labels, so each request with one took the write lock. The label is now bounded before the look-up. Names of levels no longer panic on unknown values.

--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -18,7 +18,17 @@
 )
 
 // String returns the name of the level as written to the log.
-func (l Level) String() string { return [...]string{"info", "warn", "error"}[l] }
+func (l Level) String() string {
+	switch l {
+	case LevelInfo:
+		return "info"
+	case LevelWarn:
+		return "warn"
+	case LevelError:
+		return "error"
+	}
+	return "unknown"
+}
 
 // Field is a named value attached to a log event.
 type Field struct {
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -110,8 +110,8 @@
 // histogram returns the latency histogram with the labels, and creates it if
 // necessary.
 func (t *Telemetry) histogram(tenant model.Tenant, service model.ServiceName, class model.Class) *metrics.Histogram {
-	key := requestLabels{tenant, service, class}
 	t.mu.RLock()
+	key := requestLabels{nameWithinLimit(t.tenants, tenant, maxTenants), nameWithinLimit(t.services, service, maxServices), class}
 	h := t.histograms[key]
 	t.mu.RUnlock()
 	if h != nil {
@@ -128,17 +128,21 @@
 	return h
 }
 
-// boundedName returns the name if it already is one of the admitted names, or
-// admits and returns it if fewer than limit names are admitted. Otherwise it
-// returns otherName.
-func boundedName[N ~string](admitted map[N]bool, name N, limit int) N {
-	if admitted[name] {
+// nameWithinLimit returns the name if it is one of the admitted names or may become
+// one, because fewer than limit names are admitted. Otherwise it returns otherName.
+func nameWithinLimit[N ~string](admitted map[N]bool, name N, limit int) N {
+	if admitted[name] || len(admitted) < limit {
 		return name
 	}
-	if len(admitted) >= limit {
-		return otherName
+	return otherName
+}
+
+// boundedName returns nameWithinLimit and admits the name.
+func boundedName[N ~string](admitted map[N]bool, name N, limit int) N {
+	name = nameWithinLimit(admitted, name, limit)
+	if name != otherName {
+		admitted[name] = true
 	}
-	admitted[name] = true
 	return name
 }
 
