--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -25,8 +25,9 @@
 	return model.Duration(minWorkFraction*float64(work)) > remaining
 }
 
-// QueueTooLong reports whether a request should be rejected because of the queue
-// at the selected upstream, although it may be expected to meet its deadline. The
+// QueueTooLong reports whether a request that is expected to miss its objective
+// should be rejected because of the queue at the selected upstream, although it may
+// be expected to meet its deadline. The
 // load that this answers is more work than the upstreams can do: their queues then
 // grow until deadlines end as much work as is offered in excess. Nearly every
 // response is late, work is thrown away, and what it would have left in the caches
@@ -37,8 +38,8 @@
 // A request for an uncached object, which misses its objective by its work alone,
 // is admitted while the queue is short, so that the object gets cached. The
 // objective is 0 if the route has none, which permits any queue.
-func QueueTooLong(queueTime, objective model.Duration) bool {
-	return ExcessQueueTime(queueTime, objective) > 0
+func QueueTooLong(responseTime, queueTime, objective model.Duration) bool {
+	return responseTime > objective && ExcessQueueTime(queueTime, objective) > 0
 }
 
 // ExcessQueueTime returns how long it takes until the queue is short enough for the
--- a/pkg/balance/estimates_test.go
+++ b/pkg/balance/estimates_test.go
@@ -52,6 +52,27 @@
 	Expect(mustChoose(s, start.Add(1400*time.Millisecond), q).ID).NotTo(Equal(first.ID))
 })
 
+// Guards against rejecting requests because of the queue at the upstream of their
+// object while another region has free slots.
+var _ = It("another region takes a request if the queue at its upstream is too long", func() {
+	s := newInstance("a1", newRegistry(map[model.Zone]int{"a1": 1, "b1": 1}, 4), newCatalog(0))
+	q := balance.Query{AffinityKey: "x", Objective: time.Second}
+	at := start
+	for range 60 {
+		at = at.Add(10 * time.Millisecond)
+		c := mustChoose(s, at, q)
+		Expect(c.Zone).To(BeEquivalentTo("a1"))
+		s.Sent(at, &c)
+		s.Ended(at, c.ID, &balance.End{Result: balance.Answered, Cached: true, ResponseTime: 100 * time.Millisecond})
+	}
+	c := mustChoose(s, at, q)
+	for ; c.Zone == "a1"; c = mustChoose(s, at, q) {
+		Expect(balance.QueueTooLong(c.ResponseTime, c.QueueTime, q.Objective)).To(BeFalse(), "the request would be rejected")
+		s.Sent(at, &c)
+	}
+	Expect(c.QueueTime).To(BeZero())
+})
+
 // Guards against losing one request after another at upstreams that close idle
 // connections earlier than they state.
 var _ = It("only recently used connections are reused after requests were lost on idle connections", func() {
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -189,7 +189,7 @@
 	if ok && !r.mayHaveExecuted && s.stopAt != 0 && stopTimeFactor*choice.ResponseTime > s.stopAt.Sub(at) {
 		ok, fallback = false, result.Stopping
 	}
-	if ok && !r.mayHaveExecuted && balance.QueueTooLong(choice.QueueTime, r.route.Objective) {
+	if ok && !r.mayHaveExecuted && balance.QueueTooLong(choice.ResponseTime, choice.QueueTime, r.route.Objective) {
 		ok, fallback = false, result.QueueFull
 	}
 	if !ok || remaining < minAttemptTime {
