--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -92,7 +92,7 @@
 // Choose selects the upstream with the lowest cost and reports whether there is
 // one that can accept the request now. The assigned group is selected if it
 // meets the objective; otherwise the other groups are compared with it. If its queue
-// is too long, the primary of another group takes the request if it can. Other
+// is too long, the primary of a group with free slots takes the request. Other
 // regions whose share of the requests must not grow yet are considered only if
 // there is no other upstream, and suspected upstreams come last.
 func (s *State) Choose(at model.Time, q *Query) (Choice, bool) {
@@ -109,7 +109,7 @@
 		return assigned, true
 	}
 	if found && QueueTooLong(assigned.ResponseTime, assigned.QueueTime, q.Objective) {
-		if other, ok := s.cheapest(at, svc, q, p, candidateFilter{limitRegionShift: true, primaryOnly: true, meetsDeadline: true, shortQueue: true}); ok {
+		if other, ok := s.cheapest(at, svc, q, p, candidateFilter{limitRegionShift: true, primaryOnly: true, meetsDeadline: true, freeSlots: true}); ok {
 			return other, true
 		}
 	}
@@ -143,8 +143,8 @@
 	// meetsDeadline excludes upstreams where the request is expected to miss its
 	// deadline.
 	meetsDeadline bool
-	// shortQueue excludes upstreams whose queue is too long for the request.
-	shortQueue bool
+	// freeSlots excludes the upstreams of groups that are busy.
+	freeSlots bool
 	// allowSuspected also includes suspected upstreams and those with an expired
 	// lease.
 	allowSuspected bool
@@ -161,7 +161,9 @@
 		list = p.assignedTargets()
 	case f.primaryOnly && p != nil:
 		for _, g := range p.groups {
-			list = append(list, g.primary)
+			if !f.freeSlots || g.load < g.slots {
+				list = append(list, g.primary)
+			}
 		}
 	default:
 		return svc.targets
@@ -191,9 +193,6 @@
 		if filter.meetsDeadline && q.Remaining > 0 && WillMissDeadline(model.Duration(e.responseTime), model.Duration(e.queueTime), model.Duration(svc.meanTime), q.Remaining) {
 			continue
 		}
-		if filter.shortQueue && QueueTooLong(model.Duration(e.responseTime), model.Duration(e.queueTime), q.Objective) {
-			continue
-		}
 		cost := e.responseTime + e.costToOthers + s.transferCost(t, q.Download) + s.smallRegionCost(svc, t)
 		if best == nil || cost < bestCost {
 			best, bestCost, bestEstimate = t, cost, e
