--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -39,17 +39,7 @@
 	p := newProxy(c)
 	var results []event.AttemptResult
 	for seq := range uint64(2) {
-		served := make(chan struct{})
-		go func() {
-			defer close(served)
-			p.Serve(httptest.NewRecorder(), httptest.NewRequest("POST", "/s/writes/x", nil), "writes", "/x")
-		}()
-		arrived := (<-c.events).(event.RequestArrived)
-		p.Dispatch(event.Dispatch{Request: arrived.ID, Attempt: model.AttemptID{Seq: seq + 1}, Address: l.Addr().String(),
-			Deadline: model.Time(time.Now().Add(5 * time.Second).UnixNano()), MaxConnections: 2})
-		results = append(results, (<-c.events).(event.AttemptEnded).Result)
-		p.Finish(event.Finish{Request: arrived.ID, Code: result.UpstreamLost})
-		<-served
+		results = append(results, attemptOnce(p, c, l.Addr().String(), 2, seq+1))
 	}
 	g.Expect(results).To(Equal([]event.AttemptResult{event.RefusedBeforeExecution, second}))
 	g.Expect(indistinct.Load()).To(BeZero())
@@ -58,6 +48,23 @@
 	Entry("without an attempt ID: the second request is sent, and refused, on a new connection", false, event.RefusedBeforeExecution),
 )
 
+// attemptOnce passes a request to the proxy, dispatches it once to the address, and
+// returns the result of the attempt. This instance may open maxConnections connections.
+func attemptOnce(p *proxy.Proxy, c *stubControl, address string, maxConnections int, seq uint64) event.AttemptResult {
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		p.Serve(httptest.NewRecorder(), httptest.NewRequest("POST", "/s/writes/x", nil), "writes", "/x")
+	}()
+	arrived := (<-c.events).(event.RequestArrived)
+	p.Dispatch(event.Dispatch{Request: arrived.ID, Attempt: model.AttemptID{Seq: seq}, Address: address,
+		Deadline: model.Time(time.Now().Add(5 * time.Second).UnixNano()), MaxConnections: maxConnections})
+	ended := (<-c.events).(event.AttemptEnded)
+	p.Finish(event.Finish{Request: arrived.ID, Code: result.UpstreamLost})
+	<-served
+	return ended.Result
+}
+
 // closedSilentlyConn is a connection whose Close is not noticed by a reader, so
 // that http.Transport keeps it in its pool.
 type closedSilentlyConn struct {
@@ -93,17 +100,7 @@
 	p.SetControl(c)
 	DeferCleanup(p.Close)
 	for seq := range uint64(2) {
-		served := make(chan struct{})
-		go func() {
-			defer close(served)
-			p.Serve(httptest.NewRecorder(), httptest.NewRequest("POST", "/s/writes/x", nil), "writes", "/x")
-		}()
-		arrived := (<-c.events).(event.RequestArrived)
-		p.Dispatch(event.Dispatch{Request: arrived.ID, Attempt: model.AttemptID{Seq: seq + 1}, Address: upstream.Listener.Addr().String(),
-			Deadline: model.Time(time.Now().Add(5 * time.Second).UnixNano()), MaxConnections: 8})
-		g.Expect((<-c.events).(event.AttemptEnded).Result).To(Equal(event.RefusedBeforeExecution))
-		p.Finish(event.Finish{Request: arrived.ID, Code: result.RefusedByUpstream})
-		<-served
+		g.Expect(attemptOnce(p, c, upstream.Listener.Addr().String(), 8, seq+1)).To(Equal(event.RefusedBeforeExecution))
 	}
 	g.Expect(executed.Load()).To(BeEquivalentTo(2))
 })
--- a/pkg/routed/load_test.go
+++ b/pkg/routed/load_test.go
@@ -1,13 +1,13 @@
 package routed_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/pkg/alarm"
 	"github.com/anvilcrank/anvilcrank/pkg/balance"
 	"github.com/anvilcrank/anvilcrank/pkg/catalog"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
@@ -78,34 +78,11 @@
 
 const loadWindow = 2 * time.Second
 
-// timedCall is a call of the simulation at a time.
-type timedCall struct {
-	at    model.Time
-	order int
-	call  func()
-}
-
-// timeline implements heap.Interface.
-type timeline []timedCall
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].order < t[j].order
-}
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timeline) Push(c any)   { *t = append(*t, c.(timedCall)) }
-func (t *timeline) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // player plays a load.
 type player struct {
 	load
 	at        model.Time
-	calls     timeline
-	order     int
+	calls     alarm.Queue[func()]
 	random    *rand.Rand
 	table     *catalog.Table
 	entries   []*entrySim
@@ -182,18 +159,17 @@
 	}
 	p.result.windows = make([]served, int(l.length/loadWindow)+1)
 	p.after(0, p.nextRequest)
-	for len(p.calls) > 0 {
-		next := heap.Pop(&p.calls).(timedCall)
-		p.at = next.at
-		next.call()
+	for at := p.calls.Next(); at != 0; at = p.calls.Next() {
+		p.at = at
+		call, _ := p.calls.Pop(at)
+		call()
 	}
 	return &p.result
 }
 
 // after calls f after the delay.
 func (p *player) after(delay time.Duration, f func()) {
-	p.order++
-	heap.Push(&p.calls, timedCall{p.at.Add(delay), p.order, f})
+	p.calls.Add(p.at.Add(delay), f)
 }
 
 // nextRequest sends a new request and schedules the one after it.
