--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -27,9 +27,10 @@
 
 // QueueTooLong reports whether a request that is expected to miss its objective
 // should be rejected because of the queue at the selected upstream, although it may
-// be expected to meet its deadline. The
-// load that this answers is more work than the upstreams can do: their queues then
-// grow until deadlines end as much work as is offered in excess. Nearly every
+// be expected to meet its deadline.
+//
+// The load that this answers is more work than the upstreams can do: their queues
+// then grow until deadlines end as much work as is offered in excess. Nearly every
 // response is late, work is thrown away, and what it would have left in the caches
 // is missing for later requests, which need several times as long. That persists
 // when the load has fallen. With short queues, upstreams are as busy, and those
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -91,8 +91,8 @@
 
 // Choose selects the upstream with the lowest cost and reports whether there is
 // one that can accept the request now. The assigned group is selected if it
-// meets the objective; otherwise the other groups are compared with it. If its queue
-// is too long, the primary of a group with free slots takes the request. Other
+// meets the objective; otherwise the other groups are compared with it. If its
+// queue is too long, the primary of a group with free slots takes the request. Other
 // regions whose share of the requests must not grow yet are considered only if
 // there is no other upstream, and suspected upstreams come last.
 func (s *State) Choose(at model.Time, q *Query) (Choice, bool) {
