--- /dev/null
+++ b/review/cases/client.go
@@ -0,0 +1,153 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+)
+
+const clientTimeout = 2500 * time.Millisecond
+
+// sent is a request that a client has sent, with its answer. Status is 0 if no whole
+// answer came.
+type sent struct {
+	id, method, path, body string
+	at                     time.Time
+	status                 int
+}
+
+// clients send requests to entry machines that the directory names.
+type clients struct {
+	d      *deployment
+	host   string
+	record *record
+	http   *http.Client
+
+	mu        sync.Mutex
+	requests  map[string]*sent
+	addresses []string
+}
+
+func newClients(d *deployment, host string, r *record) *clients {
+	return &clients{d: d, host: host, record: r, requests: map[string]*sent{},
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+}
+
+// resolve asks the directory where to connect, as clients do every 2 s.
+func (c *clients) resolve() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	list := c.d.controls()
+	for _, i := range rand.Perm(len(list))[:3] {
+		q := url.Values{"name": {c.host}, "zone": {list[i].zone}, "region": {list[i].region}}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+list[i].address(directoryPort)+"/resolve?"+q.Encode(), nil)
+		if err != nil {
+			continue
+		}
+		resp, err := c.http.Do(req)
+		if err != nil {
+			continue
+		}
+		var answer struct{ Addresses []string }
+		err = json.NewDecoder(resp.Body).Decode(&answer)
+		_ = resp.Body.Close()
+		if err == nil && len(answer.Addresses) > 0 {
+			c.mu.Lock()
+			c.addresses = answer.Addresses
+			c.mu.Unlock()
+			return
+		}
+	}
+}
+
+// run sends a request every interval until the context ends, and waits for the
+// answers.
+func (c *clients) run(ctx context.Context, interval time.Duration, method, prefix string, bodyBytes int) {
+	var open sync.WaitGroup
+	defer open.Wait()
+	resolvedAt := time.Time{}
+	for i := 0; ctx.Err() == nil; i++ {
+		if time.Since(resolvedAt) > 2*time.Second {
+			c.resolve()
+			resolvedAt = time.Now()
+		}
+		body := ""
+		if bodyBytes > 0 {
+			body = fmt.Sprintf("%0*d", bodyBytes, i)
+		}
+		open.Add(1)
+		go func() {
+			defer open.Done()
+			c.send(method, fmt.Sprintf("%s%d", prefix, i), body)
+		}()
+		time.Sleep(interval)
+	}
+}
+
+// send sends one request and returns its status, 0 if there is no answer.
+func (c *clients) send(method, path, body string) int {
+	c.mu.Lock()
+	if len(c.addresses) == 0 {
+		c.mu.Unlock()
+		return 0
+	}
+	address := c.addresses[rand.IntN(len(c.addresses))]
+	s := &sent{id: fmt.Sprintf("%016x", rand.Uint64()), method: method, path: path, body: body, at: time.Now()}
+	c.requests[s.id] = s
+	c.mu.Unlock()
+	c.record.add("client", "sends %s to %s: %s %s, body of %d bytes", s.id, address, method, path, len(body))
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0
+	}
+	req.Host = c.host
+	req.Header.Set(headerID, s.id)
+	req.Header.Set(headerDeadline, fmt.Sprint(clientTimeout.Milliseconds()))
+	req.Header.Set(headerKey, fmt.Sprint(rand.IntN(40)))
+	status := 0
+	if resp, err := c.http.Do(req); err == nil {
+		if _, err := io.ReadAll(resp.Body); err == nil {
+			status = resp.StatusCode
+		}
+		_ = resp.Body.Close()
+	}
+	c.record.add("client", "%s is answered %d", s.id, status)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.status = status
+	return status
+}
+
+// sentAs returns the request with an id.
+func (c *clients) sentAs(id string) (sent, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.requests[id]; s != nil {
+		return *s, true
+	}
+	return sent{}, false
+}
+
+// served returns how many requests were answered with a success.
+func (c *clients) served() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.requests {
+		if s.status == http.StatusOK {
+			n++
+		}
+	}
+	return n
+}
