--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -32,54 +32,72 @@
 	record *record
 	http   *http.Client
 
-	mu        sync.Mutex
-	requests  map[string]*sent
-	addresses []string
+	mu       sync.Mutex
+	requests map[string]*sent
+	// addresses holds the latest answer of the directory for the clients of each
+	// zone with an entry machine.
+	addresses map[string][]string
 }
 
 func newClients(d *deployment, host string, r *record) *clients {
-	return &clients{d: d, host: host, record: r, requests: map[string]*sent{},
+	return &clients{d: d, host: host, record: r, requests: map[string]*sent{}, addresses: map[string][]string{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
 }
 
-// resolve asks the directory where to connect, as clients do every 2 s.
+// resolve asks the directory where the clients of each zone may connect.
 func (c *clients) resolve() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	list := c.d.controls()
-	for _, i := range rand.Perm(len(list))[:3] {
-		q := url.Values{"name": {c.host}, "zone": {list[i].zone}, "region": {list[i].region}}
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+list[i].address(directoryPort)+"/resolve?"+q.Encode(), nil)
-		if err != nil {
-			continue
-		}
-		resp, err := c.http.Do(req)
-		if err != nil {
-			continue
-		}
-		var answer struct{ Addresses []string }
-		err = json.NewDecoder(resp.Body).Decode(&answer)
-		_ = resp.Body.Close()
-		if err == nil && len(answer.Addresses) > 0 {
+	for _, m := range c.d.entries() {
+		if list := c.lookup(m.zone, m.region); len(list) > 0 {
 			c.mu.Lock()
-			c.addresses = answer.Addresses
+			c.addresses[m.zone] = list
 			c.mu.Unlock()
-			return
 		}
 	}
 }
 
+// lookup asks up to three control machines for the addresses for a zone.
+func (c *clients) lookup(zone, region string) []string {
+	list := c.d.controls()
+	for _, i := range rand.Perm(len(list))[:3] {
+		if addresses := c.ask(list[i], zone, region); len(addresses) > 0 {
+			return addresses
+		}
+	}
+	return nil
+}
+
+func (c *clients) ask(m *machine, zone, region string) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	q := url.Values{"name": {c.host}, "zone": {zone}, "region": {region}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.address(directoryPort)+"/resolve?"+q.Encode(), nil)
+	if err != nil {
+		return nil
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var answer struct{ Addresses []string }
+	if json.NewDecoder(resp.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
 // run sends a request every interval until the context ends, and waits for the
 // answers.
 func (c *clients) run(ctx context.Context, interval time.Duration, method, prefix string, bodyBytes int) {
 	var open sync.WaitGroup
 	defer open.Wait()
-	resolvedAt := time.Time{}
-	for i := 0; ctx.Err() == nil; i++ {
-		if time.Since(resolvedAt) > 2*time.Second {
+	go func() {
+		for ctx.Err() == nil {
 			c.resolve()
-			resolvedAt = time.Now()
+			time.Sleep(2 * time.Second)
 		}
+	}()
+	for i := 0; ctx.Err() == nil; i++ {
 		body := ""
 		if bodyBytes > 0 {
 			body = fmt.Sprintf("%0*d", bodyBytes, i)
@@ -95,12 +113,14 @@
 
 // send sends one request and returns its status, 0 if there is no answer.
 func (c *clients) send(method, path, body string) int {
+	zone := c.d.entries()[rand.IntN(len(c.d.entries()))].zone
 	c.mu.Lock()
-	if len(c.addresses) == 0 {
+	list := c.addresses[zone]
+	if len(list) == 0 {
 		c.mu.Unlock()
 		return 0
 	}
-	address := c.addresses[rand.IntN(len(c.addresses))]
+	address := list[rand.IntN(len(list))]
 	s := &sent{id: fmt.Sprintf("%016x", rand.Uint64()), method: method, path: path, body: body, at: time.Now()}
 	c.requests[s.id] = s
 	c.mu.Unlock()
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -135,7 +135,7 @@
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
 		c.resolve()
 		c.mu.Lock()
-		named := len(c.addresses) > 0
+		named := len(c.addresses) == len(e.d.entries())
 		c.mu.Unlock()
 		if named && e.allReady() {
 			// The control group has all its members by now.
