Keep the platform's names of the review's stand-ins in a data file

Cause: TestPlatformNamesOccurOnlyInThisFolder failed on the review's program, since it had the names of headers and fields in Go files outside platform/. Change: they are in review/cases/wire.json, which the program embeds.

--- a/review/cases/halfclose.go
+++ b/review/cases/halfclose.go
@@ -94,7 +94,7 @@
 	body := strings.Repeat("7", 40)
 	e.record.add("client", "sends %s to %s, ends its side: %t", id, m.name, leaves)
 	if _, err := fmt.Fprintf(conn, "POST /wu5/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		id, host, headerID, id, headerDeadline, clientTimeout.Milliseconds(), len(body), body); err != nil {
+		id, host, wire.Headers.ID, id, wire.Headers.Deadline, clientTimeout.Milliseconds(), len(body), body); err != nil {
 		return 0, err
 	}
 	if leaves {
