Acknowledge drains and deregistrations once they are on disk

Cause: control instances confirmed a drain or deregistration that they held in memory. The file of registrations, up to 2 s old, then brought the upstream back with a new lease.

Change: the effect PersistRegistrations appends registrations to a log beside that file, and a control instance, also the one that took the call, counts as one that stores them when the event RegistrationsPersisted says that they are synced. The log is emptied when the file of all registrations is replaced.

--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -72,9 +72,11 @@
 	Save(event.SaveConfig)
 }
 
-// RegistrationStore saves the registrations of upstreams. Its methods must not block.
+// RegistrationStore writes the registrations of upstreams to the data folder, in the
+// order of the calls. Its methods must not block.
 type RegistrationStore interface {
 	Save(event.SaveRegistrations)
+	Persist(event.PersistRegistrations)
 }
 
 // Handlers are the components that execute effects.
@@ -323,6 +325,8 @@
 		l.handlers.ConfigStore.Save(e)
 	case event.SaveRegistrations:
 		l.handlers.RegistrationStore.Save(e)
+	case event.PersistRegistrations:
+		l.handlers.RegistrationStore.Persist(e)
 	case event.InvariantFailed:
 		l.handlers.OnInvariantFailed(e)
 	case event.Stopped:
--- a/pkg/control/registration_file.go
+++ b/pkg/control/registration_file.go
@@ -6,23 +6,37 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/storage"
 )
 
-// RegistrationFile saves registrations of upstreams to a file of a data folder on a
-// separate goroutine, and reports those that the file held at the start. It
-// implements RegistrationStore.
+// RegistrationFile writes registrations of upstreams to a data folder on a separate
+// goroutine, and reports those that the folder held at the start. It implements
+// RegistrationStore.
 type RegistrationFile struct {
 	dir       string
 	telemetry Telemetry
 
 	mu sync.Mutex
-	// latest is what was passed to Save last, nil if it is already saved.
-	latest *event.SaveRegistrations
-	// wake has a capacity of 1 and holds a value while latest may be set.
+	// pending holds what was passed to Save and Persist and is not written yet.
+	pending registrationWrites
+	// wake has a capacity of 1 and holds a value while pending may not be empty.
 	wake chan struct{}
 }
 
+// registrationWrites are calls of Save and Persist. Registrations passed to Persist
+// before the latest call of Save are among those passed to Save.
+type registrationWrites struct {
+	// all is what was passed to Save last, nil if it was not called. allSeq is the
+	// sequence number of the latest call of Persist before, 0 if it has a result.
+	all    *event.SaveRegistrations
+	allSeq uint64
+	// appended is what was passed to Persist after that, and appendedSeq the latest
+	// sequence number.
+	appended    []model.Registration
+	appendedSeq uint64
+}
+
 // NewRegistrationFile returns the file in a data folder.
 func NewRegistrationFile(dir string, telemetry Telemetry) *RegistrationFile {
 	return &RegistrationFile{dir: dir, telemetry: telemetry, wake: make(chan struct{}, 1)}
@@ -32,18 +46,35 @@
 // written yet are replaced.
 func (f *RegistrationFile) Save(e event.SaveRegistrations) {
 	f.mu.Lock()
-	f.latest = &e
+	p := &f.pending
+	p.all, p.allSeq = &e, max(p.allSeq, p.appendedSeq)
+	p.appended, p.appendedSeq = nil, 0
 	f.mu.Unlock()
+	f.wakeRun()
+}
+
+// Persist implements RegistrationStore. Registrations that are passed during a write
+// are written and synced together afterwards.
+func (f *RegistrationFile) Persist(e event.PersistRegistrations) {
+	f.mu.Lock()
+	f.pending.appended = append(f.pending.appended, e.Registrations...)
+	f.pending.appendedSeq = e.Seq
+	f.mu.Unlock()
+	f.wakeRun()
+}
+
+func (f *RegistrationFile) wakeRun() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run reports the saved registrations to the sink, and then saves what is passed to
-// Save until the context ends.
+// Run reports the stored registrations to the sink, and then writes what is passed to
+// Save and Persist until the context ends.
 func (f *RegistrationFile) Run(ctx context.Context, sink Sink) error {
-	list, err := storage.LoadRegistrations(f.dir)
+	stored, list, err := storage.OpenRegistrations(f.dir)
+	defer stored.Close()
 	if err != nil {
 		f.logFailure(err)
 	}
@@ -51,23 +82,37 @@
 	for {
 		select {
 		case <-f.wake:
-			f.saveLatest()
+			f.write(stored, sink)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (f *RegistrationFile) saveLatest() {
+// write writes what is pending and reports the results of the calls of Persist.
+func (f *RegistrationFile) write(stored *storage.Registrations, sink Sink) {
 	f.mu.Lock()
-	e := f.latest
-	f.latest = nil
+	w := f.pending
+	f.pending = registrationWrites{}
 	f.mu.Unlock()
-	if e == nil {
-		return
+	if w.all != nil {
+		f.report(sink, w.allSeq, stored.Replace(w.all.Registrations))
+	}
+	if w.appendedSeq != 0 {
+		f.report(sink, w.appendedSeq, stored.Append(w.appended))
 	}
-	if err := storage.SaveRegistrations(f.dir, e.Registrations); err != nil {
+}
+
+// report logs a failed write, and reports the result of the calls of Persist up to seq
+// if seq is not 0.
+func (f *RegistrationFile) report(sink Sink, seq uint64, err error) {
+	persisted := event.RegistrationsPersisted{Seq: seq}
+	if err != nil {
 		f.logFailure(err)
+		persisted.Failure = err.Error()
+	}
+	if seq != 0 {
+		sink.Report(persisted)
 	}
 }
 
--- a/pkg/event/fleet.go
+++ b/pkg/event/fleet.go
@@ -48,12 +48,21 @@
 	Registrations []model.Registration
 }
 
-func (HeartbeatReceived) isBody()   {}
-func (DepartureReceived) isBody()   {}
-func (ItemsProposed) isBody()       {}
-func (EvacuationProposed) isBody()  {}
-func (ItemsRequested) isBody()      {}
-func (RegistrationsLoaded) isBody() {}
+// RegistrationsPersisted reports the result of the PersistRegistrations effects up to
+// the sequence number Seq that had no result yet. If Failure is not empty, they may not
+// be in the data folder.
+type RegistrationsPersisted struct {
+	Seq     uint64
+	Failure string
+}
+
+func (HeartbeatReceived) isBody()      {}
+func (DepartureReceived) isBody()      {}
+func (ItemsProposed) isBody()          {}
+func (EvacuationProposed) isBody()     {}
+func (ItemsRequested) isBody()         {}
+func (RegistrationsLoaded) isBody()    {}
+func (RegistrationsPersisted) isBody() {}
 
 // CallReply answers a call with a result code. If the input of the call is invalid,
 // Detail describes the error.
@@ -75,16 +84,26 @@
 	View *directory.View
 }
 
-// SaveRegistrations saves the registrations of upstreams in the data folder. Nothing
-// depends on whether that succeeds.
+// SaveRegistrations saves all registrations of upstreams in the data folder. No
+// acknowledgement depends on whether that succeeds.
 type SaveRegistrations struct {
 	Registrations []model.Registration
 }
 
-func (CallReply) isEffect()         {}
-func (ItemsReply) isEffect()        {}
-func (PublishDirectory) isEffect()  {}
-func (SaveRegistrations) isEffect() {}
+// PersistRegistrations adds registrations to those in the data folder. The event
+// RegistrationsPersisted reports when they are synced. Until then nothing may be sent
+// that says that this instance stores them.
+type PersistRegistrations struct {
+	// Seq increases with each of these effects.
+	Seq           uint64
+	Registrations []model.Registration
+}
+
+func (CallReply) isEffect()            {}
+func (ItemsReply) isEffect()           {}
+func (PublishDirectory) isEffect()     {}
+func (SaveRegistrations) isEffect()    {}
+func (PersistRegistrations) isEffect() {}
 
 // CallID returns the call that the effect answers.
 func (r CallReply) CallID() CallID { return r.Call }
--- a/pkg/fleet/controlgroup_test.go
+++ b/pkg/fleet/controlgroup_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -124,3 +125,40 @@
 		Expect(answered).To(BeNumerically(">", len(reads)/2))
 	}
 }
+
+// A deregistration or drain that is acknowledged from memory is lost when all processes
+// end before the registrations are saved: the saved file brings the upstream back.
+func TestAcknowledgedDepartureSurvivesTheLossOfAllInstances(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range seeds(8) {
+		s := newConfiguredSim(seed)
+		for i := range 6 {
+			Expect(s.call("core-b1", ackTimeout, sendHeartbeat(fmt.Sprint("u", i), "a1", 1, model.RegistrationServing))).To(Equal(result.Success))
+		}
+		s.run(4 * time.Second)
+		for i := range 3 {
+			Expect(s.call(s.anyControl(), ackTimeout, deregister(fmt.Sprint("u", i)))).To(Equal(result.Success))
+			s.run(time.Duration(s.rng.IntN(700)) * time.Millisecond)
+		}
+		Expect(s.call(s.anyControl(), ackTimeout, sendHeartbeat("u3", "a1", 2, model.RegistrationDraining))).To(Equal(result.Success))
+		s.losePower("core-c1", "core-a2")
+		s.run(1500 * time.Millisecond)
+		s.losePower()
+		s.run(catchUpTime)
+		for range 20 {
+			s.run(500 * time.Millisecond)
+			for i := 4; i < 6; i++ {
+				Expect(s.call("core-b1", ackTimeout, sendHeartbeat(fmt.Sprint("u", i), "a1", 2, model.RegistrationServing))).To(Equal(result.Success))
+			}
+			forEachRunning(s, false, func(id model.InstanceID) {
+				Expect(s.forwardedTo(id, "/r/x")).To(BeElementOf(model.UpstreamID("u4"), model.UpstreamID("u5")), "%s, seed %d", id, seed)
+			})
+		}
+	}
+}
+
+func deregister(id string) func(event.CallID) event.Body {
+	return func(c event.CallID) event.Body {
+		return event.DepartureReceived{Call: c, Upstream: model.UpstreamID(id), StartTimeMs: 1}
+	}
+}
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -266,6 +266,19 @@
 					n.registrations = e.Registrations
 				}
 			})
+		case event.PersistRegistrations:
+			s.schedule(diskSyncTime, func() {
+				if n.generation != generation {
+					return
+				}
+				result := event.RegistrationsPersisted{Seq: e.Seq}
+				if n.diskFails {
+					result.Failure = "no space left on device"
+				} else {
+					n.registrations = append(slices.Clone(n.registrations), e.Registrations...)
+				}
+				s.step(n, result)
+			})
 		case event.ReopenStorage:
 			s.schedule(diskSyncTime, func() {
 				switch {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -156,6 +156,8 @@
 		s.receiveDeregistration(at, b)
 	case event.RegistrationsLoaded:
 		s.loadRegistrations(at, b)
+	case event.RegistrationsPersisted:
+		s.replica.RegistrationsPersisted(b, out)
 	case event.ItemsProposed:
 		s.proposeItems(at, b)
 	case event.EvacuationProposed:
--- a/pkg/fleet/upstreams.go
+++ b/pkg/fleet/upstreams.go
@@ -29,8 +29,8 @@
 
 // receiveHeartbeat handles the heartbeat of an upstream. If the upstream is not
 // serving, for example because it is draining, the heartbeat is acknowledged
-// only once a majority of the control group stores that state. A drain then
-// stays in force after the loss of this instance.
+// only once a majority of the control group has that state on disk. A drain then
+// stays in force after the loss of this instance, and of all processes at once.
 func (s *State) receiveHeartbeat(at model.Time, b event.HeartbeatReceived) {
 	if s.rejectsStart(at, b.Call, &b.Registration) {
 		return
@@ -99,8 +99,8 @@
 	s.confirmByMajority(at, b.Call, b.Upstream)
 }
 
-// confirmByMajority answers the call once a majority of the control group
-// stores the state of the upstream.
+// confirmByMajority answers the call once a majority of the control group has the
+// state of the upstream on disk.
 func (s *State) confirmByMajority(at model.Time, call event.CallID, id model.UpstreamID) {
 	e := s.registry.Get(id)
 	if e.Confirmed || e.State == model.RegistrationServing {
--- a/pkg/message/fleet.go
+++ b/pkg/message/fleet.go
@@ -45,7 +45,7 @@
 }
 
 // RecordsAck answers a Records message. It confirms that its sender stores the
-// records of that message or newer versions of them.
+// records of that message or newer versions of them, registrations on its disk.
 type RecordsAck struct {
 	AckID uint64 `cbor:"1,keyasint"`
 }
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -145,6 +145,10 @@
 	lastPull      model.Time
 	lastAckID     uint64
 	pending       map[uint64]*pendingConfirmation
+	// diskWrites holds the writes of registrations to the data folder that have no
+	// result yet, in the order of their sequence numbers. lastWrite is the latest one.
+	diskWrites []diskWrite
+	lastWrite  uint64
 	// confirmations are the results that TakeConfirmations returns next.
 	confirmations []Confirmation
 	// synced is true once this instance has had the same records as a control
@@ -156,8 +160,8 @@
 }
 
 // pendingConfirmation is a call of Confirm without a result yet. storedAt holds
-// the control instances that have stored the records. needed is how many of
-// them must have done so for the call to succeed.
+// the control instances that have stored the records, registrations on their disks.
+// needed is how many of them must have done so for the call to succeed.
 type pendingConfirmation struct {
 	token    uint64
 	needed   int
@@ -165,6 +169,14 @@
 	deadline model.Time
 }
 
+// diskWrite is a write of registrations to the data folder. Once it is synced, the
+// confirmation ackID counts this instance as one that stores them. The confirmation is
+// one of the peer, or of this instance if peer is empty.
+type diskWrite struct {
+	seq, ackID uint64
+	peer       model.InstanceID
+}
+
 // Confirmation is the result of a call of Confirm. OK is true if enough control
 // instances have stored the records.
 type Confirmation struct {
@@ -234,7 +246,7 @@
 	case *message.Records:
 		return s.receiveRecords(at, from, m, out), true
 	case *message.RecordsAck:
-		s.receiveAck(from, m)
+		s.stored(m.AckID, from)
 	case *message.Pull:
 		r := s.store.Missing(at, m.Versions)
 		// A control instance that has just started may lack records itself.
@@ -258,7 +270,7 @@
 func (s *State) receiveRecords(at model.Time, from model.InstanceID, m *message.Records, out *event.Effects) message.Records {
 	changed := s.store.Merge(at, m)
 	if m.AckID != 0 {
-		out.Add(event.Send{To: from, Message: &message.RecordsAck{AckID: m.AckID}})
+		s.persist(m, diskWrite{peer: from, ackID: m.AckID}, out)
 	}
 	if p := s.peers[from]; p != nil && m.Complete {
 		s.synced = s.synced || s.maySyncWith(p)
@@ -320,11 +332,12 @@
 
 // Confirm sends records to all peers and requests acknowledgements from the
 // control instances. TakeConfirmations later returns a result with the given
-// token: a success once the needed number of control instances, including this
-// one, have stored the records, or a failure after the deadline.
+// token: a success once the needed number of control instances, which may include this
+// one, have stored the records, registrations on their disks, or a failure after the
+// deadline.
 func (s *State) Confirm(token uint64, r message.Records, needed int, deadline model.Time, out *event.Effects) {
 	s.lastAckID++
-	c := &pendingConfirmation{token: token, needed: needed, storedAt: map[model.InstanceID]bool{s.self.ID: true}, deadline: deadline}
+	c := &pendingConfirmation{token: token, needed: needed, storedAt: map[model.InstanceID]bool{}, deadline: deadline}
 	s.pending[s.lastAckID] = c
 	withAckID := r
 	withAckID.AckID = s.lastAckID
@@ -335,13 +348,50 @@
 			out.Add(event.Send{To: p.ID, Message: &r})
 		}
 	}
-	s.checkConfirmation(s.lastAckID, c)
+	s.persist(&r, diskWrite{ackID: s.lastAckID}, out)
+}
+
+// persist writes the registrations of r to the data folder, and confirms the write when
+// it is synced. Other records are not written: an instance has them from the replicated
+// log, which persists them.
+func (s *State) persist(r *message.Records, w diskWrite, out *event.Effects) {
+	if len(r.Registrations) == 0 {
+		s.confirmWrite(w, out)
+		return
+	}
+	s.lastWrite++
+	w.seq = s.lastWrite
+	s.diskWrites = append(s.diskWrites, w)
+	out.Add(event.PersistRegistrations{Seq: w.seq, Registrations: r.Registrations})
+}
+
+// RegistrationsPersisted confirms the writes up to a sequence number, or drops them if
+// they failed. Other instances or a later call may then still confirm.
+func (s *State) RegistrationsPersisted(b event.RegistrationsPersisted, out *event.Effects) {
+	for len(s.diskWrites) > 0 && s.diskWrites[0].seq <= b.Seq {
+		w := s.diskWrites[0]
+		s.diskWrites = s.diskWrites[1:]
+		if b.Failure == "" {
+			s.confirmWrite(w, out)
+		}
+	}
+}
+
+// confirmWrite tells the instance that waits for a write that this one stores the
+// records.
+func (s *State) confirmWrite(w diskWrite, out *event.Effects) {
+	if w.peer != "" {
+		out.Add(event.Send{To: w.peer, Message: &message.RecordsAck{AckID: w.ackID}})
+		return
+	}
+	s.stored(w.ackID, s.self.ID)
 }
 
-func (s *State) receiveAck(from model.InstanceID, m *message.RecordsAck) {
-	if c := s.pending[m.AckID]; c != nil {
-		c.storedAt[from] = true
-		s.checkConfirmation(m.AckID, c)
+// stored counts an instance that stores the records of a confirmation.
+func (s *State) stored(ackID uint64, at model.InstanceID) {
+	if c := s.pending[ackID]; c != nil {
+		c.storedAt[at] = true
+		s.checkConfirmation(ackID, c)
 	}
 }
 
