Save no registrations before the stored ones are loaded

Cause: a heartbeat that arrives while the data folder is still read causes a save of what is known by then. It replaces the stored registrations, among them departures, on disk; a second loss of all processes loses them.

Change: the reducer saves registrations only after RegistrationsLoaded.

Evidence: the new spec failed before: the data folder held u2 only.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/anvilcrank/anvilcrank/pkg/codec"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/fleet"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
@@ -114,6 +116,25 @@
 	}
 })
 
+// Guards against saved registrations that are replaced by the first heartbeats after a
+// start, before a slow disk has returned them: departures would be lost.
+var _ = It("registrations are not saved before the stored ones are loaded", func() {
+	s := newSim(3)
+	n := s.add("core-a1", "a1", true, []model.InstanceID{"core-a1"})
+	n.state = fleet.New(n.identity, codec.CommandCodec{})
+	left := model.Registration{ID: "u1", StartTimeMs: 1, Sequence: 3, State: model.RegistrationDeregistered}
+	n.registrations = []model.Registration{left}
+	s.step(n, event.Started{})
+	s.step(n, *n.stored)
+	s.submit("core-a1", sendHeartbeat("u2", "a1", 1, model.RegistrationServing))
+	s.run(5 * time.Second)
+	Expect(n.registrations).To(Equal([]model.Registration{left}))
+	s.step(n, event.RegistrationsLoaded{Registrations: n.registrations})
+	s.submit("core-a1", sendHeartbeat("u3", "a1", 1, model.RegistrationServing))
+	s.run(5 * time.Second)
+	Expect(n.registrations).To(ConsistOf(left, HaveField("ID", model.UpstreamID("u2")), HaveField("ID", model.UpstreamID("u3"))))
+})
+
 // Guards against odd entries of other writers that end instances, or keep them from
 // following later changes.
 var _ = It("odd registration does not disturb the others", func() {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -88,9 +88,11 @@
 	lastSyncAt           model.Time
 	nextSyncAt, resyncAt model.Time
 	// savedRevision is the revision of the registrations that were saved last. They
-	// are saved again at nextSaveAt at the earliest.
-	savedRevision uint64
-	nextSaveAt    model.Time
+	// are saved again at nextSaveAt at the earliest, and not before registrationsLoaded
+	// is true: those in the data folder would be lost.
+	savedRevision       uint64
+	registrationsLoaded bool
+	nextSaveAt          model.Time
 
 	snapshotPosition uint64
 	timerAt          model.Time
--- a/pkg/fleet/upstreams.go
+++ b/pkg/fleet/upstreams.go
@@ -60,7 +60,7 @@
 // and place objects elsewhere than before.
 func (s *State) saveRegistrations(at model.Time) {
 	revision := s.registry.Revision()
-	if !s.identity.Control || at < s.nextSaveAt || revision == s.savedRevision {
+	if !s.identity.Control || !s.registrationsLoaded || at < s.nextSaveAt || revision == s.savedRevision {
 		return
 	}
 	s.savedRevision, s.nextSaveAt = revision, at.Add(registrationSaveInterval)
@@ -71,7 +71,7 @@
 // instance knows more by now. Their leases expire if no heartbeat follows.
 func (s *State) loadRegistrations(at model.Time, b event.RegistrationsLoaded) {
 	changed := s.records.Merge(at, &message.Records{Registrations: b.Registrations})
-	s.savedRevision = s.registry.Revision()
+	s.savedRevision, s.registrationsLoaded = s.registry.Revision(), true
 	s.replica.Push(at, changed, &s.out)
 }
 
