Acknowledge no departure at an instance that knows no voters

Cause: the majority of an empty list of voters was 1, so that a control instance that lost its disk and is cut off confirmed a drain by itself. No other instance knew the drain after the instance was lost.

Change: without a known voter the call ends with 4008 at once.

Evidence: TestInstanceThatKnowsNoVotersAcknowledgesNoDeparture got 0 instead of 4008 before.

--- a/pkg/fleet/controlgroup_test.go
+++ b/pkg/fleet/controlgroup_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+// A control instance that lost its disk and is cut off knows no voters. It must not take
+// itself for a majority and acknowledge a departure that no other instance knows.
+func TestInstanceThatKnowsNoVotersAcknowledgesNoDeparture(t *testing.T) {
+	RegisterTestingT(t)
+	s := newConfiguredSim(1)
+	Expect(s.call("core-b1", ackTimeout, sendHeartbeat("u1", "a1", 1, model.RegistrationServing))).To(Equal(result.Success))
+	s.crash("core-a2")
+	s.replaceDisk("core-a2")
+	s.partition([]model.InstanceID{"core-a2"}, s.order, true)
+	s.start(s.nodes["core-a2"])
+	Expect(s.call("core-a2", ackTimeout, sendHeartbeat("u1", "a1", 2, model.RegistrationDraining))).To(Equal(result.ControlUnavailable))
+	Expect(s.call("core-a2", ackTimeout, deregister("u1"))).To(Equal(result.ControlUnavailable))
+	s.partition([]model.InstanceID{"core-a2"}, s.order, false)
+	s.run(catchUpTime)
+	Expect(s.call("core-a2", ackTimeout, deregister("u1"))).To(Equal(result.Success))
+}
+
 func deregister(id string) func(event.CallID) event.Body {
 	return func(c event.CallID) event.Body {
 		return event.DepartureReceived{Call: c, Upstream: model.UpstreamID(id), StartTimeMs: 1}
--- a/pkg/fleet/upstreams.go
+++ b/pkg/fleet/upstreams.go
@@ -109,21 +109,27 @@
 		s.out.Add(event.CallReply{Call: call, Code: result.Success})
 		return
 	}
+	majority, known := s.controlMajority(at)
+	if !known {
+		s.reply(call, result.ControlUnavailable, "this instance does not know the members of the control group")
+		return
+	}
 	s.calls.confirming[uint64(call)] = id
 	s.replica.Confirm(uint64(call), message.Records{Registrations: []model.Registration{e.RegistrationAt(at)}},
-		s.controlMajority(at), at.Add(confirmTimeout), &s.out)
+		majority, at.Add(confirmTimeout), &s.out)
 }
 
 // controlMajority returns the least number of control instances that are a
-// majority of the voters.
-func (s *State) controlMajority(at model.Time) int {
+// majority of the voters. It returns false if no voter is known, as at an instance that
+// has lost its disk and is not a member again yet.
+func (s *State) controlMajority(at model.Time) (int, bool) {
 	voters := 0
 	for _, m := range s.agreement.Status(at).Members {
 		if !m.Learner {
 			voters++
 		}
 	}
-	return voters/2 + 1
+	return voters/2 + 1, voters > 0
 }
 
 // replyToConfirmationCalls answers the calls that waited for a majority of the
