Do not apply an order that was overtaken after it arrived

Callers' view: an operator ends an evacuation and gets no answer, sends the order to another instance, which acknowledges it, and starts the evacuation again.

Cause: a proposal was kept for 4 s and sent again every 700 ms whether or not its caller still waited, and a command took effect wherever it stood in the log. Nothing related it to what the log had answered meanwhile.

Change: a command names its basis, the log position that its instance had applied when the call arrived. The call is then proposed once more within 500 ms of its arrival, or ends with the new code 4009 (503), never as refused. What repeats the state is acknowledged as before. A call whose caller has left is not submitted, and CallCanceled stops its proposal.

Ruled out: refusing on any change of items since the basis; of eight changes at once at five instances one was not acknowledged within 1 s.

The spec "call that gets no reply may have an effect" used a context that had ended before the call; such a call is no longer submitted, which a spec of its own checks now. The old one checks the same error for a context that ends after the submission, and also that the reducer is told.

--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -17,6 +17,15 @@
 	Origin      model.InstanceID
 	Incarnation model.Incarnation
 	Call        uint64
+	// Conditional is true if the command takes effect only if it was not overtaken after
+	// Basis, the log position that Origin had applied when the call arrived. A change of
+	// items is overtaken if the same change was rejected since, an evacuation if another
+	// start or end for the zone was applied since, also one that repeated the state. The
+	// caller of a command that is
+	// proposed late, or arrives late at the leader, may have left and got that answer
+	// elsewhere. Instances of earlier versions ignore both fields.
+	Conditional bool   `cbor:",omitempty"`
+	Basis       uint64 `cbor:",omitempty"`
 	Items       []model.Item
 	// Evacuation is the start or end of the evacuation of a zone, nil if the
 	// command changes items.
@@ -28,6 +37,16 @@
 	Position    uint64
 	Items       []model.Item
 	Evacuations []model.Evacuation
+	// Rejections and Orders are empty in snapshots of earlier versions.
+	Rejections Rejections  `cbor:",omitempty"`
+	Orders     []ZoneOrder `cbor:",omitempty"`
+}
+
+// ZoneOrder is the log position of the latest command that started or ended the
+// evacuation of a zone, or repeated its state.
+type ZoneOrder struct {
+	Zone     model.Zone
+	Position uint64
 }
 
 // Result is the outcome of a command.
@@ -45,25 +64,32 @@
 // command of each zone.
 type State struct {
 	position    uint64
+	rejections  Rejections
 	items       map[model.ItemKey]model.Item
 	evacuations map[model.Zone]model.Evacuation
-	table       *Table
+	// orders holds the positions of the latest evacuation commands, see ZoneOrder.
+	orders map[model.Zone]uint64
+	table  *Table
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{items: map[model.ItemKey]model.Item{}, evacuations: map[model.Zone]model.Evacuation{}}
+	return &State{items: map[model.ItemKey]model.Item{}, evacuations: map[model.Zone]model.Evacuation{}, orders: map[model.Zone]uint64{}}
 }
 
 // Restore returns the state of a snapshot.
 func Restore(s Snapshot) *State {
 	c := New()
-	c.position = s.Position
+	c.position, c.rejections = s.Position, s.Rejections.clone()
 	for _, i := range s.Items {
 		c.items[i.Key] = i
 	}
 	for _, e := range s.Evacuations {
 		c.evacuations[e.Zone] = e
+		c.orders[e.Zone] = e.Position
+	}
+	for _, o := range s.Orders {
+		c.orders[o.Zone] = o.Position
 	}
 	return c
 }
@@ -71,11 +97,15 @@
 // Snapshot returns a copy of the state. Items and evacuations are sorted by key
 // and zone.
 func (s *State) Snapshot() Snapshot {
-	snap := Snapshot{Position: s.position, Items: s.Items()}
+	snap := Snapshot{Position: s.position, Items: s.Items(), Rejections: s.rejections.clone()}
 	for _, e := range s.evacuations {
 		snap.Evacuations = append(snap.Evacuations, e)
 	}
+	for zone, position := range s.orders {
+		snap.Orders = append(snap.Orders, ZoneOrder{Zone: zone, Position: position})
+	}
 	slices.SortFunc(snap.Evacuations, func(a, b model.Evacuation) int { return compareFromLess(a.Zone < b.Zone) })
+	slices.SortFunc(snap.Orders, func(a, b ZoneOrder) int { return compareFromLess(a.Zone < b.Zone) })
 	return snap
 }
 
@@ -110,11 +140,15 @@
 func (s *State) Apply(position uint64, c *Command) Result {
 	s.position = position
 	if c.Evacuation != nil {
-		return s.applyEvacuation(position, *c.Evacuation)
+		return s.applyEvacuation(position, c)
 	}
 	if r := s.Check(c.Items); r.Code != result.Success {
+		s.rejections.add(position, c.Items)
 		return r
 	}
+	if c.Conditional && slices.ContainsFunc(c.Items, s.isNewer) && s.rejections.since(c.Basis, c.Items) {
+		return Result{Code: result.ChangeOvertaken}
+	}
 	var r Result
 	for _, i := range c.Items {
 		if s.Merge(i) {
@@ -126,8 +160,14 @@
 
 // applyEvacuation starts or ends the evacuation of a zone. A command that
 // repeats the current state changes nothing.
-func (s *State) applyEvacuation(position uint64, e model.Evacuation) Result {
-	if s.evacuations[e.Zone].Active == e.Active {
+func (s *State) applyEvacuation(position uint64, c *Command) Result {
+	e := *c.Evacuation
+	repeats := s.evacuations[e.Zone].Active == e.Active
+	if c.Conditional && s.orders[e.Zone] > c.Basis && !repeats {
+		return Result{Code: result.ChangeOvertaken}
+	}
+	s.orders[e.Zone] = position
+	if repeats {
 		return Result{}
 	}
 	e.Position = position
@@ -135,10 +175,16 @@
 	return Result{ChangedEvacuations: []model.Evacuation{e}}
 }
 
+// isNewer reports whether the version of an item is above the current one.
+func (s *State) isNewer(i model.Item) bool {
+	current, ok := s.items[i.Key]
+	return !ok || current.Version < i.Version
+}
+
 // Merge stores an item if its version is above the current one, and reports
 // whether it is.
 func (s *State) Merge(i model.Item) bool {
-	if current, ok := s.items[i.Key]; ok && current.Version >= i.Version {
+	if !s.isNewer(i) {
 		return false
 	}
 	s.items[i.Key] = i
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -35,7 +35,8 @@
 var ErrStopped = errors.New("control loop stopped")
 
 // ErrNotSubmitted reports that the event of a call did not reach the reducer, so that
-// the call has no effect. The error also wraps ErrQueueFull or ErrStopped.
+// the call has no effect. The error also wraps ErrQueueFull, ErrStopped or the error of the
+// context.
 var ErrNotSubmitted = errors.New("not submitted")
 
 // Dispatcher executes the effects for requests to upstreams whose slots are
@@ -206,8 +207,12 @@
 }
 
 // Call assigns a new call ID, submits the event that body returns for it, and
-// waits for the effect that answers the call.
+// waits for the effect that answers the call. A call whose context has ended is not
+// submitted; if the context ends later, the reducer is told with CallCanceled.
 func (l *Loop) Call(ctx context.Context, body func(event.CallID) event.Body) (event.Effect, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSubmitted, err)
+	}
 	id := event.CallID(l.nextCall.Add(1))
 	reply := make(chan event.Effect, 1)
 	l.callsMu.Lock()
@@ -225,6 +230,8 @@
 	case e := <-reply:
 		return e, nil
 	case <-ctx.Done():
+		// Without this event the call ends at the deadline of the reducer.
+		_ = l.Submit(event.CallCanceled{Call: id})
 		return nil, ctx.Err()
 	case <-l.stopped:
 		return nil, ErrStopped
--- a/pkg/control/loop_test.go
+++ b/pkg/control/loop_test.go
@@ -27,11 +27,43 @@
 	Expect(err).To(MatchError(control.ErrStopped))
 })
 
+// Guards against reporting that a change has no effect although it was submitted, and
+// against a reducer that goes on with the call of a caller that has left.
 var _ = It("call that gets no reply may have an effect", func() {
-	loop := control.NewLoop(silentReducer{}, control.NewClock(), nil, control.Handlers{})
+	reducer := recordingReducer{bodies: make(chan event.Body, 8)}
+	loop := control.NewLoop(reducer, control.NewClock(), nil, control.Handlers{})
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	go func() { _ = loop.Run(running) }()
 	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_, err := loop.Call(ctx, func(event.CallID) event.Body { return event.TimerFired{} })
+	var call event.CallID
+	_, err := loop.Call(ctx, func(id event.CallID) event.Body {
+		call = id
+		cancel()
+		return event.ItemsRequested{Call: id}
+	})
 	Expect(err).To(HaveOccurred())
 	Expect(err).NotTo(MatchError(control.ErrNotSubmitted))
+	Eventually(reducer.bodies).Should(Receive(Equal(event.ItemsRequested{Call: call})))
+	Eventually(reducer.bodies).Should(Receive(Equal(event.CallCanceled{Call: call})))
+})
+
+// Guards against an order that takes effect after its caller has left.
+var _ = It("call whose caller has left is not submitted", func() {
+	loop := control.NewLoop(silentReducer{}, control.NewClock(), nil, control.Handlers{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := loop.Call(ctx, func(event.CallID) event.Body { panic("submitted") })
+	Expect(err).To(MatchError(control.ErrNotSubmitted))
+	Expect(err).To(MatchError(context.Canceled))
 })
+
+// recordingReducer returns no effects and passes on the bodies of the events.
+type recordingReducer struct{ bodies chan event.Body }
+
+func (r recordingReducer) Step(ev event.Event) []event.Effect {
+	if _, ok := ev.Body.(event.Started); !ok {
+		r.bodies <- ev.Body
+	}
+	return nil
+}
--- a/pkg/event/fleet.go
+++ b/pkg/event/fleet.go
@@ -37,6 +37,11 @@
 	Active bool
 }
 
+// CallCanceled reports that the caller of a call no longer waits for the reply.
+type CallCanceled struct {
+	Call CallID
+}
+
 // ItemsRequested asks for all configuration items in force.
 type ItemsRequested struct {
 	Call CallID
@@ -60,6 +65,7 @@
 func (DepartureReceived) isBody()      {}
 func (ItemsProposed) isBody()          {}
 func (EvacuationProposed) isBody()     {}
+func (CallCanceled) isBody()           {}
 func (ItemsRequested) isBody()         {}
 func (RegistrationsLoaded) isBody()    {}
 func (RegistrationsPersisted) isBody() {}
--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -18,6 +18,10 @@
 	// before it answers the call with ChangeUnknown. The operator may then retry
 	// the change at any control instance.
 	proposalTimeout = 4 * time.Second
+	// reproposalTime is how long after its arrival a call whose command was overtaken
+	// may be proposed once more, on the basis of what is applied by then. Callers wait
+	// for 1 s after they have sent a call, so that they are still waiting at this time.
+	reproposalTime = 500 * time.Millisecond
 	// proposalRetryInterval is the interval at which a proposal is sent to the
 	// leader again. The leader may have changed, or may not have received the
 	// proposal. Repeated proposals are harmless, since commands are idempotent.
@@ -30,6 +34,7 @@
 // proposal is a command that a call proposed and that this instance has not
 // applied yet.
 type proposal struct {
+	command   *catalog.Command
 	data      []byte
 	deadline  model.Time
 	retryAt   model.Time
@@ -85,23 +90,35 @@
 
 // propose sends a command to the leader of the replicated log. The call is
 // answered when this instance applies the command. By then, this instance and a
-// majority have synced the command to disk.
+// majority have synced the command to disk. The command takes effect only if nothing
+// that it concerns has changed since this time.
 func (s *State) propose(at model.Time, call event.CallID, c *catalog.Command) {
 	c.Origin, c.Incarnation, c.Call = s.identity.ID, s.identity.Incarnation, uint64(call)
-	data, err := s.codec.EncodeCommand(c)
-	if err != nil {
+	s.proposeOnBasis(at, &proposal{command: c, deadline: at.Add(proposalTimeout), startedAt: at})
+}
+
+// proposeOnBasis proposes a command on the basis of what this instance has applied.
+func (s *State) proposeOnBasis(at model.Time, p *proposal) {
+	c := p.command
+	c.Conditional, c.Basis = true, s.catalog.Position()
+	call := event.CallID(c.Call)
+	var err error
+	if p.data, err = s.codec.EncodeCommand(c); err != nil {
 		s.reply(call, result.MalformedChange, err.Error())
 		return
 	}
-	if len(data) > agreement.MaxEntryBytes {
+	if len(p.data) > agreement.MaxEntryBytes {
 		s.reply(call, result.MalformedChange, "the change is too large")
 		return
 	}
-	p := &proposal{data: data, deadline: at.Add(proposalTimeout), startedAt: at}
-	s.calls.proposals[uint64(call)] = p
+	s.calls.proposals[c.Call] = p
 	s.sendProposal(at, p)
 }
 
+// cancelCall stops proposing the command of a call whose caller has left. A command that
+// was sent to the leader may still be applied, unless another one overtakes it.
+func (s *State) cancelCall(call event.CallID) { delete(s.calls.proposals, uint64(call)) }
+
 func (s *State) sendProposal(at model.Time, p *proposal) {
 	p.retryAt = at.Add(proposalRetryInterval)
 	st := s.agreement.Status(at)
@@ -194,7 +211,24 @@
 		s.logConfigInForce(r.ChangedItems, r.ChangedEvacuations)
 		s.replica.Forward(at, recordsForEntryInstances(r.ChangedItems, r.ChangedEvacuations), &s.out)
 	}
-	if c.Origin == s.identity.ID && c.Incarnation == s.identity.Incarnation && s.calls.proposals[c.Call] != nil {
+	if c.Origin == s.identity.ID && c.Incarnation == s.identity.Incarnation {
+		s.answerProposal(at, c, r)
+	}
+}
+
+// answerProposal answers the call for which this process proposed a command that was
+// applied. If other changes overtook the command, it is proposed once more as long as
+// the caller surely waits; later the caller has to send it again.
+func (s *State) answerProposal(at model.Time, c *catalog.Command, r catalog.Result) {
+	p := s.calls.proposals[c.Call]
+	switch {
+	case p == nil:
+	case r.Code == result.ChangeOvertaken && c.Basis != p.command.Basis:
+		// A newer proposal of the same call is on its way.
+	case r.Code == result.ChangeOvertaken && at < p.startedAt.Add(reproposalTime):
+		delete(s.calls.proposals, c.Call)
+		s.proposeOnBasis(at, p)
+	default:
 		delete(s.calls.proposals, c.Call)
 		s.reply(event.CallID(c.Call), r.Code, r.Detail)
 	}
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -67,6 +67,10 @@
 	diskFailed, diskFails bool
 	// registrations are those in the data folder.
 	registrations []model.Registration
+	// frozen is true while the process stands still. waiting holds what has arrived
+	// since.
+	frozen  bool
+	waiting []event.Body
 }
 
 func newSim(seed uint64) *sim {
@@ -154,6 +158,38 @@
 	})
 }
 
+// freeze makes the process of an instance stand still.
+func (s *sim) freeze(id model.InstanceID) { s.nodes[id].frozen = true }
+
+// thaw lets a frozen process go on. What arrived meanwhile keeps its order, but calls
+// are handled before everything else if callsFirst is true, and after it if not.
+func (s *sim) thaw(id model.InstanceID, callsFirst bool) {
+	n := s.nodes[id]
+	n.frozen = false
+	waiting := n.waiting
+	n.waiting = nil
+	slices.SortStableFunc(waiting, func(a, b event.Body) int {
+		switch callA, callB := isOrder(a), isOrder(b); {
+		case callA == callB:
+			return 0
+		case callA == callsFirst:
+			return -1
+		}
+		return 1
+	})
+	for _, b := range waiting {
+		s.step(n, b)
+	}
+}
+
+func isOrder(b event.Body) bool {
+	switch b.(type) {
+	case event.ItemsProposed, event.EvacuationProposed:
+		return true
+	}
+	return false
+}
+
 // replace ends a control instance for good and starts a new one, which has an
 // empty data folder, in the same zone.
 func (s *sim) replace(id, successor model.InstanceID) {
@@ -242,6 +278,10 @@
 	if !n.up || n.stopped {
 		return
 	}
+	if n.frozen {
+		n.waiting = append(n.waiting, b)
+		return
+	}
 	effects := slices.Clone(n.state.Step(event.Event{At: s.now, Body: b}))
 	generation := n.generation
 	for _, e := range effects {
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -164,6 +164,8 @@
 		s.proposeItems(at, b)
 	case event.EvacuationProposed:
 		s.proposeEvacuation(at, b)
+	case event.CallCanceled:
+		s.cancelCall(b.Call)
 	case event.ItemsRequested:
 		s.readItems(at, b)
 	case event.PeerConnected:
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -69,6 +69,7 @@
 	MembershipBusy     Code = 4006
 	NotCurrent         Code = 4007
 	ControlUnavailable Code = 4008
+	ChangeOvertaken    Code = 4009
 
 	Internal Code = 5001
 )
@@ -121,6 +122,7 @@
 	{MembershipBusy, "membership_busy", NotRun, 409, "another membership change is in progress"},
 	{NotCurrent, "not_current", NotRun, 503, "this instance cannot confirm that its answer is current"},
 	{ControlUnavailable, "control_unavailable", NotRun, 503, "no member of the control group is reachable"},
+	{ChangeOvertaken, "change_overtaken", NotRun, 503, "another change was applied since this one arrived; this one was not applied"},
 	{Internal, "internal", OutcomeUnknown, 500, "internal error"},
 }
 
