Reject orders of unknown age after a pause of the process

An order that waited in a socket while the process stood still was taken for new when it went on, also when the process had already applied what it missed.

Cause: the process did not notice that it had stood still, and the time that a call waited before the reducer was not known.

Change: the reducer recognizes a pause by a timer event that is overdue by 300 ms or more, at the first event after it, and a suspended machine by the event ClockStepped, which the control loop reports when the time of day moved against its clock. For 1 s after a pause orders end with the new code 4010 (503), and what was open is no longer proposed (4003). So do orders that waited for more than 500 ms for the reducer. Event 110 and the counter process_pauses show it.

--- a/node.go
+++ b/node.go
@@ -270,14 +270,18 @@
 // ChangeItems applies a change of configuration items. It returns nil once a
 // majority of the control group has synced the change.
 func (n *Node) ChangeItems(ctx context.Context, items []model.Item) error {
-	return n.call(ctx, func(id event.CallID) event.Body { return event.ItemsProposed{Call: id, Items: items} })
+	receivedAt := n.loop.Clock().Now()
+	return n.call(ctx, func(id event.CallID) event.Body {
+		return event.ItemsProposed{Call: id, Items: items, ReceivedAt: receivedAt}
+	})
 }
 
 // Evacuate starts the evacuation of a zone, whose upstreams then receive no new
 // requests, or ends it if active is false.
 func (n *Node) Evacuate(ctx context.Context, zone model.Zone, active bool) error {
+	receivedAt := n.loop.Clock().Now()
 	return n.call(ctx, func(id event.CallID) event.Body {
-		return event.EvacuationProposed{Call: id, Zone: zone, Active: active}
+		return event.EvacuationProposed{Call: id, Zone: zone, Active: active, ReceivedAt: receivedAt}
 	})
 }
 
--- a/pkg/control/clock.go
+++ b/pkg/control/clock.go
@@ -23,5 +23,12 @@
 // Now returns the present Unix time.
 func (c *Clock) Now() model.Time { return c.startUnix.Add(time.Since(c.start)) }
 
+// Offset returns by how much the time of day is ahead of Now. It changes when the system
+// clock is set, and when the machine was suspended, since Now does not count that time.
+func (c *Clock) Offset() time.Duration {
+	now := time.Now()
+	return time.Duration(now.UnixNano()-int64(c.startUnix)) - now.Sub(c.start)
+}
+
 // Until returns the duration from now until t, or 0 if t is in the past.
 func (c *Clock) Until(t model.Time) time.Duration { return max(0, t.Sub(c.Now())) }
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -149,6 +149,8 @@
 	timer *time.Timer
 	// lastEventTime is the time of the latest event.
 	lastEventTime model.Time
+	// clockOffset is the offset of the clock when it was last checked.
+	clockOffset time.Duration
 }
 
 // NewLoop returns a loop for the reducer. Run must be called once.
@@ -163,6 +165,7 @@
 		stopped:      make(chan struct{}),
 		pendingCalls: map[event.CallID]chan event.Effect{},
 		timer:        time.NewTimer(time.Hour),
+		clockOffset:  clock.Offset(),
 	}
 	l.view.Store(&view.View{})
 	l.directory.Store(&directory.View{})
@@ -256,13 +259,35 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if l.step(body) {
+		if l.process(body) {
 			return nil
 		}
 	}
 }
 
-// step processes one event and reports whether the process must end. The time
+// minClockStep is the least change of the clock's offset that is reported. Smaller ones
+// come from the adjustment of the system clock.
+const minClockStep = 100 * time.Millisecond
+
+// process passes an event to the reducer and reports whether the process must end. Before
+// a timer event or an order it checks whether the clock was stepped. The check before an
+// order is needed because the order may be the first event after the machine was
+// suspended.
+func (l *Loop) process(body event.Body) bool {
+	switch body.(type) {
+	case event.TimerFired, event.ItemsProposed, event.EvacuationProposed:
+		offset := l.clock.Offset()
+		if by := offset - l.clockOffset; by.Abs() >= minClockStep {
+			l.clockOffset = offset
+			if l.step(event.ClockStepped{By: by}) {
+				return true
+			}
+		}
+	}
+	return l.step(body)
+}
+
+// step passes one event to the reducer and reports whether the process must end. The time
 // of an event is never earlier than that of the previous event.
 func (l *Loop) step(body event.Body) bool {
 	l.lastEventTime = max(l.lastEventTime, l.clock.Now())
--- a/pkg/control/loop_test.go
+++ b/pkg/control/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -58,6 +59,25 @@
 	Expect(err).To(MatchError(context.Canceled))
 })
 
+// Guards against orders that waited while the machine was suspended and are taken for
+// new, because the clock of the events does not count that time.
+var _ = It("suspension of the machine is reported before an order", func() {
+	reducer := recordingReducer{bodies: make(chan event.Body, 8)}
+	clock := control.NewClock()
+	loop := control.NewLoop(reducer, clock, nil, control.Handlers{})
+	clock.Suspend(3 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = loop.Run(ctx) }()
+	Expect(loop.Submit(event.EvacuationProposed{Call: 1})).To(Succeed())
+	Expect(loop.Submit(event.EvacuationProposed{Call: 2})).To(Succeed())
+	var body event.Body
+	Eventually(reducer.bodies).Should(Receive(&body))
+	Expect(body.(event.ClockStepped).By).To(BeNumerically("~", 3*time.Second, 50*time.Millisecond))
+	Eventually(reducer.bodies).Should(Receive(Equal(event.EvacuationProposed{Call: 1})))
+	Eventually(reducer.bodies).Should(Receive(Equal(event.EvacuationProposed{Call: 2})))
+})
+
 // recordingReducer returns no effects and passes on the bodies of the events.
 type recordingReducer struct{ bodies chan event.Body }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -47,5 +47,5 @@
 	OutcomeRequested{},
 	RoutedArrived{}, SendEnded{}, UpstreamStated{},
 	HeartbeatReceived{}, DepartureReceived{}, ItemsProposed{}, EvacuationProposed{}, ItemsRequested{}, RegistrationsLoaded{},
-	RegistrationsPersisted{}, CallCanceled{},
+	RegistrationsPersisted{}, CallCanceled{}, ClockStepped{},
 }
--- a/pkg/event/fleet.go
+++ b/pkg/event/fleet.go
@@ -26,6 +26,8 @@
 type ItemsProposed struct {
 	Call  CallID
 	Items []model.Item
+	// ReceivedAt is when the call was received, 0 if that is not known.
+	ReceivedAt model.Time
 }
 
 // EvacuationProposed carries an operator's order to start or end the evacuation of
@@ -35,6 +37,8 @@
 	Zone model.Zone
 	// Active is true to start the evacuation and false to end it.
 	Active bool
+	// ReceivedAt is when the call was received, 0 if that is not known.
+	ReceivedAt model.Time
 }
 
 // CallCanceled reports that the caller of a call no longer waits for the reply.
--- a/pkg/event/process.go
+++ b/pkg/event/process.go
@@ -22,10 +22,17 @@
 	Config model.Config
 }
 
+// ClockStepped reports that the time of day has changed by By against the clock of the
+// events: the machine was suspended, or its clock was set.
+type ClockStepped struct {
+	By model.Duration
+}
+
 func (Started) isBody()       {}
 func (TimerFired) isBody()    {}
 func (StopRequested) isBody() {}
 func (ConfigLoaded) isBody()  {}
+func (ClockStepped) isBody()  {}
 
 // SetTimer requests a TimerFired event at the given time. It replaces the request
 // of the previous SetTimer.
@@ -67,13 +74,16 @@
 	InvariantFailures
 	// PermitsGranted counts upstream slots granted to other instances.
 	PermitsGranted
+	// ProcessPauses counts the times at which a control instance noticed that its
+	// process had not run for some time.
+	ProcessPauses
 	// NumCounters is the number of counters.
 	NumCounters
 )
 
 // String returns the metric name of the counter.
 func (c Counter) String() string {
-	return [...]string{"late_answers", "retries", "hedges", "invariant_failures", "permits_granted"}[c]
+	return [...]string{"late_answers", "retries", "hedges", "invariant_failures", "permits_granted", "process_pauses"}[c]
 }
 
 // Gauge identifies a metric that holds a number of upstreams of a service.
--- a/pkg/fleet/orders_test.go
+++ b/pkg/fleet/orders_test.go
@@ -66,6 +66,76 @@
 	})
 }
 
+// An order that waits in the sockets of a process that stands still must not take effect
+// after its caller has left, sent it to another instance and then ordered the opposite.
+func TestOrderThatWaitedInAFrozenInstanceDoesNotOvertakeLaterOrders(t *testing.T) {
+	RegisterTestingT(t)
+	forEachControl(func(s *sim, frozen model.InstanceID, others []model.InstanceID, callsFirst bool) {
+		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
+		s.run(2 * time.Second)
+		s.freeze(frozen)
+		s.submit(frozen, evacuate("a1", false))
+		s.run(operatorTimeout)
+		Expect(s.orderUntilClear(others, evacuate("a1", false))).To(Equal(result.Success))
+		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
+		s.keepLeases(others[0], 2*time.Second)
+		s.thaw(frozen, callsFirst)
+		s.keepLeases(others[0], 4*time.Second)
+		expectEvacuated(s, frozen)
+		// The instance takes orders again.
+		Expect(s.orderUntilClear([]model.InstanceID{frozen}, evacuate("a1", false))).To(Equal(result.Success))
+	})
+}
+
+// The clock of the events does not count the time for which a machine is suspended, and an
+// order can wait for long in the queue of the reducer. Both make its age unknown.
+func TestOrderOfUnknownAgeIsNotApplied(t *testing.T) {
+	RegisterTestingT(t)
+	s := newConfiguredSim(2)
+	others := []model.InstanceID{"core-a1", "core-b1"}
+	open := s.submit("core-c1", evacuate("a1", true))
+	s.step(s.nodes["core-c1"], event.ClockStepped{By: 3 * time.Second})
+	Expect(s.replies[open]).To(HaveField("Code", result.ChangeUnknown))
+	Expect(s.call("core-c1", ackTimeout, evacuate("a1", true))).To(Equal(result.ChangeAgeUnknown))
+	Expect(s.call("core-c1", ackTimeout, proposeItems(route("q", 12)))).To(Equal(result.ChangeAgeUnknown))
+	Expect(s.orderUntilClear(others, proposeItems(route("q", 12)))).To(Equal(result.Success))
+	s.run(time.Second)
+	Expect(s.call("core-c1", ackTimeout, proposeItems(route("q", 12)))).To(Equal(result.Success))
+	s.step(s.nodes["core-c1"], event.ClockStepped{By: -3 * time.Second})
+	Expect(s.call("core-c1", ackTimeout, proposeItems(route("q", 14)))).To(Equal(result.Success))
+	receivedAt := s.now
+	s.run(700 * time.Millisecond)
+	waited := func(c event.CallID) event.Body {
+		return event.ItemsProposed{Call: c, Items: []model.Item{route("q", 16)}, ReceivedAt: receivedAt}
+	}
+	Expect(s.call("core-c1", ackTimeout, waited)).To(Equal(result.ChangeAgeUnknown))
+	Expect(s.itemVersions("core-a1")).To(HaveKeyWithValue("q", BeEquivalentTo(14)))
+}
+
+// A change that was refused as invalid must not come into force later because a frozen
+// instance to which it was sent first proposes it when it has become valid.
+func TestRefusedChangeThatWaitedInAFrozenInstanceIsNotApplied(t *testing.T) {
+	RegisterTestingT(t)
+	forEachControl(func(s *sim, frozen model.InstanceID, others []model.InstanceID, callsFirst bool) {
+		invalid := route("archive", 9)
+		invalid.Route.Splits[0].Service = "archives"
+		archive := service(9)
+		archive.Key.Name = "archives"
+		s.freeze(frozen)
+		s.submit(frozen, proposeItems(invalid))
+		s.run(operatorTimeout)
+		Expect(s.orderUntilClear(others, proposeItems(invalid))).To(Equal(result.InvalidChange))
+		Expect(s.orderUntilClear(others, proposeItems(archive))).To(Equal(result.Success))
+		s.run(2 * time.Second)
+		s.thaw(frozen, callsFirst)
+		s.run(4 * time.Second)
+		Expect(s.itemVersions(others[0])).NotTo(HaveKey("archive"))
+		forEachRunning(s, false, func(id model.InstanceID) {
+			Expect(s.routeVersion(id, "/archive/x")).To(BeZero(), "%s, order at %s", id, frozen)
+		})
+	})
+}
+
 // An order that an instance could not pass on to the leader in time must not take effect
 // later, also if the instance never notices that the caller has left.
 func TestOrderOfAnInstanceThatWasCutOffDoesNotOvertakeLaterOrders(t *testing.T) {
--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -81,10 +81,16 @@
 }
 
 func (s *State) proposeItems(at model.Time, b event.ItemsProposed) {
+	if s.rejectsOrder(at, b.Call, b.ReceivedAt) {
+		return
+	}
 	s.propose(at, b.Call, &catalog.Command{Items: b.Items})
 }
 
 func (s *State) proposeEvacuation(at model.Time, b event.EvacuationProposed) {
+	if s.rejectsOrder(at, b.Call, b.ReceivedAt) {
+		return
+	}
 	s.propose(at, b.Call, &catalog.Command{Evacuation: &model.Evacuation{Zone: b.Zone, Active: b.Active}})
 }
 
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -73,6 +73,7 @@
 
 	records          records
 	calls            pendingCalls
+	pauses           pauseDetector
 	stopping         gracefulStop
 	heartbeatReports heartbeatReports
 	rates            rateShares
@@ -124,6 +125,7 @@
 // in order. The slice is valid until the next call of Step.
 func (s *State) Step(ev event.Event) []event.Effect {
 	s.out.Reset()
+	s.detectPause(ev.At)
 	s.handle(ev.At, ev.Body)
 	s.applyCommitted(ev.At)
 	s.replyToReads()
@@ -131,7 +133,7 @@
 	s.stopIfDone(ev.At)
 	s.syncBalance(ev.At)
 	s.publishDirectory(ev.At)
-	s.setTimer()
+	s.setTimer(ev.At)
 	return s.out.List()
 }
 
@@ -164,6 +166,8 @@
 		s.proposeItems(at, b)
 	case event.EvacuationProposed:
 		s.proposeEvacuation(at, b)
+	case event.ClockStepped:
+		s.clockStepped(at, b.By)
 	case event.CallCanceled:
 		s.cancelCall(b.Call)
 	case event.ItemsRequested:
@@ -304,7 +308,7 @@
 
 // setTimer requests a TimerFired event for the earliest wake time of all
 // sub-reducers.
-func (s *State) setTimer() {
+func (s *State) setTimer(at model.Time) {
 	next := s.replica.NextWake()
 	for _, t := range []model.Time{s.requests.NextWake(), s.calls.nextWake(), s.stopping.nextWake(), s.heartbeatReports.nextWake(s.identity.Control), s.rates.reportAt, s.resyncAt} {
 		if t != 0 && (next == 0 || t < next) {
@@ -319,6 +323,6 @@
 	if next == 0 || next == s.timerAt {
 		return
 	}
-	s.timerAt = next
+	s.timerAt, s.pauses.timerDue = next, max(next, at)
 	s.out.Add(event.SetTimer{At: next})
 }
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -52,6 +52,7 @@
 	SettingsReloaded Code = 107
 	ReloadFailed     Code = 108
 	LinesSkipped     Code = 109
+	ProcessPaused    Code = 110
 
 	UpstreamRegistered Code = 201
 	UpstreamDraining   Code = 202
@@ -121,6 +122,7 @@
 	{SettingsReloaded, "settings_reloaded", LevelInfo, "the settings file was reloaded"},
 	{ReloadFailed, "reload_failed", LevelError, "the settings file could not be reloaded; the previous settings stay in force"},
 	{LinesSkipped, "lines_skipped", LevelWarn, "log lines were dropped by the rate limit of the log"},
+	{ProcessPaused, "process_paused", LevelWarn, "the process did not run for some time, or the clock was set; orders of unknown age are rejected for 1 s"},
 	{UpstreamRegistered, "upstream_registered", LevelInfo, "an upstream registered with this instance"},
 	{UpstreamDraining, "upstream_draining", LevelInfo, "an upstream is draining"},
 	{UpstreamLeft, "upstream_left", LevelInfo, "an upstream deregistered"},
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -70,6 +70,7 @@
 	NotCurrent         Code = 4007
 	ControlUnavailable Code = 4008
 	ChangeOvertaken    Code = 4009
+	ChangeAgeUnknown   Code = 4010
 
 	Internal Code = 5001
 )
@@ -123,6 +124,7 @@
 	{NotCurrent, "not_current", NotRun, 503, "this instance cannot confirm that its answer is current"},
 	{ControlUnavailable, "control_unavailable", NotRun, 503, "no member of the control group is reachable"},
 	{ChangeOvertaken, "change_overtaken", NotRun, 503, "another change was applied since this one arrived; this one was not applied"},
+	{ChangeAgeUnknown, "change_age_unknown", NotRun, 503, "the process did not run for some time and cannot tell how old the change is; it was not applied"},
 	{Internal, "internal", OutcomeUnknown, 500, "internal error"},
 }
 
