Bound the bytes that a process holds for all requests together

Callers' view: with upstreams that answer without end, or large responses to many slow callers, an instance uses more memory than its machine has and is ended, and all its callers lose their requests.

Cause: each request may hold a response up to its own limit, and nothing adds them up. The stated memory of the machine (memoryMb) was not read.

Change: package memory counts what is held for requests in one budget for each process, 0.3 of its memory: limits.memoryMb, the new setting memory_mb, or the machine's. Beyond half of it responses are streamed, beyond three quarters request bodies are refused, beyond it new requests are rejected at once with the new code 2011 (503, not run). Complete responses are delivered. The runtime's memory limit is 0.75 of the same figure. Metrics anvilcrank_held_bytes.

Ruled out: one share for all uses.

--- a/cmd/anvilcrankd/main.go
+++ b/cmd/anvilcrankd/main.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 
 	"github.com/anvilcrank/anvilcrank"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
 	"github.com/anvilcrank/anvilcrank/platform"
 )
@@ -79,6 +80,7 @@
 // runInstance runs an instance until a graceful stop is complete, a second signal
 // arrives or a part of the instance fails.
 func runInstance(s *settings.Settings) error {
+	memory.LimitRuntime(memory.ProcessBytes(s.MemoryBytes()))
 	instance, err := anvilcrank.New(s, anvilcrank.Options{})
 	if err != nil {
 		return err
--- a/instance.go
+++ b/instance.go
@@ -20,6 +20,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/peer"
@@ -110,7 +111,11 @@
 	}
 	i.telemetry = telemetry.New(s.Instance, o.Logger)
 	i.recorder = control.NewRecorder(identity, s.RecordedEvents)
-	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial)
+	budget := memory.NewBudget(memory.ProcessBytes(s.MemoryBytes()))
+	if budget != nil {
+		i.telemetry.ObserveMemory(budget)
+	}
+	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial, budget)
 	sink := &loopSink{}
 	i.peers = peer.NewManager(message.Hello{
 		From:        s.Instance,
--- a/node.go
+++ b/node.go
@@ -21,6 +21,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/fleet"
 	"github.com/anvilcrank/anvilcrank/pkg/gateway"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/peer"
@@ -76,6 +77,9 @@
 	// NetworkBytesPerSecond is the network bandwidth of the instance, 0 if it is
 	// not known.
 	NetworkBytesPerSecond int64
+	// MemoryBytes is the memory that the process may use, 0 for that of the machine. A
+	// share of it bounds what is held for requests, see package memory.
+	MemoryBytes int64
 	// StopGracePeriod is the maximum duration of a graceful stop.
 	StopGracePeriod time.Duration
 	// LogLevel is the lowest level of log lines that are written, such as "info".
@@ -128,7 +132,11 @@
 		From: c.ID, Incarnation: identity.Incarnation, Zone: c.Zone,
 		Address: c.Listen, PeerAddress: c.PeerListen,
 	}, sink, n.telemetry, peer.Options{})
-	n.gateway = gateway.New(c.Headers, n.telemetry, clock.Now)
+	budget := memory.NewBudget(memory.ProcessBytes(c.MemoryBytes))
+	if budget != nil {
+		n.telemetry.ObserveMemory(budget)
+	}
+	n.gateway = gateway.New(c.Headers, n.telemetry, clock.Now, budget)
 	handlers := control.Handlers{
 		Forwarder: n.gateway, Peers: n.peers, Telemetry: n.telemetry, OnInvariantFailed: n.invariantFailed}
 	if n.storage != nil {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/directory"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -36,6 +37,10 @@
 	writer   http.ResponseWriter
 	request  *http.Request
 	commands chan command
+	// held is what the request holds of the gateway's memory budget, of which
+	// heldResponse is for response.
+	held         memory.Holding
+	heldResponse int
 	// bufferedBody is the request body, or its first part if the body is too
 	// large to be buffered completely.
 	bufferedBody []byte
@@ -102,6 +107,11 @@
 			return result.HeaderTooLarge
 		}
 	}
+	held, ok := e.gateway.memory.Admit()
+	if !ok {
+		return result.MemoryFull
+	}
+	e.held = held
 	body := io.Reader(e.request.Body)
 	if bodyLimit > 0 {
 		if e.request.ContentLength > bodyLimit {
@@ -112,18 +122,19 @@
 	if e.request.ContentLength == 0 {
 		return result.Success
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBodyBytes+1))
+	buffered, err := e.held.ReadUpTo(body, memory.Requests, maxBufferedBodyBytes, e.request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return result.BodyTooLarge
+	case errors.Is(err, memory.ErrExhausted):
+		return result.MemoryFull
+	case errors.Is(err, io.ErrShortBuffer):
+		e.remainingBody = body
 	case err != nil:
 		return result.MalformedRequest
 	}
 	e.bufferedBody = buffered
-	if len(buffered) > maxBufferedBodyBytes {
-		e.remainingBody = body
-	}
 	return result.Success
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/directory"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
@@ -36,18 +37,24 @@
 	control   Control
 	telemetry Telemetry
 	now       func() model.Time
+	memory    *memory.Budget
 	pool      *pool
 
 	nextID    atomic.Uint64
 	exchanges sync.Map // model.RequestID to *exchange
 }
 
-// New returns a gateway that uses the given header names. SetControl must be
-// called before the gateway serves requests.
-func New(headers Headers, telemetry Telemetry, now func() model.Time) *Gateway {
-	return &Gateway{headers: headers, telemetry: telemetry, now: now, pool: newPool()}
+// New returns a gateway that uses the given header names. What it holds for requests is
+// counted in the memory budget; nil means no limit. SetControl must be called before the
+// gateway serves requests.
+func New(headers Headers, telemetry Telemetry, now func() model.Time, budget *memory.Budget) *Gateway {
+	return &Gateway{headers: headers, telemetry: telemetry, now: now, memory: budget, pool: newPool()}
 }
 
+// memoryRetryAfter is how long callers are asked to wait when the memory budget admits no
+// request. Bodies of slow callers take that long to be passed on.
+const memoryRetryAfter = time.Second
+
 // SetControl connects the gateway to the control goroutine.
 func (g *Gateway) SetControl(c Control) { g.control = c }
 
@@ -97,10 +104,17 @@
 	}
 	e := &exchange{gateway: g, writer: w, request: r, id: model.RequestID(g.nextID.Add(1)), commands: make(chan command, commandQueueSize)}
 	if code := e.readRequest(view); code != result.Success {
-		e.writeReject(&event.Reject{Request: e.id, Code: code})
+		e.held.Release()
+		reject := &event.Reject{Request: e.id, Code: code}
+		if code == result.MemoryFull {
+			w.Header().Set("Connection", "close")
+			reject.RetryAfter = memoryRetryAfter
+		}
+		e.writeReject(reject)
 		g.telemetry.ObserveRoutedRequest("", "", code, time.Since(start))
 		return
 	}
+	defer e.held.Release()
 	g.exchanges.Store(e.id, e)
 	defer g.exchanges.Delete(e.id)
 	code := e.run()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/directory"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/gateway"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
@@ -36,8 +37,10 @@
 	address     string
 	bufferLimit int
 	maxIdleTime time.Duration
-	done        chan struct{}
-	catalog     *catalog.State
+	// timeout is the time to the deadline of a send.
+	timeout time.Duration
+	done    chan struct{}
+	catalog *catalog.State
 	// endAfterSend closes done together with the decision about the first send.
 	endAfterSend bool
 
@@ -46,9 +49,12 @@
 	reported chan event.Body
 }
 
-func newFakeControl(address string) *fakeControl {
-	c := &fakeControl{address: address, bufferLimit: 1 << 20, done: make(chan struct{}), catalog: catalog.New(), reported: make(chan event.Body, 64)}
-	c.gateway = gateway.New(headers, discardTelemetry{}, now)
+func newFakeControl(address string) *fakeControl { return newLimitedControl(address, nil) }
+
+// newLimitedControl returns a control with a gateway that has a memory budget.
+func newLimitedControl(address string, budget *memory.Budget) *fakeControl {
+	c := &fakeControl{address: address, bufferLimit: 1 << 20, timeout: 2 * time.Second, done: make(chan struct{}), catalog: catalog.New(), reported: make(chan event.Body, 64)}
+	c.gateway = gateway.New(headers, discardTelemetry{}, now, budget)
 	c.gateway.SetControl(c)
 	return c
 }
@@ -67,7 +73,7 @@
 func (c *fakeControl) Submit(b event.Body) error {
 	if a, ok := b.(event.RoutedArrived); ok {
 		go c.gateway.Forward(event.Forward{Request: a.ID, Attempt: 1, Upstream: "u", Address: c.address,
-			Deadline: now().Add(2 * time.Second), BufferLimit: c.bufferLimit, MaxIdleTime: c.maxIdleTime})
+			Deadline: now().Add(c.timeout), BufferLimit: c.bufferLimit, MaxIdleTime: c.maxIdleTime})
 	}
 	return nil
 }
--- a/pkg/gateway/pool_test.go
+++ b/pkg/gateway/pool_test.go
@@ -68,7 +68,7 @@
 		_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 2\r\n\r\nok")
 	}()
 	now := func() model.Time { return model.Time(time.Now().UnixNano()) }
-	gateway := New(Headers{AttemptID: "Attempt", Remaining: "Remaining", TargetUpstream: "Upstream"}, discardTelemetry{}, now)
+	gateway := New(Headers{AttemptID: "Attempt", Remaining: "Remaining", TargetUpstream: "Upstream"}, discardTelemetry{}, now, nil)
 	request := httptest.NewRequest("GET", "http://h/x", nil)
 	request.Header.Set("Attempt", "1")
 	e := &exchange{gateway: gateway, writer: httptest.NewRecorder(), request: request}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 )
@@ -61,6 +62,7 @@
 func (e *exchange) send(f *event.Forward) event.SendEnded {
 	g := e.gateway
 	ended := event.SendEnded{Request: f.Request, Attempt: f.Attempt, Upstream: f.Upstream, UpstreamStartMs: f.UpstreamStartMs}
+	e.dropResponse()
 	remaining := f.Deadline.Sub(g.now())
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
@@ -123,7 +125,8 @@
 		return err
 	}
 	if e.remainingBody != nil {
-		go func() { bodyDone <- e.writeStreamedBody(conn) }()
+		buffer := e.copyBuffer()
+		go func() { bodyDone <- e.writeStreamedBody(conn, buffer) }()
 	} else {
 		bodyDone <- nil
 	}
@@ -216,17 +219,17 @@
 }
 
 // writeStreamedBody writes a request body that is only partly buffered to the
-// upstream. It uses chunked encoding if the length of the body is unknown.
-func (e *exchange) writeStreamedBody(conn *upstreamConn) error {
+// upstream through the buffer. It uses chunked encoding if the length of the body is
+// unknown.
+func (e *exchange) writeStreamedBody(conn *upstreamConn, buffer []byte) error {
 	body := io.MultiReader(bytes.NewReader(e.bufferedBody), e.remainingBody)
 	if e.request.ContentLength >= 0 {
-		n, err := io.CopyBuffer(conn, body, make([]byte, copyBufferBytes))
+		n, err := io.CopyBuffer(conn, body, buffer)
 		if err == nil && n != e.request.ContentLength {
 			err = io.ErrUnexpectedEOF
 		}
 		return err
 	}
-	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
@@ -283,6 +286,9 @@
 func (e *exchange) readFinalHead(conn *upstreamConn) (*http.Response, error) {
 	for range maxInformationalResponses + 1 {
 		resp, err := conn.readHead(e.request)
+		headBytes := maxResponseHeadBytes - conn.head.remaining
+		e.held.Add(headBytes)
+		e.heldResponse += headBytes
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
@@ -290,24 +296,22 @@
 	return nil, errTooManyInformational
 }
 
-// readBody buffers the body of a response. A body larger than bufferLimit bytes is
-// streamed to the caller instead.
+// readBody buffers the body of a response. A body larger than bufferLimit bytes, or for
+// which the memory budget has no room, is streamed to the caller instead: the upstream can
+// then write only as fast as the caller reads.
 func (e *exchange) readBody(resp *http.Response, bufferLimit int, ended *event.SendEnded) error {
-	size := bytes.MinRead
-	if resp.ContentLength > 0 {
-		size = int(min(resp.ContentLength, int64(bufferLimit))) + bytes.MinRead
-	}
-	buffered := bytes.NewBuffer(make([]byte, 0, size))
-	n, err := buffered.ReadFrom(io.LimitReader(resp.Body, int64(bufferLimit)+1))
-	if err != nil {
-		return err
-	}
-	if n <= int64(bufferLimit) {
-		e.response = &response{status: resp.StatusCode, header: resp.Header, body: buffered.Bytes(), contentLength: resp.ContentLength}
+	before := e.held
+	buffered, err := e.held.ReadUpTo(resp.Body, memory.Responses, bufferLimit, resp.ContentLength)
+	bodyBytes := e.held.Since(before)
+	e.heldResponse += bodyBytes
+	switch {
+	case err == nil:
+		e.response = &response{status: resp.StatusCode, header: resp.Header, body: buffered, contentLength: resp.ContentLength}
 		return nil
+	case !errors.Is(err, io.ErrShortBuffer) && !errors.Is(err, memory.ErrExhausted):
+		return err
 	}
 	ended.Outcome = event.SendStreamed
-	e.response = nil
 	e.setResponseHeader(resp.Header)
 	if resp.ContentLength >= 0 {
 		e.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
@@ -315,15 +319,34 @@
 	e.started = true
 	e.writer.WriteHeader(resp.StatusCode)
 	caller := &flushingWriter{Writer: e.writer, controller: http.NewResponseController(e.writer)}
-	if _, err := caller.Write(buffered.Bytes()); err != nil {
+	if _, err := caller.Write(buffered); err != nil {
 		return err
 	}
+	e.held.Shrink(bodyBytes)
+	e.heldResponse -= bodyBytes
 	body := &upstreamBody{Reader: resp.Body}
-	_, err = io.CopyBuffer(caller, body, make([]byte, copyBufferBytes))
+	_, err = io.CopyBuffer(caller, body, e.copyBuffer())
 	ended.Truncated = body.readFailed
 	return err
 }
 
+// dropResponse releases the response of an earlier attempt, which is not delivered any
+// more.
+func (e *exchange) dropResponse() {
+	e.response = nil
+	e.held.Shrink(e.heldResponse)
+	e.heldResponse = 0
+}
+
+// copyBuffer returns a buffer for streaming a body, a small one if the memory budget is
+// exhausted.
+func (e *exchange) copyBuffer() []byte {
+	if !e.held.Grow(copyBufferBytes, memory.Responses) {
+		return make([]byte, memory.SmallCopyBytes)
+	}
+	return make([]byte, copyBufferBytes)
+}
+
 // flushingWriter flushes after each write. An upstream may pause for long after a
 // part of its response.
 type flushingWriter struct {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
@@ -22,6 +23,10 @@
 // previous Relay has ended.
 const commandQueueSize = 4
 
+// memoryRetryAfter is how many seconds callers are asked to wait when the memory budget
+// admits no request.
+const memoryRetryAfter = "1"
+
 // command is an effect for one exchange. It relays the response of an attempt,
 // sends a recorded answer, or ends the request with a result code.
 type command struct {
@@ -45,8 +50,11 @@
 	// buffered. It is nil for a buffered body.
 	streamedBody      io.Reader
 	hasIdempotencyKey bool
-	commands          chan command
-	progress          relayProgress
+	// held is what the request holds of the proxy's memory budget. Only the goroutine
+	// that serves the request uses it.
+	held     memory.Holding
+	commands chan command
+	progress relayProgress
 	// class is the class of work of the latest attempt whose response was
 	// relayed.
 	class model.Class
@@ -66,7 +74,12 @@
 	}
 	w.Header().Set(HeaderInstance, string(p.self))
 	arrived, err := e.readRequest(service)
+	defer e.held.Release()
 	if err != nil {
+		if err.Code == result.MemoryFull {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", memoryRetryAfter)
+		}
 		WriteError(w, err)
 		p.telemetry.ObserveRequest(arrived.Tenant, service, model.Short, err.Code, time.Since(start))
 		return
@@ -109,6 +122,10 @@
 		ev.Tenant = ""
 		return ev, result.Errorf(result.MalformedRequest, "%s is longer than %d bytes", HeaderTenant, model.MaxNameLength)
 	}
+	var admitted bool
+	if e.held, admitted = e.proxy.memory.Admit(); !admitted {
+		return ev, &result.Error{Code: result.MemoryFull}
+	}
 	if e.request.Method == http.MethodConnect || e.request.Header.Get("Upgrade") != "" {
 		return ev, result.Errorf(result.MalformedRequest, "CONNECT and protocol upgrades are not supported")
 	}
@@ -142,16 +159,17 @@
 		return &result.Error{Code: result.BodyTooLarge}
 	}
 	limited := http.MaxBytesReader(e.writer, e.request.Body, maxBodyBytes)
-	buffered, err := io.ReadAll(io.LimitReader(limited, maxBufferedBodyBytes+1))
-	if err != nil {
-		return result.Errorf(result.MalformedRequest, "read body: %v", err)
-	}
-	if len(buffered) <= maxBufferedBodyBytes {
-		e.bufferedBody = buffered
+	buffered, err := e.held.ReadUpTo(limited, memory.Requests, maxBufferedBodyBytes, e.request.ContentLength)
+	switch {
+	case err == nil:
 		ev.Replayable = true
-		return nil
+	case errors.Is(err, io.ErrShortBuffer):
+		e.streamedBody = io.MultiReader(bytes.NewReader(buffered), limited)
+	case errors.Is(err, memory.ErrExhausted):
+		return &result.Error{Code: result.MemoryFull}
+	default:
+		return result.Errorf(result.MalformedRequest, "read body: %v", err)
 	}
-	e.streamedBody = io.MultiReader(bytes.NewReader(buffered), limited)
 	e.bufferedBody = buffered
 	return nil
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/linkbudget"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 	"github.com/anvilcrank/anvilcrank/pkg/view"
@@ -95,6 +96,7 @@
 	attempts    sync.Map // model.AttemptID to *attempt
 	copyBuffers sync.Pool
 	pacer       *linkbudget.Pacer
+	memory      *memory.Budget
 
 	// mu guards transports.
 	mu         sync.Mutex
@@ -109,8 +111,9 @@
 }
 
 // New returns a proxy. SetControl must be called before the proxy serves requests.
-// If dial is nil, the proxy opens plain TCP connections.
-func New(self model.InstanceID, telemetry Telemetry, now func() model.Time, dial DialFunc) *Proxy {
+// If dial is nil, the proxy opens plain TCP connections. What it holds for requests is
+// counted in the memory budget; nil means no limit.
+func New(self model.InstanceID, telemetry Telemetry, now func() model.Time, dial DialFunc, budget *memory.Budget) *Proxy {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	}
@@ -120,6 +123,7 @@
 		now:         now,
 		pacer:       linkbudget.NewPacer(now),
 		dial:        dial,
+		memory:      budget,
 		copyBuffers: sync.Pool{New: func() any { b := make([]byte, copyBufferBytes); return &b }},
 		transports:  map[transportKey]*http.Transport{},
 	}
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -48,7 +48,7 @@
 func (discardTelemetry) Log(event.Log) {}
 
 func newProxy(c *stubControl) *proxy.Proxy {
-	p := proxy.New("a-1", discardTelemetry{}, func() model.Time { return model.Time(time.Now().UnixNano()) }, nil)
+	p := proxy.New("a-1", discardTelemetry{}, func() model.Time { return model.Time(time.Now().UnixNano()) }, nil, nil)
 	p.SetControl(c)
 	return p
 }
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -96,7 +96,7 @@
 		return &closedSilentlyConn{Conn: conn}, err
 	}
 	c := newStubControl(nil)
-	p := proxy.New("a-1", discardTelemetry{}, func() model.Time { return model.Time(time.Now().UnixNano()) }, dial)
+	p := proxy.New("a-1", discardTelemetry{}, func() model.Time { return model.Time(time.Now().UnixNano()) }, dial, nil)
 	p.SetControl(c)
 	DeferCleanup(p.Close)
 	for seq := range uint64(2) {
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 )
 
@@ -142,7 +143,8 @@
 // the body to its end, so that the outcome can be recorded. It collects the
 // body in *recordedBody, and sets *recordedBody to nil once the body is too
 // large to record. If a.bufferLimit is set, copyBody writes nothing until the
-// body is complete or larger than the limit.
+// body is complete or larger than the limit. If the memory budget has no room, the body
+// counts as too large for both.
 func (a *attempt) copyBody(w http.ResponseWriter, resp *http.Response, recordedBody **bytes.Buffer) (readErr, writeErr error) {
 	buf := a.proxy.copyBuffers.Get().(*[]byte)
 	defer a.proxy.copyBuffers.Put(buf)
@@ -164,9 +166,15 @@
 			}
 		}
 		if buffering {
+			hasRoom := a.exchange.held.Grow(n, memory.Responses)
 			buffered = append(buffered, (*buf)[:n]...)
-			if buffering = len(buffered) <= a.bufferLimit && err != io.EOF; !buffering {
+			if buffering = hasRoom && len(buffered) <= a.bufferLimit && err != io.EOF; !buffering {
 				write(buffered)
+				if hasRoom {
+					a.exchange.held.Shrink(n)
+				}
+				a.exchange.held.Shrink(len(buffered) - n)
+				buffered = nil
 			}
 		} else if n > 0 && writeErr == nil {
 			write((*buf)[:n])
@@ -175,7 +183,7 @@
 			}
 		}
 		if n > 0 && *recordedBody != nil {
-			if (*recordedBody).Len()+n > model.MaxRecordedBodyBytes {
+			if (*recordedBody).Len()+n > model.MaxRecordedBodyBytes || !a.exchange.held.Grow(n, memory.Responses) {
 				*recordedBody = nil
 			} else {
 				(*recordedBody).Write((*buf)[:n])
--- a/pkg/proxy/start_test.go
+++ b/pkg/proxy/start_test.go
@@ -30,7 +30,7 @@
 		return nil, net.ErrClosed
 	}
 	defer close(c.done)
-	p := proxy.New("a-1", discardTelemetry{}, now, dialUntilCanceled)
+	p := proxy.New("a-1", discardTelemetry{}, now, dialUntilCanceled, nil)
 	p.SetControl(c)
 	served := make(chan struct{})
 	go func() {
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -52,6 +52,7 @@
 	RefusedByUpstream Code = 2008
 	CanceledByCaller  Code = 2009
 	ConnectionFailed  Code = 2010
+	MemoryFull        Code = 2011
 
 	UpstreamLost          Code = 3001
 	KeyInProgress         Code = 3002
@@ -108,6 +109,7 @@
 	{RefusedByUpstream, "refused_by_upstream", NotRun, 503, "every permitted upstream refused the request before running it"},
 	{CanceledByCaller, "canceled_by_caller", NotRun, 503, "the caller went away before the request was dispatched"},
 	{ConnectionFailed, "connection_failed", NotRun, 503, "no connection to an upstream could be made"},
+	{MemoryFull, "memory_full", NotRun, 503, "the instance holds as many bytes of other requests as its memory permits"},
 	{UpstreamLost, "upstream_lost", OutcomeUnknown, 502, "the upstream was lost after dispatch; the request may have run"},
 	{KeyInProgress, "key_in_progress", OutcomeUnknown, 502, "an earlier request with this key may have run and has no recorded outcome yet"},
 	{AnswerNotKept, "answer_not_kept", OutcomeUnknown, 502, "the request with this key ran; its answer was not kept"},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -40,6 +40,9 @@
 	// RecordedEvents is how many of the latest events are kept for a replay.
 	// The settings key is record_events.
 	RecordedEvents int `yaml:"record_events"`
+	// MemoryMB is the memory that the process may use, in megabytes (10^6 bytes), 0 for
+	// that of the machine. A share of it bounds what is held for requests.
+	MemoryMB int `yaml:"memory_mb"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `yaml:"log_level"`
 }
@@ -98,6 +101,11 @@
 	DefaultLogLevel       = "info"
 	// maxRecordedEvents limits the memory used for recorded events.
 	maxRecordedEvents = 10_000_000
+	// minMemoryMB and maxMemoryMB are the limits of memory_mb.
+	minMemoryMB = 32
+	maxMemoryMB = 16 << 20
+	// bytesPerMegabyte converts memory_mb to bytes.
+	bytesPerMegabyte = 1_000_000
 )
 
 // Load reads and checks a settings file.
@@ -169,6 +177,10 @@
 	return 1
 }
 
+// MemoryBytes returns the memory that the process may use in bytes, 0 for that of the
+// machine.
+func (s *Settings) MemoryBytes() int64 { return int64(s.MemoryMB) * bytesPerMegabyte }
+
 // check validates all settings. It returns the error of the first invalid value
 // and its settings key.
 func (s *Settings) check() (string, error) {
@@ -179,6 +191,8 @@
 		return "zone", fmt.Errorf("must have 1 to %d characters and no dot", model.MaxNameLength)
 	case s.RecordedEvents < 0 || s.RecordedEvents > maxRecordedEvents:
 		return "record_events", fmt.Errorf("%d is not in 0 to %d", s.RecordedEvents, maxRecordedEvents)
+	case s.MemoryMB != 0 && s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB:
+		return "memory_mb", fmt.Errorf("%d is neither 0 nor in %d to %d", s.MemoryMB, minMemoryMB, maxMemoryMB)
 	}
 	if err := checkAddress(s.Listen); err != nil {
 		return "listen", err
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -159,6 +159,20 @@
 	return `"` + escaped + `"`
 }
 
+// MemoryUse returns the bytes that a process holds for requests.
+type MemoryUse interface {
+	Limit() int64
+	Used() int64
+	Peak() int64
+}
+
+// ObserveMemory adds the metrics of a memory budget.
+func (t *Telemetry) ObserveMemory(m MemoryUse) {
+	for name, value := range map[string]func() int64{"limit": m.Limit, "used": m.Used, "peak": m.Peak} {
+		t.metricSet.GetOrCreateGauge(`anvilcrank_held_bytes{value="`+name+`"}`, func() float64 { return float64(value()) })
+	}
+}
+
 // WriteMetrics writes all metrics in the Prometheus text format.
 func (t *Telemetry) WriteMetrics(w io.Writer) { t.metricSet.WritePrometheus(w) }
 
