Limit the heads of requests at the listeners of the platform's roles

Cause: net/http reads a head of up to 1 MiB on each connection before any handler, and these bytes are in no budget.

--- a/instance.go
+++ b/instance.go
@@ -200,7 +200,7 @@
 	i.addServer(&g, i.api.Server(), i.listener)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, i.peers)
-	i.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}, i.peerListener)
+	i.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout, MaxHeaderBytes: memory.MaxRequestHeadBytes}, i.peerListener)
 	if err := i.loadInitialConfig(ctx, &g); err != nil {
 		return err
 	}
--- a/node.go
+++ b/node.go
@@ -202,10 +202,10 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, n.peers)
-	n.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}, n.peerListener)
+	n.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout, MaxHeaderBytes: memory.MaxRequestHeadBytes}, n.peerListener)
 	if n.listener != nil {
 		n.addServer(&g, &http.Server{
-			Handler: n.gateway, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: entryIdleTimeout,
+			Handler: n.gateway, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: entryIdleTimeout, MaxHeaderBytes: memory.MaxRequestHeadBytes,
 		}, n.listener)
 	}
 	err := g.Run()
--- a/node_test.go
+++ b/node_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,3 +147,23 @@
 	g.Eventually(done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
 	g.Expect(time.Now()).To(BeTemporally("<", stopAt))
 }
+
+// Guards against an instance that reads request heads of any number of connections
+// without a useful limit: they are not in the memory budget yet.
+func TestLargeRequestHeadIsRejected(t *testing.T) {
+	g := NewWithT(t)
+	entry, peers := freeAddress(g, "127.0.0.1"), freeAddress(g, "127.0.0.1")
+	startNode(t, anvilcrank.NodeConfig{ID: "e1", Listen: entry, PeerListen: peers})
+	for _, address := range []string{entry, peers} {
+		conn, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		g.Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("x", 256<<10))
+		g.Expect(err).NotTo(HaveOccurred())
+		answer := make([]byte, 12)
+		_, err = io.ReadFull(conn, answer)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(answer)).To(Equal("HTTP/1.1 431"))
+	}
+}
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -16,6 +16,9 @@
 	// ExchangeBytes is what an open request holds besides its bodies: the stacks of its
 	// goroutines, the buffers of its two connections and its header.
 	ExchangeBytes = 24 << 10
+	// MaxRequestHeadBytes is the largest request line and header that a server reads. They
+	// are read before the request is admitted.
+	MaxRequestHeadBytes = 128 << 10
 	// SmallCopyBytes is the size of a copy buffer that is part of ExchangeBytes.
 	SmallCopyBytes = 4 << 10
 )
