Answer callers that have left by what was sent

Cause: the reducer rejected a request with the code for one that was never sent as soon as its caller left, also during a send.

Change: as at the deadline, the send is canceled and its outcome decides: a response that is complete is delivered, 2009 if no byte was sent, else the new code 3008 (502, unknown).

--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -61,6 +61,7 @@
 	LedgerNoMajority      Code = 3005
 	DeadlineAfterDispatch Code = 3006
 	KeyForgotten          Code = 3007
+	CanceledAfterDispatch Code = 3008
 
 	VersionConflict    Code = 4001
 	NotLeader          Code = 4002
@@ -117,6 +118,7 @@
 	{LedgerNoMajority, "ledger_no_majority", OutcomeUnknown, 502, "the ledger of the key has no reachable majority; this attempt was not dispatched, earlier ones are unknown"},
 	{DeadlineAfterDispatch, "deadline_after_dispatch", OutcomeUnknown, 504, "the deadline passed after dispatch; the request may have run"},
 	{KeyForgotten, "key_forgotten", OutcomeUnknown, 502, "the ledger lost its memory of the time the key was issued; the request was not run again"},
+	{CanceledAfterDispatch, "canceled_after_dispatch", OutcomeUnknown, 502, "the caller ended its side of the connection after dispatch; the request may have run"},
 	{VersionConflict, "version_conflict", Conflict, 409, "another change replaced the expected version"},
 	{NotLeader, "not_leader", NotRun, 503, "this instance does not lead the control group; the change was not accepted"},
 	{ChangeUnknown, "change_unknown", OutcomeUnknown, 504, "the change may still be committed; send it again with the same change id"},
--- a/pkg/routed/routed_test.go
+++ b/pkg/routed/routed_test.go
@@ -178,6 +178,51 @@
 	onlyEffect[event.Deliver](b.endSend(f, event.SendAnswered))
 })
 
+// Guards against "not run" for a request that an upstream executes: a caller that has
+// ended only its sending side reads the answer and sends the request again. The answer
+// must follow from what was sent, whatever ended the request.
+var _ = DescribeTable("answer to a request that is ended depends on what was sent", func(leaves, expires, earlierLost bool) {
+	for outcome, class := range map[event.SendOutcome]result.Class{
+		event.SendAnswered: result.OK, event.SendStreamed: result.OK, event.SendLost: result.OutcomeUnknown, event.SendCanceled: result.OutcomeUnknown,
+		event.SendConnectFailed: result.NotRun, event.SendNotExecuted: result.NotRun, event.SendMisdirected: result.NotRun} {
+		kind := model.NonIdempotent
+		if earlierLost {
+			kind = model.Idempotent
+		}
+		b := newFixture(newRoute(kind, 2))
+		id, effects := b.arrive("/a/x")
+		f := onlyEffect[event.Forward](effects)
+		if earlierLost {
+			f = onlyEffect[event.Forward](b.endSend(f, event.SendLost))
+			if class == result.NotRun {
+				class = result.OutcomeUnknown
+			}
+		}
+		if leaves {
+			b.out.Reset()
+			b.state.Canceled(id, &b.out)
+			onlyEffect[event.CancelSend](b.out.List())
+			expectNone[event.Reject](b.out.List())
+		}
+		if expires {
+			expectNone[event.Reject](b.wakeAfter(time.Second))
+		}
+		effects = b.endSend(f, outcome)
+		if class == result.OK {
+			onlyEffect[event.Deliver](effects)
+		} else {
+			Expect(result.Lookup(onlyEffect[event.Reject](effects).Code).Class).To(Equal(class), outcome.String())
+		}
+		Expect(b.state.OpenRequests).To(BeZero())
+	}
+},
+	Entry("the caller leaves", true, false, false),
+	Entry("the deadline is reached", false, true, false),
+	Entry("the caller leaves, then the deadline is reached", true, true, false),
+	Entry("the caller leaves, and an earlier attempt was lost", true, false, true),
+	Entry("the deadline is reached, and an earlier attempt was lost", false, true, true),
+)
+
 // Guards against upstreams that continue to execute requests whose callers have
 // disconnected.
 var _ = It("disconnect of the caller cancels the send", func() {
--- a/pkg/routed/state.go
+++ b/pkg/routed/state.go
@@ -89,7 +89,9 @@
 	choice balance.Choice
 	// deadlineReached is true if the deadline was reached during a send.
 	deadlineReached bool
-	// ended is true once the caller has received a response or has disconnected.
+	// callerLeft is true if the caller disconnected during a send.
+	callerLeft bool
+	// ended is true once the caller has received a response.
 	ended bool
 }
 
@@ -286,16 +288,29 @@
 	}
 }
 
-// Canceled ends a request whose caller has disconnected.
+// Canceled ends a request whose caller has disconnected. If a send is in progress, it is
+// canceled; it then ends with an outcome that states whether the request may have been
+// executed. A caller that has only ended its sending side still reads the response.
 func (s *State) Canceled(id model.RequestID, out *event.Effects) {
 	r := s.requests[id]
-	if r == nil || r.ended {
+	if r == nil || r.ended || r.callerLeft {
 		return
 	}
+	r.callerLeft = true
 	if r.sendInProgress {
 		out.Add(event.CancelSend{Request: id})
+		return
 	}
-	out.Add(event.Reject{Request: id, Code: result.CanceledByCaller})
+	s.endCanceled(r, out)
+}
+
+// endCanceled ends a request whose caller has disconnected and that got no response.
+func (s *State) endCanceled(r *request, out *event.Effects) {
+	code := result.CanceledByCaller
+	if r.mayHaveExecuted {
+		code = result.CanceledAfterDispatch
+	}
+	out.Add(event.Reject{Request: r.id, Code: code})
 	s.closeRequest(r)
 }
 
@@ -325,6 +340,10 @@
 	case event.SendLost, event.SendCanceled:
 		r.mayHaveExecuted = true
 	}
+	if r.callerLeft {
+		s.endCanceled(r, out)
+		return
+	}
 	if r.deadlineReached {
 		s.expire(at, r, out)
 		return
@@ -409,7 +428,7 @@
 // been executed.
 func (s *State) endAtDeadline(at model.Time, id model.RequestID, out *event.Effects) {
 	r := s.requests[id]
-	if r == nil || r.ended {
+	if r == nil || r.ended || r.callerLeft {
 		return
 	}
 	r.deadlineReached = true
