Write nothing into request heads but what was meant

Cause: identifiers with control characters were valid, and the encoder wrote them into the head of the forwarded request as they were.

Change: one definition of a valid name without control characters or white space at its ends, for decoded announcements and for records that are merged; a host of an address has no characters that end it. The head of a request is written in one place, which refuses values that would change it; nothing is sent then, and the send counts as one without a connection.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -169,6 +169,24 @@
 	Expect(s.invariantFailures).To(BeEmpty())
 })
 
+// Guards against an entry with a line end in its identifier that an instance of an earlier
+// version has accepted, or that is in the data folder: requests would be sent to the
+// upstream with it, and their heads would end there.
+var _ = It("registration with a line end in its identifier does not take over an upstream", func() {
+	s := newConfiguredSim(7)
+	Expect(s.call("core-a1", time.Second, sendHeartbeat("good", "a1", 1, model.RegistrationServing))).To(Equal(result.Success))
+	for _, id := range []string{"good\r\n", "good "} {
+		forged := sendHeartbeat("good", "a1", 1, model.RegistrationServing)(0).(event.HeartbeatReceived).Registration
+		forged.ID = model.UpstreamID(id)
+		s.step(s.nodes["core-a1"], event.HeartbeatReceived{Registration: forged})
+		s.step(s.nodes["core-b1"], event.RegistrationsLoaded{Registrations: []model.Registration{forged}})
+	}
+	s.run(time.Second)
+	forEachRunning(s, false, func(id model.InstanceID) {
+		Expect(s.forwardedTo(id, "/r/x")).To(Equal(model.UpstreamID("good")))
+	})
+})
+
 // Guards against accepting both of two different changes that two operators
 // submit at the same time with the same version. Some instances would then use
 // one of them and some the other.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -121,7 +121,11 @@
 		return err
 	}
 	bodyDone := make(chan error, 1)
-	if _, err := conn.Write(e.encodeRequest(f)); err != nil {
+	encoded, err := e.encodeRequest(f)
+	if err != nil {
+		return err
+	}
+	if _, err := conn.Write(encoded); err != nil {
 		return err
 	}
 	if e.remainingBody != nil {
@@ -187,35 +191,38 @@
 }
 
 // encodeRequest returns the encoded request header, followed by the body if it is
-// buffered completely.
-func (e *exchange) encodeRequest(f *event.Forward) []byte {
+// buffered completely. It returns an error if a value cannot be part of a header.
+func (e *exchange) encodeRequest(f *event.Forward) ([]byte, error) {
 	g := e.gateway
-	var out bytes.Buffer
-	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", e.request.Method, e.request.URL.RequestURI(), e.request.Host)
+	var head headWriter
+	head.requestLine(e.request.Method, e.request.URL.RequestURI(), e.request.Host)
 	header := endToEndHeaders(e.request.Header)
 	header.Del(g.headers.Remaining)
 	header.Del(g.headers.TargetUpstream)
 	for name, values := range header {
 		for _, v := range values {
-			out.WriteString(name + ": " + v + "\r\n")
+			head.field(name, v)
 		}
 	}
 	remaining := max(1, f.Deadline.Sub(g.now()).Milliseconds())
-	out.WriteString(g.headers.Remaining + ": " + strconv.FormatInt(remaining, 10) + "\r\n")
-	out.WriteString(g.headers.TargetUpstream + ": " + string(f.Upstream) + "\r\n")
+	head.field(g.headers.Remaining, strconv.FormatInt(remaining, 10))
+	head.field(g.headers.TargetUpstream, string(f.Upstream))
 	switch {
 	case e.remainingBody != nil && e.request.ContentLength < 0:
-		out.WriteString("Transfer-Encoding: chunked\r\n")
+		head.field("Transfer-Encoding", "chunked")
 	case e.remainingBody != nil:
-		out.WriteString("Content-Length: " + strconv.FormatInt(e.request.ContentLength, 10) + "\r\n")
+		head.field("Content-Length", strconv.FormatInt(e.request.ContentLength, 10))
 	case len(e.bufferedBody) > 0 || e.request.Method == http.MethodPost || e.request.Method == http.MethodPut || e.request.Method == http.MethodPatch:
-		out.WriteString("Content-Length: " + strconv.Itoa(len(e.bufferedBody)) + "\r\n")
+		head.field("Content-Length", strconv.Itoa(len(e.bufferedBody)))
+	}
+	head.end()
+	if head.err != nil {
+		return nil, head.err
 	}
-	out.WriteString("\r\n")
 	if e.remainingBody == nil {
-		out.Write(e.bufferedBody)
+		head.buffer.Write(e.bufferedBody)
 	}
-	return out.Bytes()
+	return head.buffer.Bytes(), nil
 }
 
 // writeStreamedBody writes a request body that is only partly buffered to the
--- a/pkg/model/validate.go
+++ b/pkg/model/validate.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 	"unicode/utf8"
 )
 
@@ -18,13 +20,19 @@
 )
 
 // ValidateName returns an error if a name is empty, longer than MaxNameLength
-// bytes or not valid UTF-8. field names the value in the error.
+// bytes or not valid UTF-8, has control characters, or begins or ends with white space.
+// Names are written into headers, where a line end would begin another field. field names
+// the value in the error.
 func ValidateName(field, name string) error {
 	switch {
 	case name == "" || len(name) > MaxNameLength:
 		return fmt.Errorf("%s is empty or longer than %d bytes", field, MaxNameLength)
 	case !utf8.ValidString(name):
 		return fmt.Errorf("%s is not valid UTF-8", field)
+	case strings.ContainsFunc(name, unicode.IsControl):
+		return fmt.Errorf("%s has a control character", field)
+	case strings.TrimSpace(name) != name:
+		return fmt.Errorf("%s begins or ends with white space", field)
 	}
 	return nil
 }
@@ -39,8 +47,8 @@
 	if err != nil {
 		return fmt.Errorf("address: %w", err)
 	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
-		return fmt.Errorf("address %q has no host or no port from 1 to 65535", address)
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" || strings.ContainsAny(host, " /?#@\\") {
+		return fmt.Errorf("address %q has no valid host or no port from 1 to 65535", address)
 	}
 	return nil
 }
