Keep the owner of an address from one with the same process start

Cause: of two registrations at one address with the same start time, the one that arrived later took over the address, so that an entry that repeats what an upstream said under another identifier kept requests from it.

Change: the one that is known stays the owner until it deregisters or its lease expires. Start times that are not stated still count as later.

Evidence: "registration with the same process start does not take over an address" failed before.

--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -68,6 +68,23 @@
 	Expect(usable(other, "u")).To(BeFalse())
 })
 
+// Guards against an entry of another writer that repeats an upstream's registration under
+// another identifier and takes over its address.
+var _ = It("registration with the same process start does not take over an address", func() {
+	s := registry.New(time.Second)
+	s.Heartbeat(start, registration("u", 5, 1))
+	repeated := registration("v", 5, 1)
+	repeated.Address = s.Get("u").Address
+	s.Heartbeat(start, repeated)
+	Expect(usable(s, "u")).To(BeTrue())
+	Expect(usable(s, "v")).To(BeFalse())
+	// The upstream has crashed, and the other one goes on.
+	repeated.Sequence, repeated.Slots = 9, repeated.Slots+1
+	s.Heartbeat(start.Add(time.Minute), repeated)
+	Expect(usable(s, "v")).To(BeTrue())
+	Expect(usable(s, "u")).To(BeFalse())
+})
+
 // Guards against sending requests for a former upstream to an address that
 // another upstream uses now.
 var _ = It("only the upstream with the latest process start is usable at an address", func() {
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -131,7 +131,7 @@
 	s.keys[message.RegistrationKey(r.ID)] = r.ID
 	s.revision++
 	if !e.Invalid {
-		s.updateAddressOwner(e)
+		s.updateAddressOwner(at, e)
 	}
 	if r.State == model.RegistrationDeregistered && (existing == nil || existing.State != model.RegistrationDeregistered) {
 		s.retainDeregistered(r.ID)
@@ -155,11 +155,14 @@
 }
 
 // updateAddressOwner makes the upstream the owner of its address unless another
-// upstream with a later process start owns it.
-func (s *State) updateAddressOwner(e *Entry) {
+// upstream with a later process start owns it. Of two with the same start, the one that
+// is known already remains the owner until its lease expires: an entry that repeats what an
+// upstream said under another identifier must not take its place. Start times that are
+// not stated do not count as the same.
+func (s *State) updateAddressOwner(at model.Time, e *Entry) {
 	owner := s.entries[s.addressOwners[e.Address]]
-	if owner == nil || owner.ID == e.ID || owner.Address != e.Address ||
-		owner.State == model.RegistrationDeregistered || e.StartTimeMs >= owner.StartTimeMs {
+	if owner == nil || owner.ID == e.ID || owner.Address != e.Address || owner.State == model.RegistrationDeregistered ||
+		e.StartTimeMs > owner.StartTimeMs || e.StartTimeMs == owner.StartTimeMs && (e.StartTimeMs == 0 || s.Expired(at, owner)) {
 		s.addressOwners[e.Address] = e.ID
 	}
 }
