Open connections between instances again that are dead in one direction

Cause: two instances have a connection for each direction. A connection was pinged only while no message of the peer arrived, and these arrive on the other connection, so that one dead direction was never noticed.

Change: a heartbeat says when the receiver is not heard; after two of these 400 ms or more apart the receiver opens its connection again (effect Reconnect, event 408). Pings to a peer that sends nothing are due 1.7 s after its last message and end after 1.5 s. Peer connections get the kernel's limit for unacknowledged data, by the same function as those to upstreams. Nothing more is sent in calm.

--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -53,6 +53,7 @@
 type Peers interface {
 	Send(to model.InstanceID, m message.Message)
 	Connect(address string)
+	Reconnect(peer model.InstanceID)
 }
 
 // Storage writes to the data folder. Its methods must not block.
@@ -340,6 +341,8 @@
 		l.handlers.Storage.Reopen()
 	case event.Connect:
 		l.handlers.Peers.Connect(e.Address)
+	case event.Reconnect:
+		l.handlers.Peers.Reconnect(e.Peer)
 	case event.SetTimer:
 		l.timer.Reset(l.clock.Until(e.At))
 	case event.Publish:
--- a/pkg/event/peer.go
+++ b/pkg/event/peer.go
@@ -46,5 +46,12 @@
 	Address string
 }
 
-func (Send) isEffect()    {}
-func (Connect) isEffect() {}
+// Reconnect closes the connection on which messages are sent to an instance and opens
+// another one. It does nothing if there is none.
+type Reconnect struct {
+	Peer model.InstanceID
+}
+
+func (Send) isEffect()      {}
+func (Connect) isEffect()   {}
+func (Reconnect) isEffect() {}
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -35,6 +35,9 @@
 	// blocked holds the pairs of sender and receiver between which messages are
 	// lost.
 	blocked map[[2]model.InstanceID]bool
+	// silent holds the pairs of sender and receiver whose connection is dead without a
+	// reset: messages are lost until the sender opens it again.
+	silent map[[2]model.InstanceID]bool
 	// gone holds the instances that were replaced.
 	gone map[model.InstanceID]bool
 	// replies holds the results of calls.
@@ -42,6 +45,8 @@
 	lastCall event.CallID
 	// invariantFailures lists the reported InvariantFailed effects.
 	invariantFailures []string
+	// reconnects counts the connections that were opened again by an effect.
+	reconnects int
 }
 
 type action struct {
@@ -75,7 +80,7 @@
 
 func newSim(seed uint64) *sim {
 	return &sim{rng: rand.New(rand.NewPCG(seed, 5)), now: model.Time(1000 * time.Second), nodes: map[model.InstanceID]*node{},
-		blocked: map[[2]model.InstanceID]bool{}, gone: map[model.InstanceID]bool{}, replies: map[event.CallID]event.Effect{}}
+		blocked: map[[2]model.InstanceID]bool{}, silent: map[[2]model.InstanceID]bool{}, gone: map[model.InstanceID]bool{}, replies: map[event.CallID]event.Effect{}}
 }
 
 // bootstrapMembers are the first members of the control group.
@@ -236,6 +241,24 @@
 		Address: "front-" + string(other.identity.ID), PeerAddress: string(other.identity.ID)})
 }
 
+// reconnectTime is how long opening a connection takes.
+const reconnectTime = 200 * time.Millisecond
+
+// reconnect closes the connection of an instance to a peer and opens another one.
+func (s *sim) reconnect(n *node, peer model.InstanceID, generation int) {
+	if n.generation != generation {
+		return
+	}
+	s.reconnects++
+	s.step(n, event.PeerLost{Peer: peer})
+	s.schedule(reconnectTime, func() {
+		delete(s.silent, [2]model.InstanceID{n.identity.ID, peer})
+		if n.generation == generation && s.nodes[peer].up {
+			s.connect(n, s.nodes[peer])
+		}
+	})
+}
+
 // partition blocks or unblocks all messages between two groups of instances.
 func (s *sim) partition(groupA, groupB []model.InstanceID, blocked bool) {
 	for _, x := range groupA {
@@ -319,6 +342,8 @@
 				}
 				s.step(n, result)
 			})
+		case event.Reconnect:
+			s.schedule(time.Millisecond, func() { s.reconnect(n, e.Peer, generation) })
 		case event.ReopenStorage:
 			s.schedule(diskSyncTime, func() {
 				switch {
@@ -361,6 +386,9 @@
 	if to == nil || s.blocked[[2]model.InstanceID{from.identity.ID, e.To}] {
 		return
 	}
+	if s.silent[[2]model.InstanceID{from.identity.ID, e.To}] {
+		return
+	}
 	delay := 1400 * time.Microsecond
 	if regions[from.identity.Zone] != regions[to.identity.Zone] {
 		delay = 55 * time.Millisecond
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/socket"
 )
 
 const (
@@ -135,23 +136,11 @@
 
 func newPool() *pool {
 	return &pool{
-		hosts: map[string]*hostConns{},
-		dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
-			return setTCPUserTimeout(c)
-		}},
+		hosts:  map[string]*hostConns{},
+		dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: socket.UserTimeout(tcpUserTimeout)},
 	}
 }
 
-// setTCPUserTimeout makes the kernel close a connection whose peer does not
-// acknowledge sent data within tcpUserTimeout.
-func setTCPUserTimeout(c syscall.RawConn) error {
-	var optionErr error
-	err := c.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optionErr)
-}
-
 // connTiming holds how long a new connection took to open (connectTime) or how
 // long a reused connection had been idle (idleTime). The field that does not
 // apply is 0.
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -81,6 +81,7 @@
 	MemberDead      Code = 406
 
 	SubscriptionsChanged Code = 407
+	PeerNotReached       Code = 408
 
 	ConfigInForce    Code = 501
 	ConfigSaveFailed Code = 502
@@ -142,6 +143,7 @@
 	{MemberSuspected, "member_suspected", LevelInfo, "an instance did not answer probes and is suspected to have failed"},
 	{MemberDead, "member_dead", LevelWarn, "a suspected instance did not refute the suspicion in time and is considered dead"},
 	{SubscriptionsChanged, "subscriptions_changed", LevelInfo, "this entry instance receives changes from other control instances than before"},
+	{PeerNotReached, "peer_not_reached", LevelWarn, "a peer hears nothing from this instance although its own messages arrive; the connection to it is opened again"},
 	{ConfigInForce, "config_in_force", LevelInfo, "a configuration came into force"},
 	{ConfigSaveFailed, "config_save_failed", LevelError, "a configuration could not be saved; it is in force nevertheless"},
 	{ConfigFileBroken, "config_file_broken", LevelError, "the saved configuration is damaged and was ignored; the configuration is fetched from peers"},
--- a/pkg/message/fleet.go
+++ b/pkg/message/fleet.go
@@ -80,6 +80,10 @@
 	// Intervals is the number of heartbeat intervals until the sender's next heartbeat
 	// to the receiver if it is more than one, else 0.
 	Intervals int `cbor:"10,keyasint,omitempty"`
+	// NotHeard is true if no heartbeat of the receiver has reached the sender for some
+	// time. The connection on which the receiver sends is then dead, although this
+	// heartbeat arrives: each direction has its own connection.
+	NotHeard bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Pull asks for all records of the receiver that the sender lacks or has in a
--- a/pkg/peer/manager.go
+++ b/pkg/peer/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/socket"
 )
 
 const (
@@ -28,17 +30,22 @@
 	// exchange of Hello messages. On accepted connections, dialTimeout limits
 	// only the exchange of Hello messages.
 	dialTimeout = 2 * time.Second
-	// pingInterval is the time between two pings on a connection. The loss of a
-	// peer without a TCP reset is detected after at most pingInterval plus
-	// pingTimeout.
+	// pingInterval is the time between two pings on a connection to a peer that sends
+	// nothing.
 	pingInterval = time.Second
 	// recentMessage is the age up to which a received message shows that the peer and
 	// the network are well, so that no ping is needed. It exceeds the time between two
-	// heartbeats of a peer.
+	// heartbeats of a peer. The loss of a peer without a TCP reset is detected after at
+	// most recentMessage plus pingTimeout. That only the outbound connection is dead is
+	// not detected by pings, since messages of the peer arrive on another one; the peer
+	// says so in its heartbeats.
 	recentMessage = 1700 * time.Millisecond
 	// pingTimeout is how long to wait for the pong before the connection is closed.
 	// It allows for one retransmitted packet between regions.
-	pingTimeout = 2 * time.Second
+	pingTimeout = 1500 * time.Millisecond
+	// tcpUserTimeout is how long sent data may remain unacknowledged before the kernel
+	// closes a connection.
+	tcpUserTimeout = 3 * time.Second
 	// minRedialDelay and maxRedialDelay bound the delay between attempts to connect,
 	// which doubles with each failed attempt.
 	minRedialDelay = 50 * time.Millisecond
@@ -101,6 +108,8 @@
 type outboundConn struct {
 	// queue holds the encoded messages to send.
 	queue chan []byte
+	// close closes the connection.
+	close func()
 }
 
 // Options are the optional settings of a manager.
@@ -132,7 +141,8 @@
 		m.scheme = "wss"
 	}
 	if m.client == nil {
-		m.client = &http.Client{Transport: &http.Transport{}}
+		dialer := &net.Dialer{Control: socket.UserTimeout(tcpUserTimeout)}
+		m.client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
 	}
 	return m
 }
@@ -198,7 +208,8 @@
 	if err != nil || remote.From == m.hello.From {
 		return false
 	}
-	outbound := &outboundConn{queue: make(chan []byte, sendQueueSize)}
+	connCtx, closeConn := context.WithCancel(conn.CloseRead(ctx))
+	outbound := &outboundConn{queue: make(chan []byte, sendQueueSize), close: closeConn}
 	m.mu.Lock()
 	m.connections[remote.From] = outbound
 	m.mu.Unlock()
@@ -206,7 +217,6 @@
 		Peer: remote.From, Incarnation: remote.Incarnation, Zone: remote.Zone,
 		Address: remote.Address, PeerAddress: remote.PeerAddress})
 	m.logger.Log(event.Log{Code: logevent.PeerConnected, Fields: []logevent.Field{logevent.F("peer", remote.From)}})
-	connCtx, closeConn := context.WithCancel(conn.CloseRead(ctx))
 	go m.checkConnection(connCtx, conn, m.receivedFrom(remote.From), closeConn)
 	m.writeQueued(connCtx, conn, outbound)
 	closeConn()
@@ -273,13 +283,16 @@
 // connection when the peer does not answer. Pings do not delay queued messages. No
 // ping is sent while messages of the peer arrive.
 func (m *Manager) checkConnection(ctx context.Context, conn *websocket.Conn, receivedAt *atomic.Int64, closeConn func()) {
-	ping := time.NewTicker(pingInterval)
-	defer ping.Stop()
+	check := time.NewTimer(pingInterval)
+	defer check.Stop()
 	for {
 		select {
-		case <-ping.C:
-			if last := receivedAt.Load(); last != 0 && time.Since(m.startedAt)-time.Duration(last) < recentMessage {
-				continue
+		case <-check.C:
+			if last := receivedAt.Load(); last != 0 {
+				if age := time.Since(m.startedAt) - time.Duration(last); age < recentMessage {
+					check.Reset(recentMessage - age)
+					continue
+				}
 			}
 			pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 			err := conn.Ping(pingCtx)
@@ -288,12 +301,23 @@
 				closeConn()
 				return
 			}
+			check.Reset(pingInterval)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// Reconnect closes the outbound connection to an instance, which is then opened again.
+func (m *Manager) Reconnect(peer model.InstanceID) {
+	m.mu.Lock()
+	outbound := m.connections[peer]
+	m.mu.Unlock()
+	if outbound != nil {
+		outbound.close()
+	}
+}
+
 // Send queues a message to the instance. The message is dropped if there is no
 // connection to the instance or the queue is full.
 func (m *Manager) Send(to model.InstanceID, msg message.Message) {
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -426,3 +426,39 @@
 	Expect(control.EntryInstances(start.Add(3 * time.Second))).To(HaveLen(1))
 	Expect(control.EntryInstances(start.Add(5 * time.Second))).To(BeEmpty())
 })
+
+// Guards against a connection that is dead in one direction and never noticed, against one
+// that is opened again for heartbeats that waited in a queue, and against heartbeats that
+// do not say what was not heard.
+var _ = It("connection on which the peer hears nothing is opened again", func() {
+	r, out := newEntryInstance(store{})
+	at := start
+	notHeard := func(after time.Duration) int {
+		at = at.Add(after)
+		r.Receive(at, "core-a1", &message.PeerHeartbeat{Control: true, NotHeard: true}, out)
+		n := 0
+		for _, e := range out.List() {
+			if c, ok := e.(event.Reconnect); ok {
+				Expect(c.Peer).To(Equal(model.InstanceID("core-a1")))
+				n++
+			}
+		}
+		out.Reset()
+		return n
+	}
+	Expect(notHeard(0)).To(BeZero())
+	Expect(notHeard(time.Millisecond)).To(BeZero())
+	r.Receive(at, "core-a1", &message.PeerHeartbeat{Control: true}, out)
+	Expect(notHeard(replica.HeartbeatInterval)).To(BeZero())
+	Expect(notHeard(replica.HeartbeatInterval)).To(Equal(1))
+	Expect(notHeard(time.Millisecond)).To(BeZero())
+
+	r.Receive(at.Add(replica.AliveTimeout), "core-b1", &message.PeerHeartbeat{Control: true}, out)
+	out.Reset()
+	r.Receive(at.Add(replica.AliveTimeout+time.Second), "core-b1", &message.PeerHeartbeat{Control: true}, out)
+	out.Reset()
+	r.SendHeartbeats(out)
+	sent := takeSends(out)
+	Expect(sent["core-b1"][0].(*message.PeerHeartbeat).NotHeard).To(BeFalse())
+	Expect(sent["core-a1"][0].(*message.PeerHeartbeat).NotHeard).To(BeTrue())
+})
--- a/pkg/replica/state.go
+++ b/pkg/replica/state.go
@@ -40,6 +40,10 @@
 	// batchInterval is the least time between two messages with changed records to
 	// the subscribed entry instances. Many upstreams register at the same time.
 	batchInterval = 50 * time.Millisecond
+	// minNotHeardTime is the least time between two heartbeats with NotHeard after which a
+	// connection counts as dead. It is shorter than HeartbeatInterval, and keeps heartbeats
+	// that waited while this instance itself did not run from counting.
+	minNotHeardTime = 400 * time.Millisecond
 	// maxSubscriptions is the number of control instances to which an entry
 	// instance subscribes. It subscribes to two, so that changes still arrive
 	// without delay when one of them is lost.
@@ -91,6 +95,9 @@
 	// not.
 	LeaderTerm uint64
 
+	// notHeardSince is when the first of the latest heartbeats of the peer with NotHeard
+	// arrived, 0 if the latest one was without it.
+	notHeardSince model.Time
 	// subscribed is true if the peer subscribes to this instance, and subscribedTo
 	// if this instance subscribes to the peer.
 	subscribed   bool
@@ -419,6 +426,7 @@
 		s.entryRevision++
 	}
 	p.LastHeartbeat, p.Intervals = at, m.Intervals
+	s.checkOutbound(at, p, m.NotHeard, out)
 	s.connectToUnknown(m.Addresses, out)
 	roleChanged := p.Control != m.Control
 	if roleChanged && m.Control {
@@ -444,6 +452,22 @@
 	out.Add(event.Send{To: p.ID, Message: &message.Pull{Versions: s.store.Versions()}})
 }
 
+// checkOutbound opens the connection to a peer again if the peer says repeatedly that it
+// hears nothing from this instance. Pings do not show this as long as the heartbeats of
+// the peer arrive on its own connection.
+func (s *State) checkOutbound(at model.Time, p *Peer, notHeard bool, out *event.Effects) {
+	switch {
+	case !notHeard:
+		p.notHeardSince = 0
+	case p.notHeardSince == 0:
+		p.notHeardSince = at
+	case at >= p.notHeardSince.Add(minNotHeardTime):
+		p.notHeardSince = 0
+		out.Add(event.Log{Code: logevent.PeerNotReached, Fields: []logevent.Field{logevent.F("peer", p.ID)}})
+		out.Add(event.Reconnect{Peer: p.ID})
+	}
+}
+
 // maySyncWith reports whether this instance counts as synced once it has the
 // records of the peer. A lagging control instance may lack changes; it is accepted
 // if no current one is known, for example while the control group elects a leader
@@ -581,8 +605,8 @@
 // heartbeatVariant identifies the contents in which heartbeats sent at the same time
 // differ.
 type heartbeatVariant struct {
-	subscribe, addresses bool
-	intervals            int
+	subscribe, addresses, notHeard bool
+	intervals                      int
 }
 
 // sendHeartbeats sends a heartbeat to each of the peers. Peers that receive the same
@@ -591,7 +615,7 @@
 	var order []heartbeatVariant
 	receivers := map[heartbeatVariant][]*Peer{}
 	for _, p := range peers {
-		v := heartbeatVariant{subscribe: p.subscribedTo, intervals: s.intervalsTo(p)}
+		v := heartbeatVariant{subscribe: p.subscribedTo, intervals: s.intervalsTo(p), notHeard: !s.isAlive(p)}
 		if s.self.Control && (p.heartbeatsSent%addressPeriod == 0 || p.addressesSent != s.addressRevision) {
 			v.addresses, p.addressesSent = true, s.addressRevision
 		}
@@ -614,7 +638,7 @@
 func (s *State) heartbeat(v heartbeatVariant) *message.PeerHeartbeat {
 	m := &message.PeerHeartbeat{
 		Control: s.self.Control, Ready: s.Ready, HasConfig: s.HasConfig, Subscribe: v.subscribe,
-		Digest: s.store.Digest(), ReadyEntryInstances: s.ReadyEntryInstances, Lagging: s.Lagging, LeaderTerm: s.LeaderTerm}
+		Digest: s.store.Digest(), NotHeard: v.notHeard, ReadyEntryInstances: s.ReadyEntryInstances, Lagging: s.Lagging, LeaderTerm: s.LeaderTerm}
 	if v.intervals > 1 {
 		m.Intervals = v.intervals
 	}
