--- a/pkg/control/registration_file.go
+++ b/pkg/control/registration_file.go
@@ -73,8 +73,9 @@
 // Run reports the stored registrations to the sink, and then writes what is passed to
 // Save and Persist until the context ends.
 func (f *RegistrationFile) Run(ctx context.Context, sink Sink) error {
-	stored, list, err := storage.OpenRegistrations(f.dir)
+	stored := storage.NewRegistrations(f.dir)
 	defer stored.Close()
+	list, err := stored.Load()
 	if err != nil {
 		f.logFailure(err)
 	}
--- a/pkg/control/registration_file_test.go
+++ b/pkg/control/registration_file_test.go
@@ -41,8 +41,7 @@
 			Expect(result.Seq).To(BeNumerically(">", latest))
 			latest = result.Seq
 		}
-		stored, list, err := storage.OpenRegistrations(dir)
-		stored.Close()
+		list, err := storage.NewRegistrations(dir).Load()
 		Expect(err).NotTo(HaveOccurred())
 		held := map[model.UpstreamID]bool{}
 		for _, r := range list {
--- a/pkg/fleet/orders_test.go
+++ b/pkg/fleet/orders_test.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// routeToArchives returns a route to a service that does not exist, and that service.
+func routeToArchives() (archiveRoute, archives model.Item) {
+	archiveRoute, archives = route("archive", 9), service(9)
+	archiveRoute.Route.Splits[0].Service = "archives"
+	archives.Key.Name = "archives"
+	return archiveRoute, archives
+}
+
 // orderUntilClear sends an order to the instances in turn until one gives a clear answer.
 func (s *sim) orderUntilClear(ids []model.InstanceID, body func(event.CallID) event.Body) result.Code {
 	for n := range 10 {
@@ -117,15 +125,12 @@
 func TestRefusedChangeThatWaitedInAFrozenInstanceIsNotApplied(t *testing.T) {
 	RegisterTestingT(t)
 	forEachControl(func(s *sim, frozen model.InstanceID, others []model.InstanceID, callsFirst bool) {
-		invalid := route("archive", 9)
-		invalid.Route.Splits[0].Service = "archives"
-		archive := service(9)
-		archive.Key.Name = "archives"
+		invalid, archives := routeToArchives()
 		s.freeze(frozen)
 		s.submit(frozen, proposeItems(invalid))
 		s.run(operatorTimeout)
 		Expect(s.orderUntilClear(others, proposeItems(invalid))).To(Equal(result.InvalidChange))
-		Expect(s.orderUntilClear(others, proposeItems(archive))).To(Equal(result.Success))
+		Expect(s.orderUntilClear(others, proposeItems(archives))).To(Equal(result.Success))
 		s.run(2 * time.Second)
 		s.thaw(frozen, callsFirst)
 		s.run(4 * time.Second)
@@ -143,10 +148,7 @@
 	forEachControl(func(s *sim, cutOff model.InstanceID, others []model.InstanceID, _ bool) {
 		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
 		s.run(2 * time.Second)
-		invalid := route("archive", 9)
-		invalid.Route.Splits[0].Service = "archives"
-		archive := service(9)
-		archive.Key.Name = "archives"
+		invalid, archives := routeToArchives()
 		s.partition([]model.InstanceID{cutOff}, others, true)
 		s.submit(cutOff, evacuate("a1", false))
 		s.submit(cutOff, proposeItems(invalid))
@@ -154,7 +156,7 @@
 		Expect(s.orderUntilClear(others, evacuate("a1", false))).To(Equal(result.Success))
 		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
 		Expect(s.orderUntilClear(others, proposeItems(invalid))).To(Equal(result.InvalidChange))
-		Expect(s.orderUntilClear(others, proposeItems(archive))).To(Equal(result.Success))
+		Expect(s.orderUntilClear(others, proposeItems(archives))).To(Equal(result.Success))
 		s.partition([]model.InstanceID{cutOff}, others, false)
 		s.keepLeases(others[0], 5*time.Second)
 		expectEvacuated(s, cutOff)
--- a/pkg/storage/registrations.go
+++ b/pkg/storage/registrations.go
@@ -33,15 +33,17 @@
 	Registrations []model.Registration
 }
 
-// OpenRegistrations returns the store of a data folder and the stored registrations.
-// Of several registrations of an upstream, the one that supersedes the others is
-// valid. If an error is returned, a file is damaged or cannot be read; what could be
-// read is returned with it, and the store can be used.
-func OpenRegistrations(dir string) (*Registrations, []model.Registration, error) {
-	r := &Registrations{dir: dir}
-	list, err := loadAllRegistrations(dir)
+// NewRegistrations returns the store of a data folder. Load must be called before the
+// other methods.
+func NewRegistrations(dir string) *Registrations { return &Registrations{dir: dir} }
+
+// Load returns the stored registrations. Of several registrations of an upstream, the
+// one that supersedes the others is valid. If an error is returned, a file is damaged or
+// cannot be read; what could be read is returned with it, and the store can be used.
+func (r *Registrations) Load() ([]model.Registration, error) {
+	list, err := loadAllRegistrations(r.dir)
 	appended, logErr := r.loadLog()
-	return r, append(list, appended...), errors.Join(err, logErr)
+	return append(list, appended...), errors.Join(err, logErr)
 }
 
 // loadAllRegistrations returns the registrations of the file that Replace wrote. The
--- a/pkg/storage/registrations_test.go
+++ b/pkg/storage/registrations_test.go
@@ -15,18 +15,15 @@
 	return model.Registration{ID: model.UpstreamID(id), Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 3, StartTimeMs: 5, Sequence: sequence}
 }
 
-// storedRegistrations opens the store of a data folder and closes it again.
-func storedRegistrations(dir string) ([]model.Registration, error) {
-	r, list, err := storage.OpenRegistrations(dir)
-	r.Close()
-	return list, err
-}
+// storedRegistrations returns what a data folder holds.
+func storedRegistrations(dir string) ([]model.Registration, error) { return storage.NewRegistrations(dir).Load() }
 
 // Guards against registrations that are read from a torn or changed file.
 var _ = It("registrations are read whole or not at all", func() {
 	dir := GinkgoT().TempDir()
-	r, list, err := storage.OpenRegistrations(dir)
+	r := storage.NewRegistrations(dir)
 	defer r.Close()
+	list, err := r.Load()
 	Expect(err).NotTo(HaveOccurred())
 	Expect(list).To(BeEmpty())
 	want := []model.Registration{registration("u", 7)}
@@ -54,7 +51,8 @@
 // that tore the last append, and after the file was replaced.
 var _ = It("appended registrations survive a torn append", func() {
 	dir := GinkgoT().TempDir()
-	r, _, err := storage.OpenRegistrations(dir)
+	r := storage.NewRegistrations(dir)
+	_, err := r.Load()
 	Expect(err).NotTo(HaveOccurred())
 	u1, u2, u3 := registration("u1", 1), registration("u2", 2), registration("u3", 3)
 	Expect(r.Replace([]model.Registration{u1})).To(Succeed())
@@ -78,7 +76,8 @@
 	}
 	// An append after a torn one takes its place.
 	Expect(os.WriteFile(path, both[:len(both)-3], 0o600)).To(Succeed())
-	reopened, list, err := storage.OpenRegistrations(dir)
+	reopened := storage.NewRegistrations(dir)
+	list, err := reopened.Load()
 	Expect(err).NotTo(HaveOccurred())
 	Expect(list).To(Equal([]model.Registration{u1, u2}))
 	Expect(reopened.Append([]model.Registration{u3})).To(Succeed())
@@ -94,7 +93,8 @@
 // against a store that stays unusable after that.
 var _ = It("failed append is reported and does not affect later ones", func() {
 	dir := filepath.Join(GinkgoT().TempDir(), "data")
-	r, _, err := storage.OpenRegistrations(dir)
+	r := storage.NewRegistrations(dir)
+	_, err := r.Load()
 	Expect(err).NotTo(HaveOccurred())
 	Expect(r.Append([]model.Registration{registration("u1", 1)})).NotTo(Succeed())
 	Expect(r.Replace(nil)).NotTo(Succeed())
