--- a/pkg/storage/registrations_test.go
+++ b/pkg/storage/registrations_test.go
@@ -16,7 +16,9 @@
 }
 
 // storedRegistrations returns what a data folder holds.
-func storedRegistrations(dir string) ([]model.Registration, error) { return storage.NewRegistrations(dir).Load() }
+func storedRegistrations(dir string) ([]model.Registration, error) {
+	return storage.NewRegistrations(dir).Load()
+}
 
 // Guards against registrations that are read from a torn or changed file.
 var _ = It("registrations are read whole or not at all", func() {
