--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -34,6 +34,7 @@
 		key            string
 	}{
 		{"unknown key", "zone: gulf-a\nlisten", "zome: gulf-a\nlisten", 2, "zome"},
+		{"memory that cannot be enough", "zone: gulf-a\nlisten", "zone: gulf-a\nmemory_mb: 5\nlisten", 3, "memory_mb"},
 		{"host name instead of IP", "listen: 127.0.0.1:7001", "listen: localhost:7001", 3, "listen"},
 		{"peer without port", "[127.0.0.1:7102]", "[127.0.0.1]", 5, "peers[0]"},
 		{"duration without unit", "deadline: 3s", "deadline: 3", 10, "bootstrap.profiles[0].deadline"},
