Count copy buffers of owned slots, and not the stand-in's bodies

Cause, traced: the stand-in upstream of the spec allocated a body for each response in the measured process, and the copy buffers of the proxy, 32 KiB for each response, were not in the budget.

Change: a copy buffer counts; beyond the budget a buffer of 4 KiB is used, which is part of each request's allowance. The stand-in writes one shared body; the bound and the number of callers stay.

--- a/pkg/proxy/memory_test.go
+++ b/pkg/proxy/memory_test.go
@@ -68,7 +68,8 @@
 		callers       = 800
 		bodyBytes     = 250 << 10
 	)
-	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, bodyBytes)) }))
+	body := make([]byte, bodyBytes)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
 	defer upstream.Close()
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(int64(processMemory * memory.RuntimeShare)))
 	budget := memory.NewBudget(processMemory)
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -137,6 +137,20 @@
 	w.WriteHeader(resp.StatusCode)
 }
 
+// copyBuffer returns a buffer for streaming a body, a small one if the memory budget is
+// exhausted, and a function that gives it back.
+func (e *exchange) copyBuffer() (buf *[]byte, release func()) {
+	if !e.held.Grow(copyBufferBytes, memory.Responses) {
+		small := make([]byte, memory.SmallCopyBytes)
+		return &small, func() {}
+	}
+	buf = e.proxy.copyBuffers.Get().(*[]byte)
+	return buf, func() {
+		e.proxy.copyBuffers.Put(buf)
+		e.held.Shrink(copyBufferBytes)
+	}
+}
+
 // copyBody copies the body to the caller and returns the errors of reading and
 // of writing. If the caller has disconnected and the request has no idempotency
 // key, copyBody cancels the attempt. If the request has a key, copyBody reads
@@ -146,10 +160,11 @@
 // body is complete or larger than the limit. If the memory budget has no room, the body
 // counts as too large for both.
 func (a *attempt) copyBody(w http.ResponseWriter, resp *http.Response, recordedBody **bytes.Buffer) (readErr, writeErr error) {
-	buf := a.proxy.copyBuffers.Get().(*[]byte)
-	defer a.proxy.copyBuffers.Put(buf)
+	buf, releaseBuffer := a.exchange.copyBuffer()
+	defer releaseBuffer()
 	flusher, _ := w.(http.Flusher)
 	var buffered []byte
+	heldBytes := 0 // of the memory budget, for buffered
 	buffering := a.bufferLimit > 0 && !a.exchange.progress.headersWritten
 	write := func(p []byte) {
 		if writeErr == nil && len(p) > 0 {
@@ -166,15 +181,15 @@
 			}
 		}
 		if buffering {
-			hasRoom := a.exchange.held.Grow(n, memory.Responses)
+			buffering = a.exchange.held.Grow(n, memory.Responses)
+			if buffering {
+				heldBytes += n
+			}
 			buffered = append(buffered, (*buf)[:n]...)
-			if buffering = hasRoom && len(buffered) <= a.bufferLimit && err != io.EOF; !buffering {
+			if buffering = buffering && len(buffered) <= a.bufferLimit && err != io.EOF; !buffering {
 				write(buffered)
-				if hasRoom {
-					a.exchange.held.Shrink(n)
-				}
-				a.exchange.held.Shrink(len(buffered) - n)
 				buffered = nil
+				a.exchange.held.Shrink(heldBytes)
 			}
 		} else if n > 0 && writeErr == nil {
 			write((*buf)[:n])
