--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -66,6 +66,9 @@
 func (discardTelemetry) Log(event.Log)                                                   {}
 
 func (c *fakeControl) Directory() *directory.View {
+	// The catalog builds its table at the first call.
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return &directory.View{Table: c.catalog.Table()}
 }
 func (c *fakeControl) Done() <-chan struct{} { return c.done }
