--- a/pkg/fleet/pause.go
+++ b/pkg/fleet/pause.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// minPause is how late a timer event is at least after the process did not run for
-	// some time. A timer is requested for every replica.HeartbeatInterval or less, so
-	// that shorter pauses than the sum of both are not noticed. Callers wait for 1 s.
+	// minPause is the least delay of a timer event from which it follows that the process
+	// did not run for some time. Timer events are due every replica.HeartbeatInterval or
+	// more often, so that each pause is noticed that is longer than the sum of both. That is
+	// less than the 1 s for which callers wait.
 	minPause = 300 * time.Millisecond
 	// pauseRecoveryTime is how long after a pause orders are rejected. The orders that
 	// waited in the sockets are read within this time.
--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -96,8 +96,8 @@
 
 // propose sends a command to the leader of the replicated log. The call is
 // answered when this instance applies the command. By then, this instance and a
-// majority have synced the command to disk. The command takes effect only if nothing
-// that it concerns has changed since this time.
+// majority have synced the command to disk. The command takes effect only if it is not
+// overtaken from this time on, see catalog.Command.
 func (s *State) propose(at model.Time, call event.CallID, c *catalog.Command) {
 	c.Origin, c.Incarnation, c.Call = s.identity.ID, s.identity.Incarnation, uint64(call)
 	s.proposeOnBasis(at, &proposal{command: c, deadline: at.Add(proposalTimeout), startedAt: at})
--- a/pkg/gateway/memory_test.go
+++ b/pkg/gateway/memory_test.go
@@ -15,26 +15,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/anvilcrank/anvilcrank/internal/fake"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 )
 
-// slowCaller is a caller that reads nothing until it is released.
-type slowCaller struct {
-	released <-chan struct{}
-	header   http.Header
-	status   int
-	bytes    int
-}
-
-func (c *slowCaller) Header() http.Header    { return c.header }
-func (c *slowCaller) WriteHeader(status int) { c.status = status }
-func (c *slowCaller) Write(p []byte) (int, error) {
-	<-c.released
-	c.bytes += len(p)
-	return len(p), nil
-}
-
 // processBytes returns the memory that the process uses for its heap and its stacks.
 func processBytes() uint64 {
 	var m runtime.MemStats
@@ -68,10 +53,10 @@
 	c := newLimitedControl(address, memory.NewBudget(processMemory))
 	c.timeout, c.reported = time.Minute, make(chan event.Body, 2*callers)
 	released := make(chan struct{})
-	list := make([]*slowCaller, callers)
+	list := make([]*fake.SlowCaller, callers)
 	var wg sync.WaitGroup
 	for i := range list {
-		list[i] = &slowCaller{released: released, header: http.Header{}}
+		list[i] = &fake.SlowCaller{Released: released}
 		r := httptest.NewRequest("GET", "http://h/x", nil)
 		r.Header.Set("Attempt", strconv.Itoa(i))
 		wg.Go(func() { c.gateway.ServeHTTP(list[i], r) })
@@ -85,13 +70,13 @@
 	wg.Wait()
 	complete := 0
 	for _, caller := range list {
-		switch caller.status {
+		switch caller.Status {
 		case http.StatusOK:
-			Expect(caller.bytes).To(Equal(len(body)))
+			Expect(caller.Bytes).To(Equal(len(body)))
 			complete++
 		default:
-			Expect(caller.status).To(Equal(http.StatusServiceUnavailable))
-			Expect(caller.header.Get("Retry-After")).NotTo(BeEmpty())
+			Expect(caller.Status).To(Equal(http.StatusServiceUnavailable))
+			Expect(caller.Header().Get("Retry-After")).NotTo(BeEmpty())
 		}
 	}
 	Expect(peak).To(BeNumerically("<=", processMemory))
--- a/pkg/proxy/memory_test.go
+++ b/pkg/proxy/memory_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/anvilcrank/anvilcrank/internal/fake"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -44,22 +45,6 @@
 func (c *relayingControl) View() *view.View      { return &view.View{} }
 func (c *relayingControl) Done() <-chan struct{} { return nil }
 
-// slowCaller is a caller that reads nothing until it is released.
-type slowCaller struct {
-	released <-chan struct{}
-	header   http.Header
-	status   int
-	bytes    int
-}
-
-func (c *slowCaller) Header() http.Header    { return c.header }
-func (c *slowCaller) WriteHeader(status int) { c.status = status }
-func (c *slowCaller) Write(p []byte) (int, error) {
-	<-c.released
-	c.bytes += len(p)
-	return len(p), nil
-}
-
 // Guards against an instance that runs out of memory because the responses to many slow
 // callers are held at the same time, each within its own limit.
 var _ = It("responses to many slow callers fit into the memory", func() {
@@ -78,10 +63,10 @@
 	c.proxy.SetControl(c)
 	defer c.proxy.Close()
 	released := make(chan struct{})
-	list := make([]*slowCaller, callers)
+	list := make([]*fake.SlowCaller, callers)
 	var wg sync.WaitGroup
 	for i := range list {
-		list[i] = &slowCaller{released: released, header: http.Header{}}
+		list[i] = &fake.SlowCaller{Released: released}
 		wg.Go(func() { c.proxy.Serve(list[i], httptest.NewRequest("GET", "/s/reads/x", nil), "reads", "/x") })
 	}
 	var peak uint64
@@ -95,13 +80,13 @@
 	wg.Wait()
 	complete := 0
 	for _, caller := range list {
-		if caller.status == http.StatusOK {
-			Expect(caller.bytes).To(Equal(bodyBytes))
+		if caller.Status == http.StatusOK {
+			Expect(caller.Bytes).To(Equal(bodyBytes))
 			complete++
 			continue
 		}
-		Expect(caller.header.Get(proxy.HeaderCode)).To(Equal("2011"))
-		Expect(caller.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(caller.Header().Get(proxy.HeaderCode)).To(Equal("2011"))
+		Expect(caller.Header().Get("Retry-After")).NotTo(BeEmpty())
 	}
 	Expect(peak).To(BeNumerically("<=", processMemory))
 	Expect(complete).To(BeNumerically(">=", callers/2))
