--- a/instance.go
+++ b/instance.go
@@ -111,11 +111,7 @@
 	}
 	i.telemetry = telemetry.New(s.Instance, o.Logger)
 	i.recorder = control.NewRecorder(identity, s.RecordedEvents)
-	budget := memory.NewBudget(memory.ProcessBytes(s.MemoryBytes()))
-	if budget != nil {
-		i.telemetry.ObserveMemory(budget)
-	}
-	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial, budget)
+	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial, newMemoryBudget(s.MemoryBytes(), i.telemetry))
 	sink := &loopSink{}
 	i.peers = peer.NewManager(message.Hello{
 		From:        s.Instance,
--- a/limits.go
+++ b/limits.go
@@ -1,6 +1,11 @@
 package anvilcrank
 
-import "time"
+import (
+	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
+	"github.com/anvilcrank/anvilcrank/pkg/telemetry"
+)
 
 const (
 	// closeTimeout is how long the HTTP servers of an instance that exits may take
@@ -11,3 +16,14 @@
 	// that sends no header would stay open.
 	peerHeaderTimeout = 5 * time.Second
 )
+
+// newMemoryBudget returns the budget for what a process holds for requests, and adds its
+// metrics. It returns nil if the memory of the process is not known. configured is in
+// bytes, 0 for the memory of the machine.
+func newMemoryBudget(configured int64, t *telemetry.Telemetry) *memory.Budget {
+	budget := memory.NewBudget(memory.ProcessBytes(configured))
+	if budget != nil {
+		t.ObserveMemory(budget)
+	}
+	return budget
+}
--- a/node.go
+++ b/node.go
@@ -132,11 +132,7 @@
 		From: c.ID, Incarnation: identity.Incarnation, Zone: c.Zone,
 		Address: c.Listen, PeerAddress: c.PeerListen,
 	}, sink, n.telemetry, peer.Options{})
-	budget := memory.NewBudget(memory.ProcessBytes(c.MemoryBytes))
-	if budget != nil {
-		n.telemetry.ObserveMemory(budget)
-	}
-	n.gateway = gateway.New(c.Headers, n.telemetry, clock.Now, budget)
+	n.gateway = gateway.New(c.Headers, n.telemetry, clock.Now, newMemoryBudget(c.MemoryBytes, n.telemetry))
 	handlers := control.Handlers{
 		Forwarder: n.gateway, Peers: n.peers, Telemetry: n.telemetry, OnInvariantFailed: n.invariantFailed}
 	if n.storage != nil {
