review: case 9 uses the site's delay to clients

Cause: the end of the held-up connection came 3 ms behind the order; the site says 8 ms one way to a client.

--- a/review/standins-2/lateorder.go
+++ b/review/standins-2/lateorder.go
@@ -16,7 +16,7 @@
 const (
 	holdTime     = 3500 * time.Millisecond // less than ackTimeoutMs, 4,000
 	evacuationMs = 5000 * time.Millisecond
-	clientDelay  = 3 * time.Millisecond
+	clientDelay  = 8 * time.Millisecond // one way to a client
 	evacuated    = "thamel"
 )
 
