review: case 6 reads its counts under their lock

Cause: the script read two maps while the goroutine that watches the memory wrote them; Go then ends the program with 2.

Change: the maps are read under the lock.

--- a/review/standins-2/longlog.go
+++ b/review/standins-2/longlog.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// peakMb returns the most memory that a process has used so far, and how often the
+// processes of its machine were killed for their memory.
+func (p *platform) peakMb(n *node) (peak, killed int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peak[n.name], p.killed[n.name]
+}
+
 // restartEnded starts ended processes again for some time. Processes must be started by
 // the goroutine of main.
 func (p *platform) restartEnded(d time.Duration) error {
@@ -185,14 +193,17 @@
 		}
 	}
 	c.record.logf("%d changes of %d routes are acknowledged after %v, the last one with version %08x", configChanges, configRoutes, time.Since(started).Round(time.Millisecond), version)
+	killedBefore := 0
 	for _, n := range d.controls() {
+		peak, killed := p.peakMb(n)
+		killedBefore += killed
 		size := int64(0)
 		if info, err := os.Stat(n.data + "/log"); err == nil {
 			size = info.Size()
 		}
-		c.record.logf("%s: at most %d MiB used so far, log file %d bytes", n.name, p.peak[n.name], size)
+		c.record.logf("%s: at most %d MiB used so far, log file %d bytes", n.name, peak, size)
 	}
-	if len(p.killed) > 0 {
+	if killedBefore > 0 {
 		return false, errors.New("a process was killed before the disruption")
 	}
 	if c.trouble {
@@ -233,7 +244,8 @@
 	}
 	best := <-answered
 	for _, n := range d.nodes {
-		c.record.logf("%s: at most %d MiB used, killed %d times for its memory", n.name, p.peak[n.name], p.killed[n.name])
+		peak, killed := p.peakMb(n)
+		c.record.logf("%s: at most %d MiB used, killed %d times for its memory", n.name, peak, killed)
 	}
 	c.record.logf("read back: %d of %d routes with the acknowledged version", best, configRoutes)
 	return best < configRoutes, nil
