gateway: one reader has the caller's body while it is passed on

Callers saw: a chunked deposit of 640 kB reached an upstream that answered early with up to 256 kB missing and a proper end, and the caller got 200; a body of 480 kB with a length never arrived and its answer was cut at the deadline.

Cause: before it writes the head of a response, net/http reads up to 256 kB of the request body that nobody has read. The goroutine that passes the body on reads the same body; it saw the end that the other reader had met and wrote the last chunk. A body with a length lost its rest in the same way where less than 256 kB were left (480 kB), and hung.

Evidence: the table of pkg/gateway/upload_test.go, without anything else changed, failed for 5 of 9 entries (447232 of 640000 bytes with a proper end; 10.3 s for 480 kB). With only EnableFullDuplex added all of them passed. Ruled out: the link limit (fails on loopback as well), the pieces of the caller.

Change: net/http reads no streamed body by itself (full duplex). An upload owns the body and the writing side of the connection to the upstream until it has ended; the request is not left before, nor is its buffer given back. The limit of the body no longer writes to the response's header from another goroutine. An error response states its length, so that it is complete when flushed.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -47,6 +47,9 @@
 	// remainingBody reads the body after bufferedBody. It is nil for a body that is
 	// buffered completely.
 	remainingBody io.Reader
+	// upload passes bufferedBody and remainingBody on. It is nil before the request is
+	// sent, and for a body that is buffered completely.
+	upload *upload
 	// response is the most recent upstream response that was buffered
 	// completely. It is nil before the first such response, and after a send
 	// has begun to stream a response to the caller. A send is one attempt at an
@@ -117,7 +120,9 @@
 		if e.request.ContentLength > bodyLimit {
 			return result.BodyTooLarge
 		}
-		body = http.MaxBytesReader(e.writer, e.request.Body, bodyLimit)
+		// The writer is not passed on: the reader would write to its header from the
+		// goroutine of the upload.
+		body = http.MaxBytesReader(nil, e.request.Body, bodyLimit)
 	}
 	if e.request.ContentLength == 0 {
 		return result.Success
@@ -131,6 +136,11 @@
 		return result.MemoryFull
 	case errors.Is(err, io.ErrShortBuffer):
 		e.remainingBody = body
+		// Without this, net/http reads the caller's body itself before it writes the
+		// head of a response.
+		if err := http.NewResponseController(e.writer).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			return result.Internal
+		}
 	case err != nil:
 		return result.MalformedRequest
 	}
@@ -271,6 +281,7 @@
 	case e.response.contentLength >= 0:
 		e.writer.Header().Set("Content-Length", strconv.FormatInt(e.response.contentLength, 10))
 	}
+	e.beforeResponse()
 	e.writer.WriteHeader(e.response.status)
 	if e.request.Method != http.MethodHead && len(e.response.body) > 0 {
 		// An error means that the caller has disconnected, so that there is nobody
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -120,7 +118,6 @@
 	if err := conn.SetDeadline(time.Now().Add(f.Deadline.Sub(g.now()) + deadlineMargin)); err != nil {
 		return err
 	}
-	bodyDone := make(chan error, 1)
 	encoded, err := e.encodeRequest(f)
 	if err != nil {
 		return err
@@ -129,10 +126,7 @@
 		return err
 	}
 	if e.remainingBody != nil {
-		buffer := e.copyBuffer()
-		go func() { bodyDone <- e.writeStreamedBody(conn, buffer) }()
-	} else {
-		bodyDone <- nil
+		e.startUpload(conn)
 	}
 	resp, err := e.readResponse(conn, f)
 	if err != nil {
@@ -155,12 +149,7 @@
 	if err := e.readBody(resp, f.BufferLimit, ended); err != nil {
 		return err
 	}
-	select {
-	case err := <-bodyDone:
-		if err != nil {
-			resp.Close = true
-		}
-	default:
+	if !e.upload.complete() {
 		// The upstream responded before it received the complete body, so that no
 		// other request can be sent on this connection.
 		resp.Close = true
@@ -225,35 +214,6 @@
 	return head.buffer.Bytes(), nil
 }
 
-// writeStreamedBody writes a request body that is only partly buffered to the
-// upstream through the buffer. It uses chunked encoding if the length of the body is
-// unknown.
-func (e *exchange) writeStreamedBody(conn *upstreamConn, buffer []byte) error {
-	body := io.MultiReader(bytes.NewReader(e.bufferedBody), e.remainingBody)
-	if e.request.ContentLength >= 0 {
-		n, err := io.CopyBuffer(conn, body, buffer)
-		if err == nil && n != e.request.ContentLength {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	}
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeErr := fmt.Fprintf(conn, "%x\r\n%s\r\n", n, buffer[:n]); writeErr != nil {
-				return writeErr
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			_, err = io.WriteString(conn, "0\r\n\r\n")
-			return err
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // attemptID returns the caller's identifier of the request, "" if there is none.
 func (e *exchange) attemptID() string { return e.request.Header.Get(e.gateway.headers.AttemptID) }
 
@@ -324,6 +284,7 @@
 		e.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	e.started = true
+	e.beforeResponse()
 	e.writer.WriteHeader(resp.StatusCode)
 	caller := &flushingWriter{Writer: e.writer, controller: http.NewResponseController(e.writer)}
 	if _, err := caller.Write(buffered); err != nil {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -284,10 +284,14 @@
 	if coded.Detail != "" {
 		body.Message += ": " + coded.Detail
 	}
+	encoded, _ := json.Marshal(body) // cannot fail: strings and numbers
+	encoded = append(encoded, '\n')
 	w.Header().Set("Content-Type", "application/json")
+	// With its length the response is complete as soon as it is flushed.
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
 	w.Header().Set(HeaderCode, strconv.Itoa(int(info.Code)))
 	w.WriteHeader(info.Status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(encoded)
 }
 
 // hopByHopHeaders apply to a single connection. A proxy must not forward them.
