proxy: one reader has the caller's body while it is passed on

The same fault as in package gateway, in the front for services with owned slots: net/http reads up to 256 kB of the body beside http.Transport once the response begins.

It shows with answers that are streamed (over the buffer limit).

Change: full duplex for streamed bodies; the body is an upload that can be read by one goroutine at a time and not at all once the request has ended, since http.Transport may go on reading after the response. A response that begins before the end of the body carries "Connection: close".

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -125,7 +125,7 @@
 			return nil, err
 		}
 		resp, err := a.proxy.transport(a.dispatch.Class, a.dispatch.MaxConnections).RoundTrip(req)
-		if err == nil || a.ctx.Err() != nil || a.exchange.streamedBody != nil || !a.choseClosedConn() {
+		if err == nil || a.ctx.Err() != nil || a.exchange.upload != nil || !a.choseClosedConn() {
 			return resp, err
 		}
 	}
@@ -171,8 +171,8 @@
 	// http.Transport retries GET requests and requests with an Idempotency-Key
 	// by itself. It cannot retry a request that has a body but no GetBody.
 	req.GetBody = nil
-	if a.exchange.streamedBody != nil {
-		req.Body = io.NopCloser(a.pacedBody(a.exchange.streamedBody))
+	if a.exchange.upload != nil {
+		req.Body = io.NopCloser(a.pacedBody(a.exchange.upload))
 		req.ContentLength = incoming.ContentLength
 		return req, nil
 	}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -46,9 +46,9 @@
 	// bufferedBody is the request body, or its first part if the body is
 	// streamed.
 	bufferedBody []byte
-	// streamedBody reads the whole request body if it is too large to be
-	// buffered. It is nil for a buffered body.
-	streamedBody      io.Reader
+	// upload is the whole request body if it is too large to be buffered. It is nil
+	// for a buffered body.
+	upload            *upload
 	hasIdempotencyKey bool
 	// held is what the request holds of the proxy's memory budget. Only the goroutine
 	// that serves the request uses it.
@@ -87,6 +87,7 @@
 	p.exchanges.Store(e.id, e)
 	defer p.exchanges.Delete(e.id)
 	if err := p.control.Submit(arrived); err != nil {
+		e.beforeResponse()
 		// The control goroutine did not receive the event, so that the request
 		// cannot be executed.
 		code := result.ControlQueueFull
@@ -97,6 +98,7 @@
 		p.telemetry.ObserveRequest(arrived.Tenant, service, model.Short, code, time.Since(start))
 		return
 	}
+	defer e.endUpload()
 	e.run(arrived, start)
 }
 
@@ -158,13 +160,20 @@
 	if e.request.ContentLength > maxBodyBytes {
 		return &result.Error{Code: result.BodyTooLarge}
 	}
-	limited := http.MaxBytesReader(e.writer, e.request.Body, maxBodyBytes)
+	// The writer is not passed on: the reader would write to its header from the goroutine
+	// of the upload.
+	limited := http.MaxBytesReader(nil, e.request.Body, maxBodyBytes)
 	buffered, err := e.held.ReadUpTo(limited, memory.Requests, maxBufferedBodyBytes, e.request.ContentLength)
 	switch {
 	case err == nil:
 		ev.Replayable = true
 	case errors.Is(err, io.ErrShortBuffer):
-		e.streamedBody = io.MultiReader(bytes.NewReader(buffered), limited)
+		e.upload = &upload{body: io.MultiReader(bytes.NewReader(buffered), limited)}
+		// Without this, net/http reads the caller's body itself before it writes the
+		// head of a response.
+		if err := http.NewResponseController(e.writer).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			return result.Errorf(result.Internal, "%v", err)
+		}
 	case errors.Is(err, memory.ErrExhausted):
 		return &result.Error{Code: result.MemoryFull}
 	default:
@@ -244,10 +253,12 @@
 		}
 		return result.Success, e.class, true
 	case c.answer != nil:
+		e.beforeResponse()
 		writeRecordedAnswer(e.writer, c.answer)
 		return result.Success, model.Short, true
 	}
 	if !e.progress.headersWritten {
+		e.beforeResponse()
 		WriteError(e.writer, &result.Error{Code: c.code})
 	}
 	return c.code, e.class, true
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -134,6 +134,7 @@
 	for name := range resp.Trailer {
 		header.Add("Trailer", name)
 	}
+	a.exchange.beforeResponse()
 	w.WriteHeader(resp.StatusCode)
 }
 
