gateway: the rest of a body follows an answer that came early

Callers saw: nothing wrong; the upstream saw a body that broke off, because the connection was closed as soon as its answer was complete, although it was still reading and the caller still sending.

Cause: a response that was complete before the body ended made the connection unusable for other requests, and it was closed at once, for buffered and for streamed answers.

The fake caller now keeps its connection until it has sent everything.

Change: if the upstream answers the request, the upload goes on after the response, until the end of the body or the deadline, and the connection is closed then. It ends at once if the request is rejected, refused or canceled.

--- a/internal/fake/upload.go
+++ b/internal/fake/upload.go
@@ -40,7 +40,7 @@
 }
 
 // Send sends the request to an address and returns the response with its body, read until
-// the body ended or broke off.
+// the body ended or broke off. The connection stays open until the whole request is sent.
 func (u *Upload) Send(address string) (*http.Response, []byte, error) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -48,7 +48,12 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
-	go u.write(conn)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		u.write(conn)
+	}()
+	defer func() { <-written }()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return nil, nil, err
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -310,6 +310,9 @@
 	if e.remainingBody != nil {
 		h.Set("Connection", "close")
 	}
+	if e.upload != nil {
+		e.upload.unwanted = true
+	}
 	proxy.WriteError(e.writer, &result.Error{Code: r.Code})
 	return r.Code
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -118,9 +118,9 @@
 	g.exchanges.Store(e.id, e)
 	defer g.exchanges.Delete(e.id)
 	code := e.run()
-	e.endUpload()
 	route, _ := e.metricLabels(view)
 	g.telemetry.ObserveRoutedRequest(route.name, route.kind, code, time.Since(start))
+	e.endUpload()
 	if e.truncated {
 		// Aborts the connection, so that the caller notices that the response
 		// is incomplete.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -115,7 +115,8 @@
 // close the connection.
 func (e *exchange) roundTrip(conn *upstreamConn, f *event.Forward, ended *event.SendEnded) error {
 	g := e.gateway
-	if err := conn.SetDeadline(time.Now().Add(f.Deadline.Sub(g.now()) + deadlineMargin)); err != nil {
+	deadline := time.Now().Add(f.Deadline.Sub(g.now()) + deadlineMargin)
+	if err := conn.SetDeadline(deadline); err != nil {
 		return err
 	}
 	encoded, err := e.encodeRequest(f)
@@ -149,14 +150,13 @@
 	if err := e.readBody(resp, f.BufferLimit, ended); err != nil {
 		return err
 	}
-	if !e.upload.complete() {
-		// The upstream responded before it received the complete body, so that no
-		// other request can be sent on this connection.
-		resp.Close = true
-	}
 	// A pooled connection may be in use by another request, so cancelSend must not
 	// find it any more.
-	if !e.setConn(nil) || resp.Close || conn.reader.Buffered() > 0 {
+	canceled := !e.setConn(nil)
+	if !canceled && e.outliveResponse(ended, deadline) {
+		return nil
+	}
+	if canceled || resp.Close || conn.reader.Buffered() > 0 || !e.upload.complete() {
 		g.pool.discard(conn)
 		return nil
 	}
--- a/pkg/gateway/upload.go
+++ b/pkg/gateway/upload.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/anvilcrank/anvilcrank/pkg/event"
 )
 
 // maxDiscardTime is how long a caller may go on sending a request body that nobody wants
@@ -23,6 +25,12 @@
 	// err is why the body was not passed on to its end. It may be read when done is
 	// closed.
 	err error
+	// outlivesResponse is set when the upstream has answered before the end of the body.
+	// The rest is still passed on, until deadline, and then the connection is closed.
+	outlivesResponse bool
+	deadline         time.Time
+	// unwanted is set when the request is rejected after all.
+	unwanted bool
 }
 
 // startUpload starts to write the request body to an upstream.
@@ -87,17 +95,52 @@
 	}
 }
 
-// endUpload ends the upload, if there is one, so that nothing uses the request after it was
-// served.
+// outliveResponse lets the upload go on after the response that has just been read, and
+// reports whether it does. An upstream that executes the request may answer early and read
+// on.
+func (e *exchange) outliveResponse(ended *event.SendEnded, deadline time.Time) bool {
+	if e.upload.complete() || ended.Outcome != event.SendAnswered && ended.Outcome != event.SendStreamed {
+		return false
+	}
+	e.upload.outlivesResponse, e.upload.deadline = true, deadline
+	return true
+}
+
+// endUpload waits for the end of an upload that outlives the response, and ends any other
+// one, so that nothing uses the request after it was served.
 func (e *exchange) endUpload() {
-	if e.upload.complete() {
+	u := e.upload
+	if u == nil {
+		return
+	}
+	if u.outlivesResponse {
+		defer e.gateway.pool.discard(u.conn)
+	}
+	if u.complete() {
 		return
 	}
-	_ = e.upload.conn.Close()
 	controller := http.NewResponseController(e.writer)
 	// Errors mean that the caller has disconnected, or that its connection has no
 	// deadlines, as in tests.
 	_ = controller.Flush()
+	if u.outlivesResponse && !u.unwanted && u.waitUntil(u.deadline, e.gateway.control.Done()) {
+		return
+	}
+	_ = u.conn.Close()
 	_ = controller.SetReadDeadline(time.Now().Add(maxDiscardTime))
-	<-e.upload.done
+	<-u.done
+}
+
+// waitUntil waits until the upload has ended, and returns false if it has not by the
+// deadline or when stopped is closed.
+func (u *upload) waitUntil(deadline time.Time, stopped <-chan struct{}) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-u.done:
+		return true
+	case <-timer.C:
+	case <-stopped:
+	}
+	return false
 }
