gateway: a body that cannot be read on ends its request

Callers saw: a chunked body with a malformed chunk, or with more bytes than maxBodyBytes, after its first 256 kB got no answer until the deadline, and the upstream waited for the rest as long.

Cause: the goroutine that passes the body on kept its read error to itself; only an error of the caller's connection ends a request on its own.

Evidence: "body that breaks a rule in its streamed part ends the request" failed for both entries (no answer within 1 s, the deadline is 10 s). Ruled out: a caller that leaves in the middle of the body; the spec for it passed on the code before and is kept.

Change: the upload reports the request as canceled, which closes the connection to the upstream, so that the body is visibly cut there; the caller gets 413 or 400.

Result: the specs pass, also with -race.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -29,8 +29,7 @@
 )
 
 // exchange is a caller's request and the response to it. Its methods are called by
-// the goroutine that serves the request, except for cancelSend and
-// writeStreamedBody.
+// the goroutine that serves the request, except for cancelSend.
 type exchange struct {
 	gateway  *Gateway
 	id       model.RequestID
@@ -303,6 +302,9 @@
 	if e.started {
 		return r.Code
 	}
+	if code := e.bodyFault(); code != result.Success {
+		r = &event.Reject{Request: r.Request, Code: code}
+	}
 	h := e.writer.Header()
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -292,9 +292,9 @@
 	}
 	e.held.Shrink(bodyBytes)
 	e.heldResponse -= bodyBytes
-	body := &upstreamBody{Reader: resp.Body}
+	body := &trackedReader{Reader: resp.Body}
 	_, err = io.CopyBuffer(caller, body, e.copyBuffer())
-	ended.Truncated = body.readFailed
+	ended.Truncated = body.err != nil
 	return err
 }
 
@@ -334,16 +334,18 @@
 	return n, nil
 }
 
-// upstreamBody records whether a read from the upstream failed. io.CopyBuffer
-// returns one error for failed reads and for failed writes to the caller.
-type upstreamBody struct {
+// trackedReader records why a read failed. io.CopyBuffer returns one error for failed
+// reads and for failed writes.
+type trackedReader struct {
 	io.Reader
-	readFailed bool
+	err error
 }
 
 // Read implements io.Reader.
-func (b *upstreamBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	b.readFailed = err != nil && !errors.Is(err, io.EOF)
+func (r *trackedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
 	return n, err
 }
--- a/pkg/gateway/upload.go
+++ b/pkg/gateway/upload.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
 // maxDiscardTime is how long a caller may go on sending a request body that nobody wants
@@ -22,9 +23,10 @@
 type upload struct {
 	conn *upstreamConn
 	done chan struct{}
-	// err is why the body was not passed on to its end. It may be read when done is
-	// closed.
-	err error
+	// err is why the body was not passed on to its end. It and body may be read when done
+	// is closed.
+	err  error
+	body trackedReader
 	// outlivesResponse is set when the upstream has answered before the end of the body.
 	// The rest is still passed on, until deadline, and then the connection is closed.
 	outlivesResponse bool
@@ -35,36 +37,39 @@
 
 // startUpload starts to write the request body to an upstream.
 func (e *exchange) startUpload(conn *upstreamConn) {
-	u := &upload{conn: conn, done: make(chan struct{})}
+	u := &upload{conn: conn, done: make(chan struct{}),
+		body: trackedReader{Reader: io.MultiReader(bytes.NewReader(e.bufferedBody), e.remainingBody)}}
 	e.upload = u
 	buffer := e.copyBuffer()
 	go func() {
-		defer close(u.done)
-		u.err = e.writeStreamedBody(conn, buffer)
+		u.err = u.run(e.request.ContentLength, buffer)
+		close(u.done)
+		if u.body.err != nil {
+			// The request can never be complete.
+			e.gateway.control.Report(event.RequestCanceled{ID: e.id})
+		}
 	}()
 }
 
-// writeStreamedBody writes a request body that is only partly buffered to the
-// upstream through the buffer. It uses chunked encoding if the length of the body is
-// unknown.
-func (e *exchange) writeStreamedBody(conn *upstreamConn, buffer []byte) error {
-	body := io.MultiReader(bytes.NewReader(e.bufferedBody), e.remainingBody)
-	if e.request.ContentLength >= 0 {
-		n, err := io.CopyBuffer(conn, body, buffer)
-		if err == nil && n != e.request.ContentLength {
+// run writes the body to the upstream through the buffer. It uses chunked encoding if the
+// length of the body is unknown, which is then negative.
+func (u *upload) run(length int64, buffer []byte) error {
+	if length >= 0 {
+		n, err := io.CopyBuffer(u.conn, &u.body, buffer)
+		if err == nil && n != length {
 			err = io.ErrUnexpectedEOF
 		}
 		return err
 	}
 	for {
-		n, err := body.Read(buffer)
+		n, err := u.body.Read(buffer)
 		if n > 0 {
-			if _, writeErr := fmt.Fprintf(conn, "%x\r\n%s\r\n", n, buffer[:n]); writeErr != nil {
+			if _, writeErr := fmt.Fprintf(u.conn, "%x\r\n%s\r\n", n, buffer[:n]); writeErr != nil {
 				return writeErr
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			_, err = io.WriteString(conn, "0\r\n\r\n")
+			_, err = io.WriteString(u.conn, "0\r\n\r\n")
 			return err
 		}
 		if err != nil {
@@ -73,14 +78,30 @@
 	}
 }
 
+// bodyFault returns the result code for a request whose body cannot be read to its end
+// although the caller is still there, result.Success for any other request.
+func (e *exchange) bodyFault() result.Code {
+	u := e.upload
+	var tooLarge *http.MaxBytesError
+	switch {
+	case u == nil || !u.hasEnded() || u.body.err == nil || e.request.Context().Err() != nil:
+		return result.Success
+	case errors.As(u.body.err, &tooLarge):
+		return result.BodyTooLarge
+	}
+	return result.MalformedRequest
+}
+
 // complete reports whether the whole body has been passed on. A nil upload is complete.
 func (u *upload) complete() bool {
-	if u == nil {
-		return true
-	}
+	return u == nil || u.hasEnded() && u.err == nil
+}
+
+// hasEnded reports whether the upload has ended, whole or not.
+func (u *upload) hasEnded() bool {
 	select {
 	case <-u.done:
-		return u.err == nil
+		return true
 	default:
 		return false
 	}
