fleet: apply an order that may be old only once its caller has confirmed it

Callers saw: the order to end an evacuation, held up by the network for 2 s or more, was applied after its caller had left, had been acknowledged elsewhere and had started the evacuation again; the zone got all its requests again.

Cause: the basis of a command, which later orders must not exceed, was the log position at the arrival of the order. Bytes or whole connections that come late look new.

Evidence: submitted late in virtual time, without connections, the order does the same: TestOrderThatTheNetworkHeldUpDoesNotOvertakeLaterOrders and TestRefusedChangeThatTheNetworkHeldUpIsNotApplied failed on the code before.

Change: an order that could undo what was decided before is answered with 4011 (307) and the log position. The caller sends it again with that position as its basis, which proves that it still waited then; the proof needs no bound on delays. Overtaken commands are no longer proposed again on a newer basis.

--- a/node.go
+++ b/node.go
@@ -271,21 +271,33 @@
 	})
 }
 
+// ConfirmationError is returned for an order that may be older than others that were
+// applied since. It was not applied. A caller that still waits repeats the order with
+// Position as confirmedAt.
+type ConfirmationError struct{ Position uint64 }
+
+// Error implements the error interface.
+func (e *ConfirmationError) Error() string { return e.Unwrap().Error() }
+
+// Unwrap returns the error with the result code.
+func (e *ConfirmationError) Unwrap() error { return &result.Error{Code: result.ConfirmationNeeded} }
+
 // ChangeItems applies a change of configuration items. It returns nil once a
-// majority of the control group has synced the change.
-func (n *Node) ChangeItems(ctx context.Context, items []model.Item) error {
-	receivedAt := n.loop.Clock().Now()
+// majority of the control group has synced the change. confirmedAt is 0, or the position of
+// a ConfirmationError that the caller got for the same change.
+func (n *Node) ChangeItems(ctx context.Context, items []model.Item, confirmedAt uint64) error {
+	receipt := event.Receipt{At: n.loop.Clock().Now(), ConfirmedAt: confirmedAt}
 	return n.call(ctx, func(id event.CallID) event.Body {
-		return event.ItemsProposed{Call: id, Items: items, ReceivedAt: receivedAt}
+		return event.ItemsProposed{Call: id, Items: items, Receipt: receipt}
 	})
 }
 
 // Evacuate starts the evacuation of a zone, whose upstreams then receive no new
-// requests, or ends it if active is false.
-func (n *Node) Evacuate(ctx context.Context, zone model.Zone, active bool) error {
-	receivedAt := n.loop.Clock().Now()
+// requests, or ends it if active is false. confirmedAt is as for ChangeItems.
+func (n *Node) Evacuate(ctx context.Context, zone model.Zone, active bool, confirmedAt uint64) error {
+	receipt := event.Receipt{At: n.loop.Clock().Now(), ConfirmedAt: confirmedAt}
 	return n.call(ctx, func(id event.CallID) event.Body {
-		return event.EvacuationProposed{Call: id, Zone: zone, Active: active, ReceivedAt: receivedAt}
+		return event.EvacuationProposed{Call: id, Zone: zone, Active: active, Receipt: receipt}
 	})
 }
 
@@ -330,6 +342,8 @@
 		return result.Errorf(result.Internal, "unexpected reply %T", e)
 	case reply.Code == result.Success:
 		return nil
+	case reply.Code == result.ConfirmationNeeded:
+		return &ConfirmationError{Position: reply.ConfirmedAt}
 	}
 	return &result.Error{Code: reply.Code, Detail: reply.Detail}
 }
--- a/node_test.go
+++ b/node_test.go
@@ -106,7 +106,7 @@
 		{Key: model.ItemKey{Kind: model.RouteItem, Name: "r"}, Version: 1, Document: []byte("r"), Route: &model.Route{
 			Host: "h", Prefix: "/a/", Timeout: 20 * time.Second, MaxAttempts: 1, Splits: []model.Split{{Service: "s", Weight: 1}}}},
 	}
-	g.Eventually(func() error { return control[1].ChangeItems(ctx, change) }).WithTimeout(20 * time.Second).Should(Succeed())
+	g.Eventually(func() error { return control[1].ChangeItems(ctx, change, 0) }).WithTimeout(20 * time.Second).Should(Succeed())
 	g.Expect(control[2].Heartbeat(ctx, model.Registration{ID: "u", Service: "s", Zone: "z", Slots: 4, StartTimeMs: 1, Sequence: 1,
 		Address: upstream.Listener.Addr().String()})).To(Succeed())
 	call := func(path string) (int, string) {
--- a/operations_test.go
+++ b/operations_test.go
@@ -88,7 +88,7 @@
 			Splits: []model.Split{{Service: model.ServiceName(service), Weight: 1}}}}
 	}
 	change := []model.Item{service("s"), service("empty"), route("a", "s"), route("b", "empty")}
-	g.Eventually(func() error { return control.ChangeItems(ctx, change) }).WithTimeout(20 * time.Second).Should(Succeed())
+	g.Eventually(func() error { return control.ChangeItems(ctx, change, 0) }).WithTimeout(20 * time.Second).Should(Succeed())
 	g.Expect(control.Heartbeat(ctx, model.Registration{ID: "u", Service: "s", Zone: "z", Slots: 4, StartTimeMs: 1, Sequence: 1,
 		Address: upstream.Listener.Addr().String()})).To(Succeed())
 	call := func(path, attemptID string) int {
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -18,7 +18,8 @@
 	Incarnation model.Incarnation
 	Call        uint64
 	// Conditional is true if the command takes effect only if it was not overtaken after
-	// Basis, the log position that Origin had applied when the call arrived. A change of
+	// Basis, the log position that was applied when the caller surely still waited, or when
+	// the call arrived if NeedsConfirmation was false for it. A change of
 	// items is overtaken if the same change was rejected since, an evacuation if another
 	// start or end for the zone was applied since, also one that repeated the state. The
 	// caller of a command that is
@@ -175,6 +176,17 @@
 	return Result{ChangedEvacuations: []model.Evacuation{e}}
 }
 
+// NeedsConfirmation reports whether a command could undo what was decided since its caller
+// left, if the network has delivered the call late: it would change a zone for which another
+// start or end was applied before, or apply a change that may have been rejected. A command
+// for which it is false has no effect if that is different when it is applied.
+func (s *State) NeedsConfirmation(c *Command) bool {
+	if e := c.Evacuation; e != nil {
+		return s.orders[e.Zone] > 0 && s.evacuations[e.Zone].Active != e.Active
+	}
+	return slices.ContainsFunc(c.Items, s.isNewer) && s.rejections.since(0, c.Items)
+}
+
 // isNewer reports whether the version of an item is above the current one.
 func (s *State) isNewer(i model.Item) bool {
 	current, ok := s.items[i.Key]
--- a/pkg/event/fleet.go
+++ b/pkg/event/fleet.go
@@ -22,12 +22,21 @@
 	StartTimeMs int64 `cbor:"Born"`
 }
 
+// Receipt is what is known about the receipt of an operator's call. A network can deliver a
+// call long after its caller has left.
+type Receipt struct {
+	// At is when the call was received, 0 if that is not known.
+	At model.Time
+	// ConfirmedAt is the log position that was applied when the caller was asked to send
+	// the call again, 0 if this is not such a call. The caller has not left before.
+	ConfirmedAt uint64
+}
+
 // ItemsProposed carries an operator's change of configuration items.
 type ItemsProposed struct {
-	Call  CallID
-	Items []model.Item
-	// ReceivedAt is when the call was received, 0 if that is not known.
-	ReceivedAt model.Time
+	Call    CallID
+	Items   []model.Item
+	Receipt Receipt
 }
 
 // EvacuationProposed carries an operator's order to start or end the evacuation of
@@ -36,9 +45,8 @@
 	Call CallID
 	Zone model.Zone
 	// Active is true to start the evacuation and false to end it.
-	Active bool
-	// ReceivedAt is when the call was received, 0 if that is not known.
-	ReceivedAt model.Time
+	Active  bool
+	Receipt Receipt
 }
 
 // CallCanceled reports that the caller of a call no longer waits for the reply.
@@ -80,6 +88,9 @@
 	Call   CallID
 	Code   result.Code
 	Detail string
+	// ConfirmedAt is set with result.ConfirmationNeeded: the value for the Receipt of the
+	// call if the caller sends it again.
+	ConfirmedAt uint64
 }
 
 // ItemsReply answers an ItemsRequested event.
--- a/pkg/event/process.go
+++ b/pkg/event/process.go
@@ -77,13 +77,16 @@
 	// ProcessPauses counts the times at which a control instance noticed that its
 	// process had not run for some time.
 	ProcessPauses
+	// ConfirmationsAsked counts calls of operators that may be old, whose callers were asked
+	// to confirm them.
+	ConfirmationsAsked
 	// NumCounters is the number of counters.
 	NumCounters
 )
 
 // String returns the metric name of the counter.
 func (c Counter) String() string {
-	return [...]string{"late_answers", "retries", "hedges", "invariant_failures", "permits_granted", "process_pauses"}[c]
+	return [...]string{"late_answers", "retries", "hedges", "invariant_failures", "permits_granted", "process_pauses", "confirmations_asked"}[c]
 }
 
 // Gauge identifies a metric that holds a number of upstreams of a service.
--- a/pkg/fleet/orders_test.go
+++ b/pkg/fleet/orders_test.go
@@ -95,6 +95,61 @@
 	})
 }
 
+// An order that the network holds up, within a connection or together with it, looks new
+// when it arrives. It must not take effect after its caller has left, sent it to another
+// instance and then ordered the opposite.
+func TestOrderThatTheNetworkHeldUpDoesNotOvertakeLaterOrders(t *testing.T) {
+	RegisterTestingT(t)
+	forEachControl(func(s *sim, late model.InstanceID, others []model.InstanceID, _ bool) {
+		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
+		s.keepLeases(others[0], time.Second)
+		// The order to end the evacuation is on its way to the late instance.
+		s.run(operatorTimeout)
+		Expect(s.orderUntilClear(others, evacuate("a1", false))).To(Equal(result.Success))
+		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
+		s.keepLeases(others[0], 2*time.Second)
+		s.submit(late, evacuate("a1", false))
+		s.keepLeases(others[0], 4*time.Second)
+		expectEvacuated(s, late)
+		Expect(s.orderUntilClear([]model.InstanceID{late}, evacuate("a1", false))).To(Equal(result.Success))
+	})
+}
+
+// A change that was refused as invalid must not come into force later because the network
+// delivers another copy of it when it has become valid.
+func TestRefusedChangeThatTheNetworkHeldUpIsNotApplied(t *testing.T) {
+	RegisterTestingT(t)
+	forEachControl(func(s *sim, late model.InstanceID, others []model.InstanceID, _ bool) {
+		invalid, archives := routeToArchives()
+		Expect(s.orderUntilClear(others, proposeItems(invalid))).To(Equal(result.InvalidChange))
+		Expect(s.orderUntilClear(others, proposeItems(archives))).To(Equal(result.Success))
+		s.run(2 * time.Second)
+		s.submit(late, proposeItems(invalid))
+		s.run(2 * time.Second)
+		Expect(s.itemVersions(others[0])).NotTo(HaveKey("archive"))
+		Expect(s.orderUntilClear([]model.InstanceID{late}, proposeItems(invalid))).To(Equal(result.Success), "sent again by its caller")
+	})
+}
+
+// The confirmation of an order can be held up as well.
+func TestConfirmationThatTheNetworkHeldUpDoesNotOvertakeLaterOrders(t *testing.T) {
+	RegisterTestingT(t)
+	forEachControl(func(s *sim, late model.InstanceID, others []model.InstanceID, _ bool) {
+		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
+		s.run(time.Second)
+		asked := s.submit(late, evacuate("a1", false))
+		s.run(100 * time.Millisecond)
+		Expect(s.replies[asked]).To(HaveField("Code", result.ConfirmationNeeded))
+		s.run(operatorTimeout)
+		Expect(s.orderUntilClear(others, evacuate("a1", false))).To(Equal(result.Success))
+		Expect(s.orderUntilClear(others, evacuate("a1", true))).To(Equal(result.Success))
+		s.keepLeases(others[0], time.Second)
+		s.submit(late, confirm(evacuate("a1", false), s.replies[asked].(event.CallReply).ConfirmedAt))
+		s.keepLeases(others[0], 4*time.Second)
+		expectEvacuated(s, late)
+	})
+}
+
 // The clock of the events does not count the time for which a machine is suspended, and an
 // order can wait for long in the queue of the reducer. Both make its age unknown.
 func TestOrderOfUnknownAgeIsNotApplied(t *testing.T) {
@@ -114,7 +169,7 @@
 	receivedAt := s.now
 	s.run(700 * time.Millisecond)
 	waited := func(c event.CallID) event.Body {
-		return event.ItemsProposed{Call: c, Items: []model.Item{route("q", 16)}, ReceivedAt: receivedAt}
+		return event.ItemsProposed{Call: c, Items: []model.Item{route("q", 16)}, Receipt: event.Receipt{At: receivedAt}}
 	}
 	Expect(s.call("core-c1", ackTimeout, waited)).To(Equal(result.ChangeAgeUnknown))
 	Expect(s.itemVersions("core-a1")).To(HaveKeyWithValue("q", BeEquivalentTo(14)))
--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -18,10 +18,6 @@
 	// before it answers the call with ChangeUnknown. The operator may then retry
 	// the change at any control instance.
 	proposalTimeout = 4 * time.Second
-	// reproposalTime is how long after its arrival a call whose command was overtaken
-	// may be proposed once more, on the basis of what is applied by then. Callers wait
-	// for 1 s after they have sent a call, so that they are still waiting at this time.
-	reproposalTime = 500 * time.Millisecond
 	// proposalRetryInterval is the interval at which a proposal is sent to the
 	// leader again. The leader may have changed, or may not have received the
 	// proposal. Repeated proposals are harmless, since commands are idempotent.
@@ -34,11 +30,10 @@
 // proposal is a command that a call proposed and that this instance has not
 // applied yet.
 type proposal struct {
-	command   *catalog.Command
-	data      []byte
-	deadline  model.Time
-	retryAt   model.Time
-	startedAt model.Time
+	command  *catalog.Command
+	data     []byte
+	deadline model.Time
+	retryAt  model.Time
 }
 
 // pendingCalls holds the calls that have no result yet.
@@ -81,33 +76,32 @@
 }
 
 func (s *State) proposeItems(at model.Time, b event.ItemsProposed) {
-	if s.rejectsOrder(at, b.Call, b.ReceivedAt) {
-		return
-	}
-	s.propose(at, b.Call, &catalog.Command{Items: b.Items})
+	s.propose(at, b.Call, b.Receipt, &catalog.Command{Items: b.Items})
 }
 
 func (s *State) proposeEvacuation(at model.Time, b event.EvacuationProposed) {
-	if s.rejectsOrder(at, b.Call, b.ReceivedAt) {
-		return
-	}
-	s.propose(at, b.Call, &catalog.Command{Evacuation: &model.Evacuation{Zone: b.Zone, Active: b.Active}})
+	s.propose(at, b.Call, b.Receipt, &catalog.Command{Evacuation: &model.Evacuation{Zone: b.Zone, Active: b.Active}})
 }
 
 // propose sends a command to the leader of the replicated log. The call is
 // answered when this instance applies the command. By then, this instance and a
 // majority have synced the command to disk. The command takes effect only if it is not
-// overtaken from this time on, see catalog.Command.
-func (s *State) propose(at model.Time, call event.CallID, c *catalog.Command) {
+// overtaken since its basis, see catalog.Command. A command that could undo what was decided
+// since its caller left is proposed only if the caller has confirmed the call.
+func (s *State) propose(at model.Time, call event.CallID, receipt event.Receipt, c *catalog.Command) {
+	if s.rejectsOrder(at, call, receipt.At) {
+		return
+	}
 	c.Origin, c.Incarnation, c.Call = s.identity.ID, s.identity.Incarnation, uint64(call)
-	s.proposeOnBasis(at, &proposal{command: c, deadline: at.Add(proposalTimeout), startedAt: at})
-}
-
-// proposeOnBasis proposes a command on the basis of what this instance has applied.
-func (s *State) proposeOnBasis(at model.Time, p *proposal) {
-	c := p.command
-	c.Conditional, c.Basis = true, s.catalog.Position()
-	call := event.CallID(c.Call)
+	c.Conditional, c.Basis = true, receipt.ConfirmedAt
+	if c.Basis == 0 {
+		if s.catalog.NeedsConfirmation(c) {
+			s.askForConfirmation(call)
+			return
+		}
+		c.Basis = s.catalog.Position()
+	}
+	p := &proposal{command: c, deadline: at.Add(proposalTimeout)}
 	var err error
 	if p.data, err = s.codec.EncodeCommand(c); err != nil {
 		s.reply(call, result.MalformedChange, err.Error())
@@ -121,6 +115,17 @@
 	s.sendProposal(at, p)
 }
 
+// askForConfirmation answers a call whose caller may have left long ago. A caller that still
+// waits sends the call again with the position of the reply; whatever is decided after that
+// position overtakes it.
+func (s *State) askForConfirmation(call event.CallID) {
+	position := s.catalog.Position()
+	s.out.Add(event.Log{Code: logevent.ConfirmationAsked, Fields: []logevent.Field{
+		logevent.F("call", call), logevent.F("position", position)}})
+	s.out.Add(event.Count{Counter: event.ConfirmationsAsked, Add: 1})
+	s.out.Add(event.CallReply{Call: call, Code: result.ConfirmationNeeded, ConfirmedAt: position})
+}
+
 // cancelCall stops proposing the command of a call whose caller has left. A command that
 // was sent to the leader may still be applied, unless another one overtakes it.
 func (s *State) cancelCall(call event.CallID) { delete(s.calls.proposals, uint64(call)) }
@@ -218,26 +223,22 @@
 		s.replica.Forward(at, recordsForEntryInstances(r.ChangedItems, r.ChangedEvacuations), &s.out)
 	}
 	if c.Origin == s.identity.ID && c.Incarnation == s.identity.Incarnation {
-		s.answerProposal(at, c, r)
+		s.answerProposal(c, r)
 	}
 }
 
 // answerProposal answers the call for which this process proposed a command that was
-// applied. If other changes overtook the command, it is proposed once more as long as
-// the caller surely waits; later the caller has to send it again.
-func (s *State) answerProposal(at model.Time, c *catalog.Command, r catalog.Result) {
-	p := s.calls.proposals[c.Call]
-	switch {
-	case p == nil:
-	case r.Code == result.ChangeOvertaken && c.Basis != p.command.Basis:
-		// A newer proposal of the same call is on its way.
-	case r.Code == result.ChangeOvertaken && at < p.startedAt.Add(reproposalTime):
-		delete(s.calls.proposals, c.Call)
-		s.proposeOnBasis(at, p)
-	default:
-		delete(s.calls.proposals, c.Call)
-		s.reply(event.CallID(c.Call), r.Code, r.Detail)
+// applied. If other changes overtook the command, a caller that still waits may confirm it.
+func (s *State) answerProposal(c *catalog.Command, r catalog.Result) {
+	if s.calls.proposals[c.Call] == nil {
+		return
+	}
+	delete(s.calls.proposals, c.Call)
+	if r.Code == result.ChangeOvertaken {
+		s.askForConfirmation(event.CallID(c.Call))
+		return
 	}
+	s.reply(event.CallID(c.Call), r.Code, r.Detail)
 }
 
 // compact replaces the applied log entries by a snapshot after every
--- a/pkg/fleet/sim_test.go
+++ b/pkg/fleet/sim_test.go
@@ -424,17 +424,45 @@
 	}
 }
 
-// call submits a call to an instance and waits for its result. It returns
-// result.ChangeUnknown if no result arrives within the wait time.
+// maxConfirmations is how often the caller of an order confirms it at one instance.
+const maxConfirmations = 2
+
+// call submits a call to an instance and waits for its result. It confirms an order if the
+// instance asks for that. It returns result.ChangeUnknown if no result arrives within the
+// wait time.
 func (s *sim) call(id model.InstanceID, wait time.Duration, body func(event.CallID) event.Body) result.Code {
-	call := s.submit(id, body)
-	for end := s.now.Add(wait); s.now < end && s.replies[call] == nil; {
-		s.run(time.Millisecond)
+	end := s.now.Add(wait)
+	for range maxConfirmations + 1 {
+		call := s.submit(id, body)
+		for s.now < end && s.replies[call] == nil {
+			s.run(time.Millisecond)
+		}
+		r, ok := s.replies[call].(event.CallReply)
+		if !ok {
+			return result.ChangeUnknown
+		}
+		if r.Code != result.ConfirmationNeeded {
+			return r.Code
+		}
+		body = confirm(body, r.ConfirmedAt)
 	}
-	if r, ok := s.replies[call].(event.CallReply); ok {
-		return r.Code
+	return result.ConfirmationNeeded
+}
+
+// confirm returns the body of an order that its caller sends again.
+func confirm(body func(event.CallID) event.Body, confirmedAt uint64) func(event.CallID) event.Body {
+	return func(c event.CallID) event.Body {
+		switch b := body(c).(type) {
+		case event.EvacuationProposed:
+			b.Receipt.ConfirmedAt = confirmedAt
+			return b
+		case event.ItemsProposed:
+			b.Receipt.ConfirmedAt = confirmedAt
+			return b
+		default:
+			return b
+		}
 	}
-	return result.ChangeUnknown
 }
 
 // submit submits a call and returns its identifier without waiting.
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -83,15 +83,16 @@
 	SubscriptionsChanged Code = 407
 	PeerNotReached       Code = 408
 
-	ConfigInForce    Code = 501
-	ConfigSaveFailed Code = 502
-	ConfigFileBroken Code = 503
-	OperatorChange   Code = 504
-	CommandApplied   Code = 505
-	CallFailed       Code = 506
-	ReadinessChanged Code = 507
-	RecordsPulled    Code = 508
-	ItemsRead        Code = 509
+	ConfigInForce     Code = 501
+	ConfigSaveFailed  Code = 502
+	ConfigFileBroken  Code = 503
+	OperatorChange    Code = 504
+	CommandApplied    Code = 505
+	CallFailed        Code = 506
+	ReadinessChanged  Code = 507
+	RecordsPulled     Code = 508
+	ItemsRead         Code = 509
+	ConfirmationAsked Code = 510
 
 	AgreementStorageFailed Code = 601
 	AgreementLeader        Code = 602
@@ -153,6 +154,7 @@
 	{ReadinessChanged, "readiness_changed", LevelInfo, "this instance became ready for clients or is no longer ready"},
 	{RecordsPulled, "records_pulled", LevelInfo, "another instance answered a pull with the records that this instance lacked"},
 	{ItemsRead, "items_read", LevelInfo, "a call that reads the configuration was answered"},
+	{ConfirmationAsked, "confirmation_asked", LevelInfo, "an operator's order may be older than others that were applied; its caller was asked to send it again"},
 	{AgreementStorageFailed, "agreement_storage_failed", LevelError, "the data folder cannot be used; this member of the control group no longer votes"},
 	{AgreementLeader, "agreement_leader", LevelInfo, "this instance leads the control group"},
 	{AgreementSteppedDown, "agreement_stepped_down", LevelWarn, "this instance no longer leads the control group"},
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -73,6 +73,7 @@
 	ControlUnavailable Code = 4008
 	ChangeOvertaken    Code = 4009
 	ChangeAgeUnknown   Code = 4010
+	ConfirmationNeeded Code = 4011
 
 	Internal Code = 5001
 )
@@ -129,6 +130,7 @@
 	{ControlUnavailable, "control_unavailable", NotRun, 503, "no member of the control group is reachable"},
 	{ChangeOvertaken, "change_overtaken", NotRun, 503, "another change was applied since this one arrived; this one was not applied"},
 	{ChangeAgeUnknown, "change_age_unknown", NotRun, 503, "the process did not run for some time and cannot tell how old the change is; it was not applied"},
+	{ConfirmationNeeded, "confirmation_needed", NotRun, 307, "the change may be older than others that were applied; it was not applied; send it to the address in Location if it still holds"},
 	{Internal, "internal", OutcomeUnknown, 500, "internal error"},
 }
 
