node: an operator that ended its sending side gets the result of its order

Callers saw: 503 with a code of the class "not run" for an order that was sent over a connection whose sending side they had ended; the order was applied.

Cause: the call ended with the context of the request, which net/http cancels at the end of the caller's data, and was answered as if it had not been submitted.

Evidence: TestOrderThatMayBeOldIsAppliedOnlyOnceConfirmed with callers that end their sending side failed on the commit before (503).

An order of a caller that has left altogether is overtaken by what is decided since.

Result: the test passes.

--- a/node.go
+++ b/node.go
@@ -286,21 +286,27 @@
 // majority of the control group has synced the change. confirmedAt is 0, or the position of
 // a ConfirmationError that the caller got for the same change.
 func (n *Node) ChangeItems(ctx context.Context, items []model.Item, confirmedAt uint64) error {
-	receipt := event.Receipt{At: n.loop.Clock().Now(), ConfirmedAt: confirmedAt}
-	return n.call(ctx, func(id event.CallID) event.Body {
-		return event.ItemsProposed{Call: id, Items: items, Receipt: receipt}
+	return n.order(ctx, confirmedAt, func(id event.CallID, r event.Receipt) event.Body {
+		return event.ItemsProposed{Call: id, Items: items, Receipt: r}
 	})
 }
 
 // Evacuate starts the evacuation of a zone, whose upstreams then receive no new
 // requests, or ends it if active is false. confirmedAt is as for ChangeItems.
 func (n *Node) Evacuate(ctx context.Context, zone model.Zone, active bool, confirmedAt uint64) error {
-	receipt := event.Receipt{At: n.loop.Clock().Now(), ConfirmedAt: confirmedAt}
-	return n.call(ctx, func(id event.CallID) event.Body {
-		return event.EvacuationProposed{Call: id, Zone: zone, Active: active, Receipt: receipt}
+	return n.order(ctx, confirmedAt, func(id event.CallID, r event.Receipt) event.Body {
+		return event.EvacuationProposed{Call: id, Zone: zone, Active: active, Receipt: r}
 	})
 }
 
+// order makes the call of an order that was just received. It does not end with the context:
+// the caller may have ended only its sending side, and the order may be applied although it
+// has. The reducer bounds the time.
+func (n *Node) order(ctx context.Context, confirmedAt uint64, body func(event.CallID, event.Receipt) event.Body) error {
+	receipt := event.Receipt{At: n.loop.Clock().Now(), ConfirmedAt: confirmedAt}
+	return n.call(context.WithoutCancel(ctx), func(id event.CallID) event.Body { return body(id, receipt) })
+}
+
 // Items returns all configuration items.
 func (n *Node) Items(ctx context.Context) ([]model.Item, error) {
 	e, err := n.loop.Call(ctx, func(id event.CallID) event.Body { return event.ItemsRequested{Call: id} })
