gateway: a response without a valid status is a failure of the upstream

Callers saw: after an answer with status 000, 099 or +20 they got the bytes in its body as the answer (200) if they looked like one, and otherwise 502 once the upstream closed. 600 and 999 were passed on.

Cause: every status below 200 counted as informational and was skipped, so that the body was read as the next response; there was no upper limit.

Ruled out: two and four digits, which the parser refuses.

Change: one definition of what a status may be (pkg/proxy/status.go): 100 to 599, 101 never, since no upgrade is passed on. Anything else ends the send as lost, and the connection with it.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -256,8 +256,14 @@
 		headBytes := maxResponseHeadBytes - conn.head.remaining
 		e.held.Add(headBytes)
 		e.heldResponse += headBytes
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if err := proxy.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if !proxy.IsInformational(resp.StatusCode) {
+			return resp, nil
 		}
 	}
 	return nil, errTooManyInformational
