proxy: a response without a valid status is a failure of the upstream

Callers saw: after an answer with status 000, 099 or +20 a closed connection without an answer, for deposits and repeatable reads alike; 600, 999 and a 101 that nobody had asked for were passed on.

Cause: the status was passed to WriteHeader as it was, which panics below 100.

Change: such a response ends the attempt as lost after dispatch; the caller gets 502 and its outcome as unknown. A cancellation with such an answer is not confirmed, a recorded answer with such a status counts as not kept.

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -83,6 +83,15 @@
 		a.reportEnd(event.AttemptEnded{Result: a.classifyFailure(err)})
 		return
 	}
+	if err := CheckFinalStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		a.closeConn()
+		a.proxy.telemetry.Log(event.Log{Code: logevent.SendFailed, Fields: []logevent.Field{
+			logevent.F("request", a.dispatch.Request), logevent.F("address", a.dispatch.Address),
+			logevent.F("attempt", a.dispatch.Attempt.String()), logevent.F("error", err.Error())}})
+		a.reportEnd(event.AttemptEnded{Result: event.LostAfterDispatch})
+		return
+	}
 	refused := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) != ""
 	answers := resp.Header.Get(HeaderAttempt)
 	if answers != "" && answers != a.dispatch.Attempt.String() {
@@ -305,6 +314,9 @@
 		return event.CancelUnknown
 	}
 	defer resp.Body.Close()
+	if CheckFinalStatus(resp.StatusCode) != nil {
+		return event.CancelUnknown
+	}
 	var body struct {
 		State string `json:"state"`
 	}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -267,6 +267,11 @@
 // writeRecordedAnswer sends the caller the answer that the ledger has recorded
 // for the idempotency key.
 func writeRecordedAnswer(w http.ResponseWriter, a *model.Answer) {
+	if CheckFinalStatus(a.Status) != nil {
+		// An instance of an earlier version recorded it.
+		WriteError(w, &result.Error{Code: result.AnswerNotKept})
+		return
+	}
 	for _, f := range a.Header {
 		w.Header().Add(f.Name, f.Value)
 	}
