A panic of the goroutine of a request ends the request in the reducer

Callers saw: after an answer with status 000 the process of the product's own front did not end after SIGTERM any more.

Cause: the panic of WriteHeader ended the goroutine, and nothing reported the end of the attempt; its slot stayed occupied and the graceful stop waited for it.

Change: both fronts report the request as canceled and its send or attempt as lost, once, and log event 304 with the stack. A send or relay for a request that is gone is answered instead of dropped.

--- a/instance_test.go
+++ b/instance_test.go
@@ -23,6 +23,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 	"github.com/anvilcrank/anvilcrank/pkg/settings"
 )
 
@@ -316,6 +317,35 @@
 	g.Eventually(done, "3s").Should(Receive(BeNil()))
 }
 
+// Guards against an instance that never stops because a response with an invalid status ended
+// the goroutine of its request.
+func TestInstanceStopsAfterAResponseWithAnInvalidStatus(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes longer than the lookup TTL")
+	}
+	g := NewWithT(t)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		defer conn.Close()
+		fmt.Fprint(conn, "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok")
+	}))
+	defer upstream.Close()
+	i, done := startInstance(t)
+	announce(t, i, "reads", upstream)
+	announce(t, i, "writes", upstream)
+	for _, service := range []string{"reads", "writes"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+i.Address()+"/s/"+service+"/x", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Header.Set(proxy.HeaderDeadline, "1000")
+		resp, err := http.DefaultClient.Do(req)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.Body.Close()).To(Succeed())
+		g.Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+	}
+	i.Stop()
+	g.Eventually(done, "8s").Should(Receive(BeNil()))
+}
+
 // Guards against a reducer whose effects depend on anything other than the
 // recorded events. A replay of the recording would then produce different
 // effects.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -57,6 +57,10 @@
 	// answered is true if response is the upstream's answer to the request, and not
 	// a refusal.
 	answered bool
+	// sending is the send in progress whose end was not reported yet, nil between sends.
+	sending *event.Forward
+	// endedInReducer is set when the reducer has ended the request.
+	endedInReducer bool
 	// started is set when the header of a streamed response is written to the
 	// caller. Nothing else may be written after it.
 	started bool
@@ -214,7 +218,9 @@
 func (e *exchange) execute(c command) (result.Code, bool) {
 	switch {
 	case c.forward != nil:
+		e.sending = c.forward
 		ended := e.send(c.forward)
+		e.sending = nil
 		e.answered = ended.Outcome == event.SendAnswered && e.response != nil
 		e.gateway.control.Report(ended)
 		return 0, false
@@ -227,6 +233,44 @@
 	return e.writeReject(c.reject), true
 }
 
+// endAfterPanic ends a request whose goroutine panics: in the reducer, which would wait for
+// it otherwise, and at the upstream. The caller's connection is aborted.
+func (e *exchange) endAfterPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	g := e.gateway
+	g.exchanges.Delete(e.id)
+	if !e.endedInReducer {
+		g.telemetry.Log(proxy.PanicEvent(e.attemptID(), cause))
+		g.control.Report(event.RequestCanceled{ID: e.id})
+		if f := e.sending; f != nil {
+			g.control.Report(event.SendEnded{Request: f.Request, Attempt: f.Attempt, Upstream: f.Upstream, UpstreamStartMs: f.UpstreamStartMs,
+				Outcome: event.SendLost})
+		}
+		e.cancelSend()
+		if conn := e.takeConn(); conn != nil {
+			g.pool.discard(conn)
+		}
+		if e.upload != nil {
+			e.upload.unwanted = true
+			e.endUpload()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// takeConn returns the connection of the send in progress, nil if there is none, and leaves
+// it to the caller.
+func (e *exchange) takeConn() *upstreamConn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	conn := e.conn
+	e.conn = nil
+	return conn
+}
+
 // cancelSend cancels the send in progress: it cancels the dial and closes the
 // connection if there is one. Every later send of the request fails before it
 // writes anything to an upstream.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -68,7 +68,14 @@
 }
 
 // Forward implements control.Forwarder.
-func (g *Gateway) Forward(f event.Forward) { g.enqueueCommand(f.Request, command{forward: &f}) }
+func (g *Gateway) Forward(f event.Forward) {
+	if g.enqueueCommand(f.Request, command{forward: &f}) {
+		return
+	}
+	// The goroutine that served the request panicked.
+	go g.control.Report(event.SendEnded{Request: f.Request, Attempt: f.Attempt, Upstream: f.Upstream, UpstreamStartMs: f.UpstreamStartMs,
+		Outcome: event.SendConnectFailed})
+}
 
 // Deliver implements control.Forwarder.
 func (g *Gateway) Deliver(d event.Deliver) { g.enqueueCommand(d.Request, command{deliver: true}) }
@@ -84,13 +91,15 @@
 }
 
 // enqueueCommand passes a command to the goroutine that serves the request. If
-// the request has ended, the command is dropped. enqueueCommand does not block:
-// a request has at most one send in progress, so at most commandQueueSize
-// commands are queued.
-func (g *Gateway) enqueueCommand(id model.RequestID, c command) {
-	if v, ok := g.exchanges.Load(id); ok {
+// the request has ended, the command is dropped and false returned. enqueueCommand
+// does not block: a request has at most one send in progress, so at most
+// commandQueueSize commands are queued.
+func (g *Gateway) enqueueCommand(id model.RequestID, c command) bool {
+	v, ok := g.exchanges.Load(id)
+	if ok {
 		v.(*exchange).commands <- c
 	}
+	return ok
 }
 
 // ServeHTTP implements http.Handler.
@@ -117,7 +126,9 @@
 	defer e.held.Release()
 	g.exchanges.Store(e.id, e)
 	defer g.exchanges.Delete(e.id)
+	defer e.endAfterPanic()
 	code := e.run()
+	e.endedInReducer = true
 	route, _ := e.metricLabels(view)
 	g.telemetry.ObserveRoutedRequest(route.name, route.kind, code, time.Since(start))
 	e.endUpload()
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -71,6 +71,7 @@
 	RequestRejected Code = 301
 	RequestRepeated Code = 302
 	SendFailed      Code = 303
+	RequestPanicked Code = 304
 
 	PeerConnected  Code = 401
 	PeerLost       Code = 402
@@ -137,6 +138,7 @@
 	{RequestRejected, "request_rejected", LevelInfo, "a routed request ended with an error response of this instance"},
 	{RequestRepeated, "request_repeated", LevelInfo, "a routed request is retried at another upstream"},
 	{SendFailed, "send_failed", LevelInfo, "a send to an upstream ended without a complete response"},
+	{RequestPanicked, "request_panicked", LevelError, "the goroutine that serves a request panicked; the caller's connection was closed and the request ended with an unknown outcome"},
 	{PeerConnected, "peer_connected", LevelInfo, "a connection to another instance was established"},
 	{PeerLost, "peer_lost", LevelWarn, "a connection to another instance was lost"},
 	{PeerBadMessage, "peer_bad_message", LevelWarn, "a message from another instance could not be decoded"},
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -55,6 +58,10 @@
 	held     memory.Holding
 	commands chan command
 	progress relayProgress
+	// relaying is the attempt whose response is relayed, nil before the first one.
+	relaying *attempt
+	// endedInReducer is set when the reducer has ended the request.
+	endedInReducer bool
 	// class is the class of work of the latest attempt whose response was
 	// relayed.
 	class model.Class
@@ -99,9 +106,34 @@
 		return
 	}
 	defer e.endUpload()
+	defer e.endAfterPanic()
 	e.run(arrived, start)
 }
 
+// PanicEvent returns the log event for a panic of the goroutine that serves a request.
+func PanicEvent(request any, cause any) event.Log {
+	return event.Log{Code: logevent.RequestPanicked, Fields: []logevent.Field{
+		logevent.F("request", request), logevent.F("cause", fmt.Sprint(cause)), logevent.F("stack", string(debug.Stack()))}}
+}
+
+// endAfterPanic ends a request whose goroutine panics in the reducer, which would wait for
+// it otherwise. The caller's connection is aborted.
+func (e *exchange) endAfterPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	e.proxy.exchanges.Delete(e.id)
+	if !e.endedInReducer {
+		e.proxy.telemetry.Log(PanicEvent(e.id, cause))
+		e.proxy.control.Report(event.RequestCanceled{ID: e.id})
+		if e.relaying != nil {
+			e.relaying.reportEnd(event.AttemptEnded{Result: event.Truncated, RelayedBytes: e.progress.sentBytes})
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // controlStopped reports whether the control goroutine has ended.
 func (p *Proxy) controlStopped() bool {
 	select {
@@ -203,6 +235,7 @@
 		if !ended {
 			continue
 		}
+		e.endedInReducer = true
 		e.proxy.telemetry.ObserveRequest(arrived.Tenant, arrived.Service, class, code, time.Since(start))
 		if (e.progress.headersWritten || c.relay != nil) && code != result.Success {
 			// Aborts the connection, so that the caller notices that the
@@ -244,7 +277,7 @@
 func (e *exchange) execute(c command) (code result.Code, class model.Class, ended bool) {
 	switch {
 	case c.relay != nil:
-		e.class = c.relay.dispatch.Class
+		e.class, e.relaying = c.relay.dispatch.Class, c.relay
 		switch c.relay.relay(e.writer) {
 		case relayTruncated:
 			return result.UpstreamLost, e.class, false
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -192,6 +192,11 @@
 func (p *Proxy) Relay(r event.Relay) {
 	if v, ok := p.attempts.Load(r.Attempt); ok {
 		a := v.(*attempt)
+		if p.findExchange(r.Request) == nil {
+			// The goroutine that served the request panicked.
+			go a.reportEnd(event.AttemptEnded{Result: event.Truncated})
+			return
+		}
 		a.bufferLimit = r.BufferLimit
 		a.extend(r.Deadline)
 		a.exchange.commands <- command{relay: a}
--- a/pkg/proxy/upload_test.go
+++ b/pkg/proxy/upload_test.go
@@ -24,10 +24,14 @@
 	address     string
 	bufferLimit int
 	ended       chan event.AttemptEnded
+	canceled    chan event.RequestCanceled
+	// finishFirst finishes the request when the response arrives, instead of relaying it.
+	finishFirst bool
 }
 
 func newForwardingControl(address string, bufferLimit int) *forwardingControl {
-	c := &forwardingControl{stubControl: newStubControl(nil), address: address, bufferLimit: bufferLimit, ended: make(chan event.AttemptEnded, 64)}
+	c := &forwardingControl{stubControl: newStubControl(nil), address: address, bufferLimit: bufferLimit,
+		ended: make(chan event.AttemptEnded, 64), canceled: make(chan event.RequestCanceled, 64)}
 	c.proxy = newProxy(c.stubControl)
 	c.proxy.SetControl(c)
 	return c
@@ -47,7 +51,13 @@
 
 func (c *forwardingControl) Report(b event.Body) {
 	switch b := b.(type) {
+	case event.RequestCanceled:
+		c.canceled <- b
 	case event.AttemptAnswered:
+		if c.finishFirst {
+			c.proxy.Finish(event.Finish{Request: b.Request, Code: result.UpstreamLost})
+			return
+		}
 		c.proxy.Relay(event.Relay{Request: b.Request, Attempt: b.Attempt, Deadline: c.deadline(), BufferLimit: c.bufferLimit})
 	case event.AttemptEnded:
 		c.ended <- b
