--- a/pkg/gateway/panic_test.go
+++ b/pkg/gateway/panic_test.go
@@ -39,7 +39,7 @@
 		}
 	}
 	Expect([]int{canceled, ended}).To(Equal([]int{1, 1}))
-	Consistently(c.reported).WithTimeout(100*time.Millisecond).ShouldNot(Receive(BeAssignableToTypeOf(event.SendEnded{})))
+	Consistently(c.reported).WithTimeout(100 * time.Millisecond).ShouldNot(Receive(BeAssignableToTypeOf(event.SendEnded{})))
 },
 	Entry("response streamed", 10),
 	Entry("response buffered", 1<<20),
--- a/pkg/proxy/upload_test.go
+++ b/pkg/proxy/upload_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -67,15 +68,23 @@
 	}
 }
 
+// handler serves requests with the proxy.
+func (c *forwardingControl) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.proxy.Serve(w, r, "writes", r.URL.Path) })
+}
+
 // start starts an HTTP server that serves requests with the proxy.
 func (c *forwardingControl) start() *httptest.Server {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.proxy.Serve(w, r, "writes", r.URL.Path)
-	}))
+	server := httptest.NewServer(c.handler())
 	DeferCleanup(server.Close)
 	return server
 }
 
+// attemptHeader returns the header line that names the attempt of a request.
+func attemptHeader(r *http.Request) string {
+	return proxy.HeaderAttempt + ": " + r.Header.Get(proxy.HeaderAttempt) + "\r\n"
+}
+
 // Guards against an upstream that answers early and gets a part of the body only, with a
 // proper end: net/http reads the caller's body too once the response begins.
 var _ = DescribeTable("upstream that answers before the end of the body gets the whole body", func(chunked bool, bodyBytes, pieceBytes, answerBytes, earlyBytes int) {
@@ -83,10 +92,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
 	received := make(chan fake.Received, 16)
-	upstream := &fake.EarlyAnswer{Answer: fake.Pattern(answerBytes), ReadBefore: 64_000, EarlyBytes: earlyBytes,
-		Header: func(r *http.Request) string {
-			return proxy.HeaderAttempt + ": " + r.Header.Get(proxy.HeaderAttempt) + "\r\n"
-		}}
+	upstream := &fake.EarlyAnswer{Answer: fake.Pattern(answerBytes), ReadBefore: 64_000, EarlyBytes: earlyBytes, Header: attemptHeader}
 	go upstream.Serve(l, received)
 	server := newForwardingControl(l.Addr().String(), 16<<10).start()
 	upload := fake.Upload{Path: "/x", Body: fake.Pattern(bodyBytes), Chunked: chunked, PieceBytes: pieceBytes,
@@ -111,3 +117,22 @@
 	Entry("640 kB with a length", false, 640_000, 32_000, 90_000, 30_000),
 	Entry("3 MB with a length, long answer", false, 3_000_000, 32_000, 2_000_000, 1_500_000),
 )
+
+// Guards against cutting a body whose upstream has answered early and reads on. Listed in
+// KNOWN-RED.txt.
+func TestBodyGoesOnAfterAWholeAnswer(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	received := make(chan fake.Received, 1)
+	upstream := &fake.EarlyAnswer{Answer: fake.Pattern(8_000), ReadBefore: 64_000, EarlyBytes: 8_000, Header: attemptHeader}
+	go upstream.Serve(l, received)
+	server := httptest.NewServer(newForwardingControl(l.Addr().String(), 16<<10).handler())
+	defer server.Close()
+	upload := fake.Upload{Path: "/x", Body: fake.Pattern(640_000), Chunked: true, PieceBytes: 32_000, Pause: 15 * time.Millisecond}
+	_, answer, err := upload.Send(server.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer).To(Equal(upstream.Answer))
+	g.Expect((<-received).Is(upload.Body)).To(BeTrue())
+}
