storage: read and rewrite the log record by record

Callers saw: a control process with a log of 97 MB needed more than 280 MiB to read it and was killed at each start; after a kill of all processes no configuration could be read.

Cause: the log was read as a whole, decoded as a whole, encoded into one record and copied once more; the contents stayed referenced after they were reported.

Change: one record is in memory at a time; a rewritten log has records of about 1 MB; the writer keeps no reference. The format is the same, logs with one large record are read.

--- a/pkg/control/storage_writer.go
+++ b/pkg/control/storage_writer.go
@@ -84,7 +84,7 @@
 // Run reports the contents of the data folder to the sink, and then executes
 // queued writes and calls of Reopen until the context ends.
 func (s *StorageWriter) Run(ctx context.Context, sink Sink) error {
-	sink.Report(s.loaded)
+	s.reportLoaded(sink)
 	for {
 		select {
 		case <-s.wake:
@@ -95,6 +95,13 @@
 	}
 }
 
+// reportLoaded reports the contents of the data folder and keeps no reference to them: the
+// log may be large, and is replaced by a snapshot.
+func (s *StorageWriter) reportLoaded(sink Sink) {
+	sink.Report(s.loaded)
+	s.loaded = event.StorageLoaded{}
+}
+
 // write opens the data folder again if that was requested, and executes all
 // queued Persist effects. It reports the sequence number of the last one as
 // persisted, or the error of the write.
@@ -108,7 +115,7 @@
 			_ = s.storage.Close()
 		}
 		_ = s.open() // loaded holds the error
-		sink.Report(s.loaded)
+		s.reportLoaded(sink)
 	}
 	if len(batch) == 0 || s.storage == nil {
 		return
--- a/pkg/storage/frame.go
+++ b/pkg/storage/frame.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -54,26 +56,44 @@
 	return digest.Sum64()
 }
 
-// readFrame decodes the frame at an offset of a file into value and returns the
-// offset after the frame. It returns errTorn if the frame may be an incomplete
-// write. If the frame is damaged in a way that an incomplete write cannot
-// explain, the error wraps ErrCorrupt.
-func readFrame(data []byte, offset int, value any) (int, error) {
-	remaining := data[offset:]
-	if len(remaining) < frameHeaderBytes {
+// frameReader reads the frames of a file one by one, so that no more than one of them is in
+// memory.
+type frameReader struct {
+	file io.ReaderAt
+	size int64
+	// payload is used again for each frame.
+	payload []byte
+}
+
+// read decodes the frame at an offset of the file into value and returns the offset after
+// the frame. It returns errTorn if the frame may be an incomplete write. If the frame is
+// damaged in a way that an incomplete write cannot explain, the error wraps ErrCorrupt.
+func (r *frameReader) read(offset int64, value any) (int64, error) {
+	var header [frameHeaderBytes]byte
+	if r.size-offset < frameHeaderBytes {
 		return 0, errTorn
 	}
-	size := binary.BigEndian.Uint32(remaining)
-	if ^size != binary.BigEndian.Uint32(remaining[4:]) || size > maxPayloadBytes {
-		return 0, classifyDamage(data, offset, offset+frameHeaderBytes)
+	if _, err := r.file.ReadAt(header[:], offset); err != nil {
+		return 0, fmt.Errorf("read record at %d: %w", offset, err)
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if ^size != binary.BigEndian.Uint32(header[4:]) || size > maxPayloadBytes {
+		return 0, classifyDamage(offset, header[:])
 	}
-	end := offset + frameHeaderBytes + int(size)
-	if end > len(data) {
+	payloadOffset := offset + frameHeaderBytes
+	end := payloadOffset + int64(size)
+	if end > r.size {
 		return 0, errTorn
 	}
-	payload := data[offset+frameHeaderBytes : end]
-	if checksum(remaining[:8], payload) != binary.BigEndian.Uint64(remaining[8:]) {
-		return 0, classifyDamage(data, offset, end)
+	if cap(r.payload) < int(size) {
+		r.payload = make([]byte, size)
+	}
+	payload := r.payload[:size]
+	if _, err := r.file.ReadAt(payload, payloadOffset); err != nil && !errors.Is(err, io.EOF) {
+		return 0, fmt.Errorf("read record at %d: %w", offset, err)
+	}
+	if checksum(header[:8], payload) != binary.BigEndian.Uint64(header[8:]) {
+		return 0, classifyDamage(offset, header[:], payload)
 	}
 	if err := decMode.Unmarshal(payload, value); err != nil {
 		return 0, fmt.Errorf("%w: record at %d: %v", ErrCorrupt, offset, err)
@@ -81,16 +101,19 @@
 	return end, nil
 }
 
-// classifyDamage returns errTorn if a sector of the damaged range reads as
-// zeros, since a crash may leave out sectors of an unsynced write. Otherwise
-// the data changed after it was written, and the error wraps ErrCorrupt.
-func classifyDamage(data []byte, begin, end int) error {
-	for sectorStart := begin; sectorStart < end; {
-		sectorEnd := min((sectorStart/sectorBytes+1)*sectorBytes, end)
-		if isZero(data[sectorStart:sectorEnd]) {
+// classifyDamage returns errTorn if a sector of the damaged range, which begins at an offset
+// of the file and consists of the parts, reads as zeros, since a crash may leave out sectors
+// of an unsynced write. Otherwise the data changed after it was written, and the error wraps
+// ErrCorrupt.
+func classifyDamage(begin int64, parts ...[]byte) error {
+	data := slices.Concat(parts...)
+	for start := 0; start < len(data); {
+		sector := (begin + int64(start)) / sectorBytes
+		end := min(int((sector+1)*sectorBytes-begin), len(data))
+		if isZero(data[start:end]) {
 			return errTorn
 		}
-		sectorStart = sectorEnd
+		start = end
 	}
 	return fmt.Errorf("%w: record at %d has a wrong checksum", ErrCorrupt, begin)
 }
--- a/pkg/storage/fs.go
+++ b/pkg/storage/fs.go
@@ -16,11 +16,18 @@
 	Sync() error
 }
 
+// SourceFile is a file of the data folder that is open for reading.
+type SourceFile interface {
+	io.ReaderAt
+	io.Closer
+}
+
 // FS is the interface to the files of the data folder. File names have no
 // directory part. Tests implement FS to inject faults.
 type FS interface {
-	// ReadFile returns fs.ErrNotExist for a file that does not exist.
-	ReadFile(name string) ([]byte, error)
+	// Open opens a file for reading and returns its size. It returns fs.ErrNotExist for a
+	// file that does not exist.
+	Open(name string) (SourceFile, int64, error)
 	// Create creates an empty file. It replaces an existing one.
 	Create(name string) (File, error)
 	// Rename renames a file. It replaces an existing one.
@@ -53,8 +60,19 @@
 
 func (f osFolder) path(name string) string { return filepath.Join(string(f), name) }
 
-// ReadFile implements FS.
-func (f osFolder) ReadFile(name string) ([]byte, error) { return os.ReadFile(f.path(name)) }
+// Open implements FS.
+func (f osFolder) Open(name string) (SourceFile, int64, error) {
+	file, err := os.Open(f.path(name))
+	if err != nil {
+		return nil, 0, err
+	}
+	info, err := file.Stat()
+	if err != nil {
+		_ = file.Close()
+		return nil, 0, err
+	}
+	return file, info.Size(), nil
+}
 
 // Create implements FS.
 func (f osFolder) Create(name string) (File, error) {
--- a/pkg/storage/memoryfs_test.go
+++ b/pkg/storage/memoryfs_test.go
@@ -1,6 +1,7 @@
 package storage_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"io/fs"
@@ -41,13 +42,18 @@
 	return nil
 }
 
-func (m *memoryFS) ReadFile(name string) ([]byte, error) {
+func (m *memoryFS) Open(name string) (storage.SourceFile, int64, error) {
 	if f, ok := m.files[name]; ok {
-		return slices.Clone(f.data), nil
+		return memorySource{bytes.NewReader(slices.Clone(f.data))}, int64(len(f.data)), nil
 	}
-	return nil, fs.ErrNotExist
+	return nil, 0, fs.ErrNotExist
 }
 
+// memorySource is a file of memoryFS that is open for reading.
+type memorySource struct{ *bytes.Reader }
+
+func (memorySource) Close() error { return nil }
+
 func (m *memoryFS) Create(name string) (storage.File, error) {
 	m.files[name] = &memoryFile{fs: m}
 	return m.files[name], m.countOperation()
--- a/pkg/storage/registrations.go
+++ b/pkg/storage/registrations.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -75,9 +76,10 @@
 		return nil, fmt.Errorf("load log of registrations: %w", err)
 	}
 	var list []model.Registration
-	for offset := 0; offset < len(data); {
+	frames := frameReader{file: bytes.NewReader(data), size: int64(len(data))}
+	for offset := int64(0); offset < frames.size; {
 		var record registrationRecord
-		next, err := readFrame(data, offset, &record)
+		next, err := frames.read(offset, &record)
 		if errors.Is(err, errTorn) {
 			break
 		}
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := s.fs.ReadFile(logFileName)
+	file, size, err := s.fs.Open(logFileName)
 	switch {
 	case errors.Is(err, fs.ErrNotExist) && saved.Snapshot.Index == 0:
 		s.contents.Disk = model.DiskID(rand.Text())
@@ -115,9 +115,11 @@
 	case errors.Is(err, fs.ErrNotExist):
 		return fmt.Errorf("%w: snapshot without log", ErrCorrupt)
 	case err != nil:
-		return fmt.Errorf("read log: %w", err)
+		return fmt.Errorf("open log: %w", err)
 	}
-	if err := s.loadLog(data); err != nil {
+	err = s.loadLog(file, size)
+	_ = file.Close() // nothing was written
+	if err != nil {
 		return fmt.Errorf("read log: %w", err)
 	}
 	if err := s.mergeSnapshot(saved); err != nil {
@@ -131,16 +133,18 @@
 // loadSnapshot reads the snapshot file. It returns an empty record if there is
 // none.
 func (s *Storage) loadSnapshot() (snapshotRecord, error) {
-	data, err := s.fs.ReadFile(snapshotFileName)
+	file, size, err := s.fs.Open(snapshotFileName)
 	if errors.Is(err, fs.ErrNotExist) {
 		return snapshotRecord{}, nil
 	}
 	if err != nil {
-		return snapshotRecord{}, fmt.Errorf("read snapshot: %w", err)
+		return snapshotRecord{}, fmt.Errorf("open snapshot: %w", err)
 	}
+	defer file.Close()
 	var r snapshotRecord
-	end, err := readFrame(data, 0, &r)
-	if err != nil || end != len(data) || r.Version != formatVersion || r.Snapshot.Index == 0 {
+	frames := frameReader{file: file, size: size}
+	end, err := frames.read(0, &r)
+	if err != nil || end != size || r.Version != formatVersion || r.Snapshot.Index == 0 {
 		// The file was synced before it was renamed to its final name, so a torn
 		// file is corrupt too.
 		return snapshotRecord{}, fmt.Errorf("read snapshot: %w", ErrCorrupt)
@@ -150,22 +154,23 @@
 
 // loadLog reads the records of the write-ahead log. A torn record after the
 // synced length ends the log without an error, since Write had not confirmed it.
-func (s *Storage) loadLog(data []byte) error {
-	synced, err := readSyncedLength(data)
+func (s *Storage) loadLog(file io.ReaderAt, size int64) error {
+	synced, err := readSyncedLength(file, size)
 	if err != nil {
 		return err
 	}
+	frames := frameReader{file: file, size: size}
 	var h logHeader
-	offset, err := readFrame(data, firstFrameOffset, &h)
+	offset, err := frames.read(firstFrameOffset, &h)
 	if err != nil || h.Version != formatVersion || h.Disk == "" {
 		return fmt.Errorf("%w: header", ErrCorrupt)
 	}
 	s.contents.Disk = h.Disk
 	s.contents.Snapshot = message.Snapshot{Index: h.SnapshotIndex, Term: h.SnapshotTerm}
-	for offset < len(data) {
+	for offset < size {
 		var r logRecord
-		next, err := readFrame(data, offset, &r)
-		if errors.Is(err, errTorn) && uint64(offset) >= synced {
+		next, err := frames.read(offset, &r)
+		if errors.Is(err, errTorn) && offset >= synced {
 			return nil
 		}
 		if err != nil {
@@ -262,7 +267,10 @@
 	if err != nil {
 		return err
 	}
-	f, err := s.replaceFile(snapshotFileName, data)
+	f, err := s.replaceFile(snapshotFileName, func(f File) error {
+		_, err := f.WriteAt(data, 0)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -272,21 +280,20 @@
 	return s.rewriteLog()
 }
 
+// rewrittenRecordBytes is the least size of the entries in a record of a rewritten log, but
+// for the last one. A log is read and written record by record.
+const rewrittenRecordBytes = 1 << 20
+
 // rewriteLog replaces the log with a new one. The new log holds the hard state
-// and all log entries of s.contents in a single record.
+// and all log entries of s.contents.
 func (s *Storage) rewriteLog() error {
-	c := &s.contents
-	data, err := appendFrame(make([]byte, firstFrameOffset), logHeader{
-		Version: formatVersion, Disk: c.Disk, SnapshotIndex: c.Snapshot.Index, SnapshotTerm: c.Snapshot.Term})
-	if err != nil {
-		return err
-	}
-	if data, err = appendFrame(data, logRecord{Hard: c.Hard, Entries: c.Entries}); err != nil {
-		return err
-	}
 	s.syncMarkSeq = 1
-	copy(data[syncMarkOffset(s.syncMarkSeq):], encodeSyncMark(s.syncMarkSeq, uint64(len(data))))
-	f, err := s.replaceFile(logFileName, data)
+	var length int64
+	f, err := s.replaceFile(logFileName, func(f File) error {
+		var err error
+		length, err = s.writeContents(f)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -294,18 +301,57 @@
 		_ = s.log.Close()
 	}
 	s.log = f
-	s.logLength = int64(len(data))
+	s.logLength = length
 	return nil
 }
 
-// replaceFile writes data to a new file, syncs it and renames it to name, which
-// replaces an existing file. It returns the new file open for further writes.
-func (s *Storage) replaceFile(name string, data []byte) (File, error) {
+// writeContents writes a log with the hard state and all log entries of s.contents to an
+// empty file and returns its length.
+func (s *Storage) writeContents(f File) (int64, error) {
+	c := &s.contents
+	data, err := appendFrame(make([]byte, firstFrameOffset), logHeader{
+		Version: formatVersion, Disk: c.Disk, SnapshotIndex: c.Snapshot.Index, SnapshotTerm: c.Snapshot.Term})
+	if err != nil {
+		return 0, err
+	}
+	var length int64
+	for rest := c.Entries; ; {
+		n := entriesWithin(rest, rewrittenRecordBytes)
+		if data, err = appendFrame(data, logRecord{Hard: c.Hard, Entries: rest[:n]}); err != nil {
+			return 0, err
+		}
+		if _, err := f.WriteAt(data, length); err != nil {
+			return 0, err
+		}
+		length += int64(len(data))
+		data, rest = data[:0], rest[n:]
+		if len(rest) == 0 {
+			break
+		}
+	}
+	_, err = f.WriteAt(encodeSyncMark(s.syncMarkSeq, uint64(length)), syncMarkOffset(s.syncMarkSeq))
+	return length, err
+}
+
+// entriesWithin returns the number of entries from the first one on whose data has the given
+// size or a little more.
+func entriesWithin(list []message.Entry, size int) int {
+	for i := range list {
+		if size -= len(list[i].Data); size <= 0 {
+			return i + 1
+		}
+	}
+	return len(list)
+}
+
+// replaceFile creates a file, lets write fill it, syncs it and renames it to name,
+// which replaces an existing file. It returns the new file open for further writes.
+func (s *Storage) replaceFile(name string, write func(File) error) (File, error) {
 	f, err := s.fs.Create(name + temporarySuffix)
 	if err != nil {
 		return nil, fmt.Errorf("create %s: %w", name, err)
 	}
-	if err := s.writeAndRename(f, name, data); err != nil {
+	if err := s.writeAndRename(f, name, write); err != nil {
 		_ = f.Close()
 		return nil, err
 	}
@@ -314,8 +360,8 @@
 
 // writeAndRename writes and syncs the temporary file, renames it to its final
 // name and syncs the folder.
-func (s *Storage) writeAndRename(f File, name string, data []byte) error {
-	if _, err := f.WriteAt(data, 0); err != nil {
+func (s *Storage) writeAndRename(f File, name string, write func(File) error) error {
+	if err := write(f); err != nil {
 		return fmt.Errorf("write %s: %w", name, err)
 	}
 	if err := f.Sync(); err != nil {
--- a/pkg/storage/syncmark.go
+++ b/pkg/storage/syncmark.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"io"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,9 +37,13 @@
 // readSyncedLength returns the length in the latest intact sync mark. The error
 // wraps ErrCorrupt if neither sync mark is intact or the file is shorter than
 // the length.
-func readSyncedLength(data []byte) (uint64, error) {
-	if len(data) < firstFrameOffset {
-		return 0, fmt.Errorf("%w: %d bytes are too few", ErrCorrupt, len(data))
+func readSyncedLength(file io.ReaderAt, size int64) (int64, error) {
+	if size < firstFrameOffset {
+		return 0, fmt.Errorf("%w: %d bytes are too few", ErrCorrupt, size)
+	}
+	var data [firstFrameOffset]byte
+	if _, err := file.ReadAt(data[:], 0); err != nil && !errors.Is(err, io.EOF) {
+		return 0, fmt.Errorf("read sync marks: %w", err)
 	}
 	var seq, length uint64
 	for slot := range numSyncMarks {
@@ -50,8 +56,8 @@
 	switch {
 	case length == 0:
 		return 0, fmt.Errorf("%w: no sync mark is intact", ErrCorrupt)
-	case length > uint64(len(data)):
-		return 0, fmt.Errorf("%w: %d of %d synced bytes", ErrCorrupt, len(data), length)
+	case length > uint64(size):
+		return 0, fmt.Errorf("%w: %d of %d synced bytes", ErrCorrupt, size, length)
 	}
-	return length, nil
+	return int64(length), nil
 }
