--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -22,9 +22,13 @@
 	// leader again. The leader may have changed, or may not have received the
 	// proposal. Repeated proposals are harmless, since commands are idempotent.
 	proposalRetryInterval = 700 * time.Millisecond
-	// commandsPerSnapshot is the number of commands that are applied between two
+	// commandsPerSnapshot is the largest number of commands that are applied between two
 	// snapshots.
 	commandsPerSnapshot = 1024
+	// bytesPerSnapshot is how large the commands may be that are applied between two
+	// snapshots, unless the snapshot itself is larger. It bounds the log, which a process
+	// has in memory and reads when it starts.
+	bytesPerSnapshot = 4 << 20
 )
 
 // proposal is a command that a call proposed and that this instance has not
@@ -203,7 +207,7 @@
 			return
 		}
 		s.catalog = catalog.Restore(*snapshot)
-		s.snapshotPosition = e.Index
+		s.snapshotPosition, s.snapshotBytes, s.bytesSinceSnapshot = e.Index, len(e.Data), 0
 		s.records.itemChanges++
 		s.replica.Forward(at, recordsForEntryInstances(snapshot.Items, snapshot.Evacuations), &s.out)
 		return
@@ -213,6 +217,7 @@
 		s.out.Add(event.InvariantFailed{Name: "catalog_command", Detail: err.Error()})
 		return
 	}
+	s.bytesSinceSnapshot += len(e.Data)
 	r := s.catalog.Apply(e.Index, c)
 	s.out.Add(event.Log{Code: logevent.CommandApplied, Fields: []logevent.Field{
 		logevent.F("position", e.Index), logevent.F("origin", c.Origin), logevent.F("call", c.Call),
@@ -241,10 +246,10 @@
 	s.reply(event.CallID(c.Call), r.Code, r.Detail)
 }
 
-// compact replaces the applied log entries by a snapshot after every
-// commandsPerSnapshot commands.
+// compact replaces the applied log entries by a snapshot after commandsPerSnapshot
+// commands, or bytesPerSnapshot.
 func (s *State) compact() {
-	if s.catalog.Position() < s.snapshotPosition+commandsPerSnapshot {
+	if s.catalog.Position() < s.snapshotPosition+commandsPerSnapshot && s.bytesSinceSnapshot < max(bytesPerSnapshot, s.snapshotBytes) {
 		return
 	}
 	snapshot := s.catalog.Snapshot()
@@ -253,7 +258,7 @@
 		s.out.Add(event.InvariantFailed{Name: "catalog_snapshot", Detail: err.Error()})
 		return
 	}
-	s.snapshotPosition = s.catalog.Position()
+	s.snapshotPosition, s.snapshotBytes, s.bytesSinceSnapshot = s.catalog.Position(), len(data), 0
 	s.agreement.Compact(s.snapshotPosition, data, &s.out)
 }
 
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -95,9 +95,12 @@
 	registrationsLoaded bool
 	nextSaveAt          model.Time
 
-	snapshotPosition uint64
-	timerAt          model.Time
-	startedAt        model.Time
+	// snapshotPosition and snapshotBytes are the position and the size of the latest snapshot,
+	// bytesSinceSnapshot is the size of the commands that were applied since.
+	snapshotPosition                  uint64
+	snapshotBytes, bytesSinceSnapshot int
+	timerAt                           model.Time
+	startedAt                         model.Time
 }
 
 // New returns the state of an instance before its first event.
