gateway: an answer that ends with its connection needs both directions

Callers saw: 200 with the seal of the upstream and 30,000 of 90,000 bytes, framed as complete, when the upstream crashed in the middle of an answer without a length while the body of the request was still being sent.

Cause: the kernel tells the error of a reset once; the blocked write of the upload got it, and the read of the answer then saw the end of the stream. The result of the upload was looked at only to decide whether the connection could be used again.

Change: such an answer is complete only if the whole body was passed on too. Until that is known the answer waits, at most until the deadline; otherwise the send is lost, or the streamed response cut.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -40,6 +40,10 @@
 // maxInformationalResponses.
 var errTooManyInformational = errors.New("too many informational responses")
 
+// errBrokenOff means that the connection failed for the upload while a response was read
+// whose end is the end of the connection.
+var errBrokenOff = errors.New("the connection broke off")
+
 // errResponseMismatch means that the connection did not return a response with
 // the attempt ID of the request.
 var errResponseMismatch = errors.New("the response belongs to another request")
@@ -150,6 +154,13 @@
 	if err := e.readBody(resp, f.BufferLimit, ended); err != nil {
 		return err
 	}
+	if e.endsWithConnection(resp) && !e.upload.completeBy(deadline, g.control.Done()) {
+		// The kernel reports a reset once: if the upload got the error, the response
+		// seems to end properly.
+		ended.Truncated = ended.Outcome == event.SendStreamed
+		e.dropResponse()
+		return errBrokenOff
+	}
 	// A pooled connection may be in use by another request, so cancelSend must not
 	// find it any more.
 	canceled := !e.setConn(nil)
@@ -304,6 +315,12 @@
 	return err
 }
 
+// endsWithConnection reports whether the body of a response has neither a stated length nor
+// chunks, so that only the end of the connection shows that it is complete.
+func (e *exchange) endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && e.request.Method != http.MethodHead && bodyAllowed(resp.StatusCode)
+}
+
 // dropResponse releases the response of an earlier attempt, which is not delivered any
 // more.
 func (e *exchange) dropResponse() {
--- a/pkg/gateway/upload.go
+++ b/pkg/gateway/upload.go
@@ -152,6 +152,12 @@
 	<-u.done
 }
 
+// completeBy waits until the upload has ended, and reports whether the whole body was passed on
+// by the deadline and before stopped is closed. A nil upload is complete.
+func (u *upload) completeBy(deadline time.Time, stopped <-chan struct{}) bool {
+	return u.complete() || u.waitUntil(deadline, stopped) && u.err == nil
+}
+
 // waitUntil waits until the upload has ended, and returns false if it has not by the
 // deadline or when stopped is closed.
 func (u *upload) waitUntil(deadline time.Time, stopped <-chan struct{}) bool {
