proxy: an answer that ends with its connection needs both directions

Evidence: the table of pkg/proxy/broken_test.go failed for the four entries without framing and with a body being sent (30000 bytes looked complete), once the upstream paused for 100 ms before it broke off; without the pause it passed, since the upload was then not waiting in a write. The table of package gateway has the pause now too.

Change: the end of an answer without framing counts only if http.Transport has written the whole request.

--- a/internal/fake/breaking.go
+++ b/internal/fake/breaking.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // Framing is how a response states where its body ends.
@@ -27,6 +28,8 @@
 	WholeBytes, WrittenBytes int
 	// ReadBytes is how much of the request body is read before; -1 means all of it.
 	ReadBytes int64
+	// Pause is the time between the written part and the break.
+	Pause time.Duration
 	// Reset resets the connection instead of ending it.
 	Reset bool
 }
@@ -48,6 +51,7 @@
 	default:
 		fmt.Fprintf(conn, "%s\r\n%s", head, written)
 	}
+	time.Sleep(a.Pause)
 	if a.Reset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
--- a/pkg/gateway/broken_test.go
+++ b/pkg/gateway/broken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -22,7 +23,7 @@
 			}{"no body": {0, -1}, "body read": {600_000, -1}, "body being sent": {16_000_000, 64_000}} {
 				for _, bufferLimit := range []int{1 << 20, 16 << 10} {
 					It(fmt.Sprintf("framing %s, reset %t, %s, buffer limit %d", framing, reset, body, bufferLimit), func() {
-						answer := &fake.BreakingAnswer{Framing: framing, Reset: reset, WholeBytes: 90_000, WrittenBytes: 30_000, ReadBytes: upload.readBytes,
+						answer := &fake.BreakingAnswer{Framing: framing, Reset: reset, WholeBytes: 90_000, WrittenBytes: 30_000, Pause: breakAfter, ReadBytes: upload.readBytes,
 							Header: func(r *http.Request) string { return "Attempt: " + r.Header.Get("Attempt") + "\r\n" }}
 						expectBrokenOrWhole(answer, upload.bytes, bufferLimit)
 					})
@@ -32,6 +33,10 @@
 	}
 })
 
+// breakAfter lets the buffers between the gateway and the upstream fill before the break, so
+// that the upload waits in a write.
+const breakAfter = 100 * time.Millisecond
+
 // expectBrokenOrWhole sends requests to an upstream that breaks off its answers and checks
 // what the caller gets.
 func expectBrokenOrWhole(answer *fake.BreakingAnswer, bodyBytes, bufferLimit int) {
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -41,6 +41,9 @@
 	// endOnce makes reportEnd report the end of the attempt only once.
 	endOnce sync.Once
 
+	// wrote receives the result of writing the request. It is set by newRequest.
+	wrote chan error
+
 	connMu sync.Mutex
 	// conn is the connection on which the request is sent, nil until
 	// http.Transport has chosen one.
@@ -165,7 +168,16 @@
 	if incoming.URL.RawQuery != "" {
 		url += "?" + incoming.URL.RawQuery
 	}
-	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	wrote := make(chan error, 1)
+	a.wrote = wrote
+	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn,
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case <-wrote: // of a connection that http.Transport has replaced
+			default:
+			}
+			wrote <- info.Err
+		}})
 	req, err := http.NewRequestWithContext(ctx, incoming.Method, url, nil)
 	if err != nil {
 		return nil, err
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -138,6 +139,43 @@
 	w.WriteHeader(resp.StatusCode)
 }
 
+// responseBody returns the body of a response. If only the end of the connection shows that
+// the body is complete, its end counts as such only if the request was written whole: the
+// kernel reports a reset once, and the write may have got it.
+func (a *attempt) responseBody(resp *http.Response) io.Reader {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+		return resp.Body
+	}
+	return &unframedBody{attempt: a, body: resp.Body}
+}
+
+// unframedBody is the body of a response that ends with its connection.
+type unframedBody struct {
+	attempt *attempt
+	body    io.Reader
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if errors.Is(err, io.EOF) && !b.attempt.wroteRequest() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// wroteRequest reports whether the whole request was written to the upstream. It waits for
+// the result, which comes soon once http.Transport has closed the connection. It may be
+// called once.
+func (a *attempt) wroteRequest() bool {
+	select {
+	case err := <-a.wrote:
+		return err == nil
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
 // copyBuffer returns a buffer for streaming a body, a small one if the memory budget is
 // exhausted, and a function that gives it back.
 func (e *exchange) copyBuffer() (buf *[]byte, release func()) {
@@ -164,6 +202,7 @@
 	buf, releaseBuffer := a.exchange.copyBuffer()
 	defer releaseBuffer()
 	flusher, _ := w.(http.Flusher)
+	body := a.responseBody(resp)
 	var buffered []byte
 	heldBytes := 0 // of the memory budget, for buffered
 	buffering := a.bufferLimit > 0 && !a.exchange.progress.headersWritten
@@ -175,7 +214,7 @@
 		}
 	}
 	for {
-		n, err := resp.Body.Read(*buf)
+		n, err := body.Read(*buf)
 		if n > 0 {
 			if paceErr := a.paceResponse(n); paceErr != nil {
 				return paceErr, writeErr
