node: a graceful stop leaves callers the grace period to read their answers

Callers saw: answers that they read slowly were cut 3.3 to 3.5 s after SIGTERM, 2.5 s before the end of the grace period.

Cause: a request ends in the reducer when its answer is handed over for delivery; the HTTP server then had 300 ms to write it.

Change: the servers have what is left of the grace period, less 0.3 s; the process ends once the last answer is written.

--- a/node.go
+++ b/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -40,9 +41,12 @@
 	// model.ClientLimits, because callers rely on those timeouts.
 	entryIdleTimeout = 2 * time.Minute
 	// nodeCloseTimeout is how long the HTTP servers of a node that exits may take
-	// to write their last responses. It is within the margin that package fleet
-	// leaves at the end of the grace period of a graceful stop.
+	// at least to write their last responses. It is within the margin that package
+	// fleet leaves at the end of the grace period of a graceful stop.
 	nodeCloseTimeout = 300 * time.Millisecond
+	// exitMargin is how long before the end of the grace period of a graceful stop
+	// the last connections are closed, also in the middle of a response.
+	exitMargin = 300 * time.Millisecond
 )
 
 // NodeConfig is the configuration of a Node.
@@ -105,6 +109,8 @@
 
 	listener     net.Listener
 	peerListener net.Listener
+	// stopRequestedAt is when Stop was first called, nil before.
+	stopRequestedAt atomic.Pointer[time.Time]
 }
 
 // NewNode creates a node and opens its listeners. The caller must then call Run.
@@ -215,9 +221,20 @@
 }
 
 // addServer adds an HTTP server to the run group. When the group ends, the server
-// has nodeCloseTimeout to complete the responses that it is writing.
+// has the closeTimeout to complete the responses that it is writing.
 func (n *Node) addServer(g *run.Group, srv *http.Server, l net.Listener) {
-	g.Add(func() error { return n.Serve(srv, l) }, func(error) { shutDownServer(srv, nodeCloseTimeout) })
+	g.Add(func() error { return n.Serve(srv, l) }, func(error) { shutDownServer(srv, n.closeTimeout()) })
+}
+
+// closeTimeout returns how long responses may still take to be written when the control
+// goroutine has ended. The reducer has no open request then, but callers may read slowly. In
+// a graceful stop they have what is left of the grace period.
+func (n *Node) closeTimeout() time.Duration {
+	at := n.stopRequestedAt.Load()
+	if at == nil {
+		return nodeCloseTimeout
+	}
+	return max(nodeCloseTimeout, time.Until(at.Add(n.config.StopGracePeriod))-exitMargin)
 }
 
 // Serve serves on the listener until the server is shut down, and then returns
@@ -226,7 +243,11 @@
 
 // Stop begins a graceful stop: Run returns once all requests in flight have
 // ended.
-func (n *Node) Stop() { n.loop.Report(event.StopRequested{}) }
+func (n *Node) Stop() {
+	now := time.Now()
+	n.stopRequestedAt.CompareAndSwap(nil, &now)
+	n.loop.Report(event.StopRequested{})
+}
 
 // SettingsReloaded reports the result of reading the settings file again. If err
 // is nil, the node connects to the control instances at the addresses in peers.
--- a/node_test.go
+++ b/node_test.go
@@ -29,9 +29,9 @@
 	return l.Addr().String()
 }
 
-// startNode runs a node with defaults for the settings that tests do not vary.
-// The channel receives the result of Run.
-func startNode(t *testing.T, c anvilcrank.NodeConfig) (*anvilcrank.Node, chan error) {
+// startNode runs a node with defaults for the settings that tests do not vary, after it has
+// called the functions of prepare. The channel receives the result of Run.
+func startNode(t *testing.T, c anvilcrank.NodeConfig, prepare ...func(*anvilcrank.Node)) (*anvilcrank.Node, chan error) {
 	g := NewWithT(t)
 	c.Regions = map[model.Zone]model.Region{"z": "r"}
 	c.Zone, c.Name = "z", string(c.ID)
@@ -43,6 +43,9 @@
 	c.Headers = gateway.DefaultHeaders
 	n, err := anvilcrank.NewNode(c)
 	g.Expect(err).NotTo(HaveOccurred())
+	for _, f := range prepare {
+		f(n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
