balance: a paced rate of any size has a period

Callers saw: after a valid change with a coldPerS above 10^9 for each ready entry instance, all entry processes ended once an upstream was cold or had failed.

Cause: the period was 0 ns, and the pacer divides by it.

Change: the period is at least a microsecond.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -310,3 +311,23 @@
 	}
 	Expect(windows[len(windows)-1]["a"]).To(BeNumerically("<", requests[len(requests)-1]), "part of the burst moves to other regions")
 })
+
+// Guards against a process that ends because a valid change states a rate that no clock can
+// pace, or that is not a usable number.
+var _ = DescribeTable("extreme rate of a cold upstream", func(rate float64) {
+	r := registry.New(time.Second)
+	r.Heartbeat(start, model.Registration{ID: "u", Service: "reads", Address: "10.0.0.1:80", Zone: "a1", Slots: 3, StartTimeMs: 1, Sequence: 1, ColdRemaining: time.Minute})
+	s := balance.New(balance.Identity{ID: "e", Zone: "a1", Regions: regions})
+	s.Sync(start, r, newCatalog(rate), false)
+	s.EntryInstances = 3
+	for i := range 50 {
+		at := start.Add(model.Duration(i) * 100 * time.Millisecond)
+		if c, ok := s.Choose(at, &balance.Query{Service: "reads"}); ok {
+			s.Sent(at, &c)
+			s.Ended(at, c.ID, &balance.End{Result: balance.Failed})
+		}
+	}
+},
+	Entry("largest integer", float64(math.MaxInt64)), Entry("largest number", math.MaxFloat64),
+	Entry("above one in a nanosecond", 3.1e9), Entry("smallest number", math.SmallestNonzeroFloat64), Entry("negative", -1.0),
+)
--- a/pkg/balance/pacer.go
+++ b/pkg/balance/pacer.go
@@ -15,6 +15,9 @@
 	maxPacingDelay = time.Second
 	// minPacedRate is the lowest rate of paced requests, in requests per second.
 	minPacedRate = 0.001
+	// minPacedPeriod is the shortest period between paced requests. Rates above one
+	// request in this time are not limited in effect.
+	minPacedPeriod = time.Microsecond
 )
 
 // pace is the rate at which this instance may send requests to an upstream: one
@@ -25,7 +28,7 @@
 
 // newPace returns the pace of a number of requests per second.
 func newPace(perSecond float64) pace {
-	return pace{period: model.Duration(float64(time.Second) / max(perSecond, minPacedRate))}
+	return pace{period: max(model.Duration(float64(time.Second)/max(perSecond, minPacedRate)), minPacedPeriod)}
 }
 
 // pacer spaces this instance's requests to an upstream, so that all instances
