registry: an upstream is retained once after it deregistered

Callers saw: a control process ended after 4,097 deregistrations of upstreams that start again under their identifiers, and the next one with the same call.

Cause: the list of retained registrations held an upstream once for each deregistration; its older place deleted the registration that had just been made.

Evidence: "upstreams that start again and again are deregistered each time" panicked with a nil pointer.

Change: an upstream moves to the end of the list when it deregisters again.

--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -176,3 +176,23 @@
 	s.ForwardedHeartbeat(start.Add(3*time.Second), message.RegistrationKey("u"))
 	Expect(s.Expired(start.Add(5*time.Second), s.Get("u"))).To(BeFalse())
 })
+
+// Guards against a process that ends because the limit of retained registrations deletes the
+// one that has just been deregistered: upstreams start again under their identifiers.
+var _ = It("upstreams that start again and again are deregistered each time", func() {
+	s := registry.New(time.Second)
+	const upstreams, restarts = 16, 300
+	for n := range int64(restarts) {
+		for u := range upstreams {
+			id := fmt.Sprint("u", u)
+			s.Heartbeat(start, registration(id, n+1, 1))
+			r, changed := s.Deregister(start, model.UpstreamID(id), n+1)
+			Expect(changed).To(BeTrue())
+			Expect(r.State).To(Equal(model.RegistrationDeregistered))
+		}
+	}
+	for u := range upstreams {
+		id := fmt.Sprint("u", u)
+		Expect(s.Heartbeat(start, registration(id, restarts, 2))).To(BeFalse(), "a late heartbeat has no effect")
+	}
+})
--- a/pkg/registry/state.go
+++ b/pkg/registry/state.go
@@ -171,6 +171,10 @@
 // registrations are retained. If there are more than maxDeregistered of them,
 // the registration of the earliest one is deleted.
 func (s *State) retainDeregistered(id model.UpstreamID) {
+	if i := slices.Index(s.deregistered, id); i >= 0 {
+		// It has started again since.
+		s.deregistered = slices.Delete(s.deregistered, i, i+1)
+	}
 	s.deregistered = append(s.deregistered, id)
 	if len(s.deregistered) <= maxDeregistered {
 		return
