platform: catch signals before the settings are read

Callers saw: a process that got SIGHUP in its first moments ended; the platform tells processes of new settings so, also while they start.

Cause: signals were caught after the settings had been read, the listeners opened and the log read, which takes a second with a large log.

Evidence: TestSignalWhileTheSettingsAreReadDoesNotEndTheProcess failed: the process ended by the signal.

Change: signals are caught first and handled once the node runs.

Result: the test passes.

--- a/cmd/anvilcrankd/main.go
+++ b/cmd/anvilcrankd/main.go
@@ -63,6 +63,7 @@
 // runOnPlatform runs an instance in the role that the platform's settings assign.
 // If check is true, it only validates the settings.
 func runOnPlatform(check bool) {
+	signals := platform.CatchSignals()
 	s, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -71,7 +72,7 @@
 	if check {
 		return
 	}
-	if err := platform.Run(s); err != nil {
+	if err := platform.Run(s, signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailure)
 	}
