--- a/internal/fake/upload.go
+++ b/internal/fake/upload.go
@@ -12,9 +12,12 @@
 
 // Pattern returns n bytes in which no piece repeats within 64 KiB, so that lost or doubled
 // pieces of a body are noticed.
-func Pattern(n int) []byte {
+func Pattern(n int) []byte { return PatternFrom(1, n) }
+
+// PatternFrom returns a pattern like Pattern that differs for each seed.
+func PatternFrom(seed uint32, n int) []byte {
 	p := make([]byte, n)
-	state := uint32(1)
+	state := seed
 	for i := range p {
 		state = state*1664525 + 1013904223
 		p[i] = byte(state >> 24)
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -30,6 +30,11 @@
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
+	// The upstreams of a zone whose evacuation was acknowledged may receive requests for
+	// maxEvacuationDelay, and maxEvacuatedArrivals after it, which entry processes may
+	// have chosen before they were paused.
+	maxEvacuationDelay   = 5 * time.Second
+	maxEvacuatedArrivals = 10
 )
 
 // statement is what an upstream states about itself and what it has received since.
@@ -67,6 +72,9 @@
 	drainedAt map[string]time.Time
 	// statements holds the latest statement of each upstream.
 	statements map[string]*statement
+	// zones holds the zone of each upstream, evacuations the evacuated zones.
+	zones       map[string]string
+	evacuations map[string]*evacuation
 	// ackedVersions holds the latest acknowledged version of each route.
 	ackedVersions map[string]ackedVersion
 	// routeServices holds the service that each version of a route selects.
@@ -79,6 +87,12 @@
 	statusCounts           map[string]int
 }
 
+// evacuation is an acknowledged evacuation of a zone that was not taken back.
+type evacuation struct {
+	ackedAt  time.Time
+	arrivals int
+}
+
 type ackedVersion struct {
 	version uint32
 	at      time.Time
@@ -87,7 +101,7 @@
 // NewChecker returns a checker without observations. retrySlack retries are
 // allowed in each window in addition to retryBudgetRatio per request.
 func NewChecker(now func() time.Time, retrySlack int) *Checker {
-	return &Checker{now: now, requests: map[string]*clientRequest{}, drainedAt: map[string]time.Time{}, statements: map[string]*statement{}, ackedVersions: map[string]ackedVersion{},
+	return &Checker{now: now, requests: map[string]*clientRequest{}, drainedAt: map[string]time.Time{}, zones: map[string]string{}, evacuations: map[string]*evacuation{}, statements: map[string]*statement{}, ackedVersions: map[string]ackedVersion{},
 		routeServices: map[string]map[uint32]string{}, retries: map[string][]time.Time{}, firstAttempts: map[string][]time.Time{},
 		retrySlack: retrySlack, statusCounts: map[string]int{}}
 }
@@ -155,6 +169,11 @@
 	if drainedAt, ok := c.drainedAt[upstream]; ok && now.Sub(drainedAt) > maxDrainDelay && req.sentAt.After(drainedAt.Add(maxDrainDelay)) && c.timeBoundsApply() {
 		c.addViolationLocked("DRAIN: request %s reached upstream %s %v after its drain was acknowledged", id, upstream, now.Sub(drainedAt))
 	}
+	if e := c.evacuations[c.zones[upstream]]; e != nil && req.sentAt.After(e.ackedAt.Add(maxEvacuationDelay)) {
+		if e.arrivals++; e.arrivals == maxEvacuatedArrivals+1 {
+			c.addViolationLocked("EVAC: %d requests reached upstreams in %s more than %v after its evacuation was acknowledged", e.arrivals, c.zones[upstream], maxEvacuationDelay)
+		}
+	}
 	if s := c.statements[upstream]; s != nil {
 		c.checkStatement(upstream, s, req, now)
 	}
@@ -197,6 +216,27 @@
 	}
 }
 
+// UpstreamStarted records the zone of an upstream.
+func (c *Checker) UpstreamStarted(upstream, zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones[upstream] = zone
+}
+
+// EvacuationAcked records that the start of an evacuation was acknowledged.
+func (c *Checker) EvacuationAcked(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuations[zone] = &evacuation{ackedAt: c.now()}
+}
+
+// EvacuationEnds records that the operator is about to take an evacuation back.
+func (c *Checker) EvacuationEnds(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.evacuations, zone)
+}
+
 // LeavingStated records that an upstream states from now on that it leaves.
 func (c *Checker) LeavingStated(upstream string) { c.setStatement(upstream, statement{leaving: true}) }
 
@@ -257,6 +297,13 @@
 	}
 }
 
+// BodyReceived implements standin.RequestObserver: a body ended properly at an upstream.
+func (c *Checker) BodyReceived(upstream, id string, received int, isSent bool) {
+	if !isSent {
+		c.addViolation("UNASKED: upstream %s got another body of %d bytes with request %s", upstream, received, id)
+	}
+}
+
 // routeAllows reports whether any version of the request's route, from
 // req.minVersion on, selects the service.
 func (c *Checker) routeAllows(req *clientRequest, service string) bool {
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -56,6 +56,17 @@
 				c.RequestReceived("v", "s", id, "/")
 			}
 		},
+		"UNASKED body": func(c *Checker, _ func(time.Duration)) { c.BodyReceived("u", "1", 3, false) },
+		"EVAC": func(c *Checker, advance func(time.Duration)) {
+			c.UpstreamStarted("u", "z")
+			c.EvacuationAcked("z")
+			advance(maxEvacuationDelay + time.Second)
+			for i := range maxEvacuatedArrivals + 1 {
+				id := fmt.Sprint(i)
+				c.RequestSent(id, "r", false)
+				c.RequestReceived("u", "s", id, "/")
+			}
+		},
 		"DRAIN stated": func(c *Checker, advance func(time.Duration)) {
 			c.LeavingStated("u")
 			for _, id := range []string{"1", "2"} {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -22,19 +23,28 @@
 	Blackholed
 	// ResponsesDropped forwards requests and drops responses.
 	ResponsesDropped
+	// Held keeps new connections, bytes and ends of connections until the fault ends, and
+	// then forwards them.
+	Held
 )
 
+// endDelay is how long the end of a connection arrives after its last bytes.
+const endDelay = 8 * time.Millisecond
+
 // proxyDelay is the mean delay of the fault Delayed.
 const proxyDelay = 80 * time.Millisecond
 
 // Proxy forwards TCP connections to one upstream and injects faults into them.
 type Proxy struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
-	fault ConnectionFault
-	conns map[net.Conn]bool
+	mu sync.Mutex
+	// target is the address to which new connections are forwarded.
+	target string
+	fault  ConnectionFault
+	// released is closed when the fault Held ends.
+	released chan struct{}
+	conns    map[net.Conn]bool
 }
 
 // StartProxy starts a proxy that listens on loopback and forwards to the target.
@@ -55,6 +65,12 @@
 func (p *Proxy) SetFault(fault ConnectionFault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.fault == Held {
+		close(p.released)
+	}
+	if fault == Held {
+		p.released = make(chan struct{})
+	}
 	p.fault = fault
 	if fault == Reset {
 		for conn := range p.conns {
@@ -63,6 +79,13 @@
 	}
 }
 
+// SetTarget makes new connections go to another address.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
 // Close closes the listener and resets all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -76,6 +99,17 @@
 	_ = conn.Close()
 }
 
+// awaitRelease waits until the fault is not Held, and reports whether it had to wait.
+func (p *Proxy) awaitRelease() bool {
+	p.mu.Lock()
+	held, released := p.fault == Held, p.released
+	p.mu.Unlock()
+	if held {
+		<-released
+	}
+	return held
+}
+
 func (p *Proxy) currentFault() ConnectionFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,7 +132,11 @@
 		resetConnection(clientConn)
 		return
 	}
-	upstreamConn, err := net.Dial("tcp", p.target)
+	p.awaitRelease()
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	upstreamConn, err := net.Dial("tcp", target)
 	if err != nil {
 		resetConnection(clientConn)
 		return
@@ -107,10 +145,14 @@
 	p.mu.Lock()
 	p.conns[clientConn], p.conns[upstreamConn] = true, true
 	p.mu.Unlock()
-	done := make(chan struct{}, 2)
-	go func() { p.copyBytes(upstreamConn, clientConn, false); done <- struct{}{} }()
-	go func() { p.copyBytes(clientConn, upstreamConn, true); done <- struct{}{} }()
-	<-done
+	done := make(chan error, 2)
+	go func() { done <- p.copyBytes(upstreamConn, clientConn, false) }()
+	go func() { done <- p.copyBytes(clientConn, upstreamConn, true) }()
+	if <-done != nil {
+		// The end of the other connection must not look proper.
+		resetConnection(clientConn)
+		resetConnection(upstreamConn)
+	}
 	p.mu.Lock()
 	delete(p.conns, clientConn)
 	delete(p.conns, upstreamConn)
@@ -118,22 +160,34 @@
 }
 
 // copyBytes forwards bytes as the current fault allows. Dropped bytes are lost,
-// like packets in a partition. fromUpstream is true if src is the upstream.
-func (p *Proxy) copyBytes(dst io.Writer, src io.Reader, fromUpstream bool) {
+// like packets in a partition, and nothing after them arrives. fromUpstream is true if src is the upstream.
+// copyBytes returns nil if src ended properly.
+func (p *Proxy) copyBytes(dst io.Writer, src io.Reader, fromUpstream bool) error {
 	buffer := make([]byte, 16<<10)
+	dropped := false
 	for {
 		n, err := src.Read(buffer)
+		if p.awaitRelease() {
+			// The end of a connection is a packet of its own, behind the bytes.
+			defer time.Sleep(endDelay)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
-			return
+			return err
 		}
 		switch fault := p.currentFault(); {
+		case dropped:
+			continue
 		case fault == Delayed:
 			time.Sleep(proxyDelay/2 + time.Duration(rand.Int64N(int64(proxyDelay))))
 		case fault == Blackholed, fault == ResponsesDropped && fromUpstream:
+			dropped = true
 			continue
 		}
 		if _, err := dst.Write(buffer[:n]); err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,6 +28,9 @@
 	heartbeatInterval = 500 * time.Millisecond
 	httpTimeout       = 1500 * time.Millisecond // of calls to control processes
 	requestTimeout    = 2 * time.Second
+	// thinLinkMbps is the bandwidth that half of the entry instances state. They stream
+	// responses that the others hold until they are complete.
+	thinLinkMbps = 6.6
 	// deregisterDelay is how long a draining upstream serves before it deregisters.
 	// Until maxDrainDelay has passed, the upstream may receive new requests.
 	deregisterDelay = maxDrainDelay + time.Second
@@ -62,10 +65,13 @@
 
 // run is the state of a run.
 type run struct {
-	options    Options
-	checker    *Checker
-	ports      standin.Ports
-	controls   []*process
+	options  Options
+	checker  *Checker
+	ports    standin.Ports
+	controls []*process
+	// orders are proxies between the operator and the control processes.
+	orders     []*Proxy
+	holdMu     sync.Mutex // held while orders are held up
 	entries    []*process
 	operator   standin.Operator
 	httpClient *http.Client // for control processes
@@ -78,6 +84,8 @@
 	activeSteps    sync.WaitGroup
 	// instances counts the instances that were started, replaced ones included.
 	instances int
+	// evacuating is true while a step evacuates a zone.
+	evacuating bool
 	// stating holds the upstreams that have a statement now.
 	stating map[string]bool
 }
@@ -156,6 +164,8 @@
 				return err
 			}
 			processes = &r.controls
+		} else if i%2 == 0 {
+			node.LinkMbps = thinLinkMbps
 		}
 		initialSettings := node.SettingsFile(r.ports, regions)
 		node.Bootstrap = false
@@ -166,6 +176,13 @@
 		*processes = append(*processes, p)
 	}
 	r.instances = r.options.Controls + r.options.Entries
+	for i := range r.controls {
+		proxy, err := StartProxy(r.controlAddress(i))
+		if err != nil {
+			return err
+		}
+		r.orders = append(r.orders, proxy)
+	}
 	for i := range r.options.Upstreams {
 		if err := r.addUpstream(ctx, services[i%len(services)], zones[i/len(services)%len(zones)], ""); err != nil {
 			return err
@@ -225,8 +242,14 @@
 		u.upstream.Crash()
 		u.proxy.Close()
 	}
+	for _, p := range r.orders {
+		p.Close()
+	}
 }
 
+// orderAddress returns the address at which the operator reaches a control process.
+func (r *run) orderAddress(i int) string { return r.orders[i%len(r.orders)].Address() }
+
 func (r *run) controlAddress(i int) string {
 	return fmt.Sprintf("%s:%d", r.controls[i%len(r.controls)].ip(), r.ports.Control)
 }
@@ -243,6 +266,7 @@
 	if err := upstream.Start(r.checker, r.httpClient); err != nil {
 		return err
 	}
+	r.checker.UpstreamStarted(id, zone)
 	proxy, err := StartProxy(upstream.Address())
 	if err != nil {
 		return err
@@ -309,7 +333,7 @@
 	request := standin.Call{ID: id, Method: http.MethodGet, Path: "/read/" + id, AffinityKey: fmt.Sprint(rng.IntN(20)), Timeout: requestTimeout}
 	route := "read"
 	if rng.IntN(3) == 0 {
-		request.Method, request.Path, route = http.MethodPost, "/write/"+id, "write"
+		request.Method, request.Path, request.WithBody, route = http.MethodPost, "/write/"+id, true, "write"
 	}
 	r.checker.RequestSent(id, route, route == "write")
 	sentAt := time.Now()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -38,7 +38,9 @@
 	StateLeaving StepKind = "state_leaving"
 	StatePause   StepKind = "state_pause"
 	StateLimit   StepKind = "state_limit"
-	firstStepAt           = 2 * time.Second
+	// HoldOrders holds up what the operator sends to a control process.
+	HoldOrders  StepKind = "hold_orders"
+	firstStepAt          = 2 * time.Second
 	// stepFreeEnd is the last part of a run, in which no step starts. Delays, which
 	// are not checked soon after a fault, are checked there again.
 	stepFreeEnd = 8 * time.Second
@@ -54,7 +56,7 @@
 }{
 	{KillEntry, 3}, {KillControl, 3}, {KillAll, 1}, {PauseEntry, 3}, {PauseControl, 3}, {StopEntry, 5}, {StopControl, 3}, {Reload, 2},
 	{WipeControl, 2}, {TearFile, 2}, {DelayLink, 3}, {ResetLink, 3}, {SilenceLink, 3}, {CutAnswers, 3}, {CrashUpstream, 3},
-	{DrainUpstream, 4}, {ChangeRoute, 8}, {ResendChange, 3}, {RaceChange, 2}, {EvacuateZone, 2},
+	{DrainUpstream, 4}, {ChangeRoute, 8}, {ResendChange, 3}, {RaceChange, 2}, {EvacuateZone, 3}, {HoldOrders, 10},
 	{ReplaceControl, 2}, {StateLeaving, 3}, {StatePause, 3}, {StateLimit, 3},
 }
 
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -72,11 +72,62 @@
 		r.kill(ctx, control, func() error { return r.replaceControl(control) })
 	case StateLeaving, StatePause, StateLimit:
 		r.stateUpstream(ctx, step)
+	case HoldOrders:
+		r.holdOrders(ctx, step)
 	case EvacuateZone:
-		zone := zones[step.Target%len(zones)]
-		r.sendUntilAnswered(ctx, func(i int) int { return r.operator.Evacuate(ctx, r.controlAddress(step.Target+i), zone, true) })
-		sleep(ctx, step.Duration)
-		r.sendUntilAnswered(ctx, func(i int) int { return r.operator.Evacuate(ctx, r.controlAddress(step.Target+i), zone, false) })
+		r.evacuate(ctx, step)
+	}
+}
+
+// holdOrders holds up the orders to some of the control processes, those whose bit is set in
+// the target of the step.
+func (r *run) holdOrders(ctx context.Context, step Step) {
+	r.holdMu.Lock()
+	defer r.holdMu.Unlock()
+	for _, fault := range []ConnectionFault{Held, NoFault} {
+		for i, proxy := range r.orders {
+			if step.Target>>i&1 == 1 {
+				proxy.SetFault(fault)
+			}
+		}
+		if fault == Held {
+			sleep(ctx, step.Duration)
+		}
+	}
+}
+
+// evacuate starts and ends the evacuation of a zone. Half of the steps start and end it
+// once more, and then it lasts long enough for its effect to be checked.
+func (r *run) evacuate(ctx context.Context, step Step) {
+	zone := zones[step.Target%len(zones)]
+	r.mu.Lock()
+	busy := r.evacuating
+	r.evacuating = true
+	r.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.evacuating = false
+	}()
+	order := func(start bool) {
+		if !start {
+			r.checker.EvacuationEnds(zone)
+		}
+		if r.sendUntilAnswered(ctx, func(i int) int { return r.operator.Evacuate(ctx, r.orderAddress(step.Target+i), zone, start) }) && start {
+			r.checker.EvacuationAcked(zone)
+		}
+	}
+	order(true)
+	sleep(ctx, step.Duration)
+	order(false)
+	if step.Target%2 == 0 {
+		sleep(ctx, step.Duration/8)
+		order(true)
+		sleep(ctx, maxEvacuationDelay+2*time.Second)
+		order(false)
 	}
 }
 
@@ -157,6 +208,7 @@
 	index := r.instances
 	r.mu.Unlock()
 	node := p.node
+	defer func() { r.redirectOrders(p) }()
 	node.Name, node.IP, node.Bootstrap = fmt.Sprintf("c%d", index), processIP(index), false
 	node.DataDir = filepath.Join(r.options.Folder, fmt.Sprintf("data%d", index))
 	node.Seeds = nil
@@ -169,6 +221,15 @@
 	return os.MkdirAll(node.DataDir, 0o700)
 }
 
+// redirectOrders makes the operator reach a control process at its new address.
+func (r *run) redirectOrders(p *process) {
+	for i, control := range r.controls {
+		if control == p {
+			r.orders[i].SetTarget(r.controlAddress(i))
+		}
+	}
+}
+
 const (
 	// statedLimit is the request limit that upstreams state, in requests per second.
 	statedLimit = 6.0
@@ -261,7 +322,7 @@
 func (r *run) sendRoute(ctx context.Context, firstControl int, route standin.Route) {
 	r.checker.VersionProposed(route.Name, route.Version, route.Service)
 	if r.sendUntilAnswered(ctx, func(i int) int {
-		return r.operator.Patch(ctx, r.controlAddress(firstControl+i), []standin.Route{route}, nil)
+		return r.operator.Patch(ctx, r.orderAddress(firstControl+i), []standin.Route{route}, nil)
 	}) {
 		r.checker.VersionAcked(route.Name, route.Version)
 	}
