gateway, fleet: shorten what the fixes left behind

No change of behavior but one: when an upload that outlives the response fails at the upstream, the caller has 0.5 s to end its body, as after any other response that came early, instead of no limit.

--- a/pkg/fleet/proposals.go
+++ b/pkg/fleet/proposals.go
@@ -34,7 +34,6 @@
 // proposal is a command that a call proposed and that this instance has not
 // applied yet.
 type proposal struct {
-	command  *catalog.Command
 	data     []byte
 	deadline model.Time
 	retryAt  model.Time
@@ -105,16 +104,16 @@
 		}
 		c.Basis = s.catalog.Position()
 	}
-	p := &proposal{command: c, deadline: at.Add(proposalTimeout)}
-	var err error
-	if p.data, err = s.codec.EncodeCommand(c); err != nil {
+	data, err := s.codec.EncodeCommand(c)
+	if err != nil {
 		s.reply(call, result.MalformedChange, err.Error())
 		return
 	}
-	if len(p.data) > agreement.MaxEntryBytes {
+	if len(data) > agreement.MaxEntryBytes {
 		s.reply(call, result.MalformedChange, "the change is too large")
 		return
 	}
+	p := &proposal{data: data, deadline: at.Add(proposalTimeout)}
 	s.calls.proposals[c.Call] = p
 	s.sendProposal(at, p)
 }
--- a/pkg/gateway/upload.go
+++ b/pkg/gateway/upload.go
@@ -144,7 +144,7 @@
 	// Errors mean that the caller has disconnected, or that its connection has no
 	// deadlines, as in tests.
 	_ = controller.Flush()
-	if u.outlivesResponse && !u.unwanted && u.waitUntil(u.deadline, e.gateway.control.Done()) {
+	if u.outlivesResponse && !u.unwanted && u.completeBy(u.deadline, e.gateway.control.Done()) {
 		return
 	}
 	_ = u.conn.Close()
@@ -155,17 +155,14 @@
 // completeBy waits until the upload has ended, and reports whether the whole body was passed on
 // by the deadline and before stopped is closed. A nil upload is complete.
 func (u *upload) completeBy(deadline time.Time, stopped <-chan struct{}) bool {
-	return u.complete() || u.waitUntil(deadline, stopped) && u.err == nil
-}
-
-// waitUntil waits until the upload has ended, and returns false if it has not by the
-// deadline or when stopped is closed.
-func (u *upload) waitUntil(deadline time.Time, stopped <-chan struct{}) bool {
+	if u.complete() {
+		return true
+	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-u.done:
-		return true
+		return u.err == nil
 	case <-timer.C:
 	case <-stopped:
 	}
