node: an order that is open when its instance stops has an unknown outcome

Callers saw: 503 with a code of the class "not run" (4008) for an order that had been proposed when the control instance stopped; it may be committed after that.

Cause: every call without a reply was answered as if the control group had not been reached.

Evidence: TestOrderThatIsOpenAtAStopHasAnUnknownOutcome failed (not_run).

Change: only calls that were not submitted are answered so; the others get 4003 (504).

Result: the test passes.

--- a/node.go
+++ b/node.go
@@ -332,7 +332,7 @@
 func (n *Node) Items(ctx context.Context) ([]model.Item, error) {
 	e, err := n.loop.Call(ctx, func(id event.CallID) event.Body { return event.ItemsRequested{Call: id} })
 	if err != nil {
-		return nil, callError(err)
+		return nil, &result.Error{Code: result.ControlUnavailable, Detail: err.Error()}
 	}
 	if reply, ok := e.(event.ItemsReply); ok {
 		return reply.Items, nil
@@ -352,12 +352,15 @@
 }
 
 // callError returns an error with a result code for a call to the reducer that
-// got no reply.
+// got no reply. A call that was submitted may have an effect.
 func callError(err error) error {
-	if errors.Is(err, control.ErrQueueFull) {
+	switch {
+	case errors.Is(err, control.ErrQueueFull):
 		return &result.Error{Code: result.ControlQueueFull}
+	case errors.Is(err, control.ErrNotSubmitted):
+		return &result.Error{Code: result.ControlUnavailable, Detail: err.Error()}
 	}
-	return &result.Error{Code: result.ControlUnavailable, Detail: err.Error()}
+	return &result.Error{Code: result.ChangeUnknown, Detail: err.Error()}
 }
 
 // replyError returns the error that a reply reports, with its result code. It
--- a/stop_test.go
+++ b/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 
 	"github.com/anvilcrank/anvilcrank"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
+	"github.com/anvilcrank/anvilcrank/pkg/result"
 )
 
 // readSlowly requests a path, reads the answer at a rate in bytes per second and returns the
@@ -95,3 +97,21 @@
 	g.Eventually(done).WithTimeout(time.Second).Should(Receive(BeNil()))
 	g.Expect(time.Since(stoppedAt)).To(BeNumerically("<", 6*time.Second))
 }
+
+// Guards against an order that is answered as not applied although it may still be committed,
+// because the instance that took it stops.
+func TestOrderThatIsOpenAtAStopHasAnUnknownOutcome(t *testing.T) {
+	g := NewWithT(t)
+	peers := []string{freeAddress(g, "127.0.0.1"), freeAddress(g, "127.0.0.1"), freeAddress(g, "127.0.0.1")}
+	control, _ := startNode(t, anvilcrank.NodeConfig{ID: "c1", Control: true, PeerListen: peers[0], Peers: peers,
+		BootstrapMembers: []model.InstanceID{"c1", "c2", "c3"}, Data: t.TempDir()})
+	answered := make(chan error, 1)
+	go func() { answered <- control.Evacuate(t.Context(), "z", true, 0) }()
+	g.Consistently(answered).WithTimeout(300 * time.Millisecond).ShouldNot(Receive())
+	control.Stop()
+	var err error
+	g.Eventually(answered).WithTimeout(3 * time.Second).Should(Receive(&err))
+	var coded *result.Error
+	g.Expect(errors.As(err, &coded)).To(BeTrue())
+	g.Expect(coded.Code.Class()).To(Equal(result.OutcomeUnknown), "%v", err)
+}
