--- a/pkg/storage/memoryfs_test.go
+++ b/pkg/storage/memoryfs_test.go
@@ -22,6 +22,7 @@
 	files           map[string]*memoryFile // what the process reads before a crash
 	durableFiles    map[string]*memoryFile // what remains after a crash
 	opsUntilFailure int
+	largestWrite    int
 }
 
 // memoryFile is a file of memoryFS: its data, and the data at its latest sync.
@@ -77,6 +78,7 @@
 
 // WriteAt writes a random part of p if the operation is the one to fail.
 func (f *memoryFile) WriteAt(p []byte, off int64) (int, error) {
+	f.fs.largestWrite = max(f.fs.largestWrite, len(p))
 	err := f.fs.countOperation()
 	if err != nil {
 		p = p[:f.fs.rng.IntN(len(p))]
--- a/pkg/storage/storage_test.go
+++ b/pkg/storage/storage_test.go
@@ -184,3 +184,26 @@
 	g.Expect(reopened.Contents().Disk).To(Equal(first.Contents().Disk))
 	g.Expect(reopened.Close()).To(Succeed())
 })
+
+// Guards against a rewrite that needs the log once more in memory, or fails because the log is
+// too large for one record.
+var _ = It("log is rewritten record by record", func() {
+	const entries, entryBytes, maxWrite = 40, 200_000, 2 << 20
+	m := newMemoryFS(1)
+	s, err := storage.Open(m)
+	Expect(err).NotTo(HaveOccurred())
+	for i := range uint64(entries) {
+		Expect(s.Write([]event.Persist{{Hard: event.HardState{Term: 1}, Entries: []message.Entry{
+			{Index: i + 1, Term: 1, Data: bytes.Repeat([]byte{byte(i)}, entryBytes)}}}})).To(Succeed())
+	}
+	written := s.Contents()
+	Expect(s.Close()).To(Succeed())
+	for range 2 { // the second time the log is a rewritten one
+		m.largestWrite = 0
+		s, err = storage.Open(m)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Contents()).To(Equal(written))
+		Expect(m.largestWrite).To(And(BeNumerically(">", entryBytes), BeNumerically("<=", maxWrite)))
+		Expect(s.Close()).To(Succeed())
+	}
+})
