fake: one copy of the cases for early and broken answers

The entries and what they check stay as they were, and the whole answers at the product's own front are three instead of one (all listed in KNOWN-RED.txt).

--- a/internal/fake/breaking.go
+++ b/internal/fake/breaking.go
@@ -63,3 +63,56 @@
 func (a *BreakingAnswer) EndsProperly() bool {
 	return a.Framing == FramingNone && !a.Reset && a.ReadBytes < 0
 }
+
+// BreakingCase is a request to an upstream that breaks off its answer.
+type BreakingCase struct {
+	Name      string
+	Answer    BreakingAnswer
+	BodyBytes int
+}
+
+const (
+	// breakAfter lets the buffers before an upstream fill before the break, so that an upload
+	// waits in a write.
+	breakAfter = 100 * time.Millisecond
+	// breakingRequests is the number of requests of a case.
+	breakingRequests = 5
+)
+
+// BreakingCases returns a case for each framing, for an end and a reset of the connection and
+// for each state of the request body.
+func BreakingCases() []BreakingCase {
+	var cases []BreakingCase
+	for _, framing := range []Framing{FramingLength, FramingChunked, FramingNone} {
+		for _, reset := range []bool{false, true} {
+			for _, body := range []struct {
+				name      string
+				bytes     int
+				readBytes int64
+			}{{"no body", 0, -1}, {"body read", 600_000, -1}, {"body being sent", 16_000_000, readBeforeAnswer}} {
+				cases = append(cases, BreakingCase{
+					Name:      fmt.Sprintf("framing %s, reset %t, %s", framing, reset, body.name),
+					BodyBytes: body.bytes,
+					Answer: BreakingAnswer{Framing: framing, Reset: reset, WholeBytes: 90_000, WrittenBytes: 30_000,
+						Pause: breakAfter, ReadBytes: body.readBytes},
+				})
+			}
+		}
+	}
+	return cases
+}
+
+// Check sends requests to an address and returns an error if a caller gets an answer that
+// looks whole and is not, or the other way round. header holds complete header lines of the
+// requests.
+func (c *BreakingCase) Check(address, header string) error {
+	upload := Upload{Header: header, Path: "/x", Body: Pattern(c.BodyBytes), PieceBytes: 64_000}
+	for range breakingRequests {
+		resp, got, err := upload.Send(address)
+		looksWhole := err == nil && resp.StatusCode == http.StatusOK
+		if looksWhole != c.Answer.EndsProperly() || looksWhole && len(got) != c.Answer.WrittenBytes {
+			return fmt.Errorf("looks whole: %t, with %d bytes, error: %v", looksWhole, len(got), err)
+		}
+	}
+	return nil
+}
--- a/internal/fake/upload.go
+++ b/internal/fake/upload.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -117,34 +118,89 @@
 
 // Serve serves one request of each connection and passes on what it received.
 func (a *EarlyAnswer) Serve(l net.Listener, received chan<- Received) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			if r, ok := a.serveConn(conn); ok {
-				received <- r
-			}
-		}()
-	}
+	ServeRaw(l, func(conn net.Conn, r *http.Request) { received <- a.respond(conn, r) })
 }
 
-func (a *EarlyAnswer) serveConn(conn net.Conn) (Received, bool) {
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return Received{}, false
-	}
+func (a *EarlyAnswer) respond(conn net.Conn, r *http.Request) Received {
 	body := make([]byte, a.ReadBefore)
 	n, err := io.ReadFull(r.Body, body)
 	body = body[:n]
 	if err != nil {
-		return Received{Body: body, Err: err}, true
+		return Received{Body: body, Err: err}
 	}
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", a.Header(r), len(a.Answer))
 	_, _ = conn.Write(a.Answer[:a.EarlyBytes])
 	rest, err := io.ReadAll(r.Body)
 	_, _ = conn.Write(a.Answer[a.EarlyBytes:])
-	return Received{Body: append(body, rest...), Err: err}, true
+	return Received{Body: append(body, rest...), Err: err}
+}
+
+// UploadCase is a request with a long body to an upstream that answers early.
+type UploadCase struct {
+	Name                  string
+	Chunked               bool
+	BodyBytes, PieceBytes int
+	// AnswerBytes is the length of the answer, of which EarlyBytes are written before the
+	// rest of the body is read.
+	AnswerBytes, EarlyBytes int
+}
+
+// UploadCases are answers that end after the body.
+var UploadCases = []UploadCase{
+	{"chunked, answer streamed", true, 640_000, 32_000, 90_000, 30_000},
+	{"chunked, in small pieces", true, 640_000, 4_000, 90_000, 30_000},
+	{"chunked, long", true, 6_400_000, 64_000, 90_000, 30_000},
+	{"chunked, long answer", true, 640_000, 32_000, 2_000_000, 1_500_000},
+	{"chunked, answer buffered", true, 640_000, 32_000, 8_000, 3_000},
+	{"320 kB with a length", false, 320_000, 32_000, 90_000, 30_000},
+	{"480 kB with a length", false, 480_000, 32_000, 90_000, 30_000},
+	{"640 kB with a length", false, 640_000, 32_000, 90_000, 30_000},
+	{"3 MB with a length, long answer", false, 3_000_000, 32_000, 2_000_000, 1_500_000},
+}
+
+// WholeAnswerCases are answers that are whole before the body.
+var WholeAnswerCases = []UploadCase{
+	{"chunked, answer whole before the body", true, 640_000, 32_000, 8_000, 8_000},
+	{"chunked, streamed answer whole before the body", true, 640_000, 32_000, 90_000, 90_000},
+	{"480 kB with a length, answer whole before the body", false, 480_000, 32_000, 8_000, 8_000},
+}
+
+const (
+	// readBeforeAnswer is how much of a body an upstream reads before it answers early.
+	readBeforeAnswer = 64_000
+	// uploadTime is how long it takes to send a body.
+	uploadTime = 300 * time.Millisecond
+	// receiveTimeout is how long after the answer an upstream may take to get the body.
+	receiveTimeout = 5 * time.Second
+)
+
+// Answer returns the upstream of the case. header returns complete header lines of the
+// response to a request.
+func (c *UploadCase) Answer(header func(*http.Request) string) *EarlyAnswer {
+	return &EarlyAnswer{Header: header, Answer: Pattern(c.AnswerBytes), ReadBefore: readBeforeAnswer, EarlyBytes: c.EarlyBytes}
+}
+
+// Check sends the request to an address and returns an error unless both sides get exactly
+// what the other one sent. header holds complete header lines of the request.
+func (c *UploadCase) Check(address, header string, received <-chan Received) error {
+	upload := Upload{Header: header, Path: "/x", Body: Pattern(c.BodyBytes), Chunked: c.Chunked, PieceBytes: c.PieceBytes,
+		Pause: uploadTime * time.Duration(c.PieceBytes) / time.Duration(c.BodyBytes)}
+	resp, answer, err := upload.Send(address)
+	switch {
+	case err != nil:
+		return fmt.Errorf("answer: %w", err)
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("status %d", resp.StatusCode)
+	case !bytes.Equal(answer, Pattern(c.AnswerBytes)):
+		return fmt.Errorf("the answer has %d bytes", len(answer))
+	}
+	select {
+	case got := <-received:
+		if !got.Is(upload.Body) {
+			return fmt.Errorf("the upstream got %d of %d bytes, end: %v", len(got.Body), c.BodyBytes, got.Err)
+		}
+		return nil
+	case <-time.After(receiveTimeout):
+		return errors.New("the upstream got no end of the body")
+	}
 }
--- a/pkg/proxy/broken_test.go
+++ b/pkg/proxy/broken_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,41 +12,13 @@
 // Guards against the start of an answer that is delivered as a whole one because the kernel
 // tells the reset of its connection to the goroutine that writes the request only.
 var _ = Describe("answer that breaks off never looks complete", func() {
-	for _, framing := range []fake.Framing{fake.FramingLength, fake.FramingChunked, fake.FramingNone} {
-		for _, reset := range []bool{false, true} {
-			for body, upload := range map[string]struct {
-				bytes     int
-				readBytes int64
-			}{"no body": {0, -1}, "body read": {600_000, -1}, "body being sent": {16_000_000, 64_000}} {
-				for _, bufferLimit := range []int{1 << 20, 0} {
-					It(fmt.Sprintf("framing %s, reset %t, %s, buffer limit %d", framing, reset, body, bufferLimit), func() {
-						answer := &fake.BreakingAnswer{Framing: framing, Reset: reset, WholeBytes: 90_000, WrittenBytes: 30_000, Pause: breakAfter, ReadBytes: upload.readBytes, Header: attemptHeader}
-						expectBrokenOrWhole(answer, upload.bytes, bufferLimit)
-					})
-				}
-			}
+	for _, c := range fake.BreakingCases() {
+		for _, bufferLimit := range []int{1 << 20, 0} {
+			It(fmt.Sprintf("%s, buffer limit %d", c.Name, bufferLimit), func() {
+				c.Answer.Header = attemptHeader
+				control := newForwardingControl(startRawUpstream(c.Answer.Respond), bufferLimit)
+				Expect(c.Check(control.start().Listener.Addr().String(), "")).To(Succeed())
+			})
 		}
 	}
 })
-
-// breakAfter lets the buffers between the gateway and the upstream fill before the break, so
-// that the upload waits in a write.
-const breakAfter = 100 * time.Millisecond
-
-// expectBrokenOrWhole sends requests to an upstream that breaks off its answers and checks
-// what the caller gets.
-func expectBrokenOrWhole(answer *fake.BreakingAnswer, bodyBytes, bufferLimit int) {
-	c := newForwardingControl(startRawUpstream(answer.Respond), bufferLimit)
-	server := c.start()
-	upload := fake.Upload{Path: "/x", Body: fake.Pattern(bodyBytes), PieceBytes: 64_000}
-	for range 5 {
-		resp, got, err := upload.Send(server.Listener.Addr().String())
-		looksComplete := err == nil && resp.StatusCode == http.StatusOK
-		if answer.EndsProperly() {
-			Expect(looksComplete).To(BeTrue(), "%v", err)
-			Expect(got).To(HaveLen(answer.WrittenBytes))
-			continue
-		}
-		Expect(looksComplete).To(BeFalse(), "%d bytes", len(got))
-	}
-}
--- a/pkg/proxy/upload_test.go
+++ b/pkg/proxy/upload_test.go
@@ -85,54 +85,40 @@
 	return proxy.HeaderAttempt + ": " + r.Header.Get(proxy.HeaderAttempt) + "\r\n"
 }
 
+// startEarlyAnswer starts an upstream that answers early, and a server with a proxy before it.
+// It returns the address of the server and the bodies that the upstream gets.
+func startEarlyAnswer(t testing.TB, a *fake.EarlyAnswer) (address string, received <-chan fake.Received) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	bodies := make(chan fake.Received, 16)
+	go a.Serve(l, bodies)
+	server := httptest.NewServer(newForwardingControl(l.Addr().String(), 16<<10).handler())
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), bodies
+}
+
 // Guards against an upstream that answers early and gets a part of the body only, with a
 // proper end: net/http reads the caller's body too once the response begins.
-var _ = DescribeTable("upstream that answers before the end of the body gets the whole body", func(chunked bool, bodyBytes, pieceBytes, answerBytes, earlyBytes int) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	received := make(chan fake.Received, 16)
-	upstream := &fake.EarlyAnswer{Answer: fake.Pattern(answerBytes), ReadBefore: 64_000, EarlyBytes: earlyBytes, Header: attemptHeader}
-	go upstream.Serve(l, received)
-	server := newForwardingControl(l.Addr().String(), 16<<10).start()
-	upload := fake.Upload{Path: "/x", Body: fake.Pattern(bodyBytes), Chunked: chunked, PieceBytes: pieceBytes,
-		Pause: 300 * time.Millisecond * time.Duration(pieceBytes) / time.Duration(bodyBytes)}
-	for range 3 {
-		resp, answer, err := upload.Send(server.Listener.Addr().String())
-		Expect(err).NotTo(HaveOccurred())
-		Expect(resp.StatusCode).To(Equal(http.StatusOK))
-		Expect(answer).To(Equal(fake.Pattern(answerBytes)))
-		var got fake.Received
-		Eventually(received).WithTimeout(5 * time.Second).Should(Receive(&got))
-		Expect(got.Is(upload.Body)).To(BeTrue(), "%d of %d bytes, %v", len(got.Body), bodyBytes, got.Err)
+var _ = Describe("upstream that answers before the end of the body gets the whole body", func() {
+	for _, u := range fake.UploadCases {
+		It(u.Name, func() {
+			address, received := startEarlyAnswer(GinkgoTB(), u.Answer(attemptHeader))
+			for range 3 {
+				Expect(u.Check(address, "", received)).To(Succeed())
+			}
+		})
 	}
-},
-	Entry("chunked, answer streamed", true, 640_000, 32_000, 90_000, 30_000),
-	Entry("chunked, in small pieces", true, 640_000, 4_000, 90_000, 30_000),
-	Entry("chunked, long", true, 6_400_000, 64_000, 90_000, 30_000),
-	Entry("chunked, long answer", true, 640_000, 32_000, 2_000_000, 1_500_000),
-	Entry("chunked, answer buffered", true, 640_000, 32_000, 8_000, 3_000),
-	Entry("320 kB with a length", false, 320_000, 32_000, 90_000, 30_000),
-	Entry("480 kB with a length", false, 480_000, 32_000, 90_000, 30_000),
-	Entry("640 kB with a length", false, 640_000, 32_000, 90_000, 30_000),
-	Entry("3 MB with a length, long answer", false, 3_000_000, 32_000, 2_000_000, 1_500_000),
-)
+})
 
 // Guards against cutting a body whose upstream has answered early and reads on. Listed in
 // KNOWN-RED.txt.
 func TestBodyGoesOnAfterAWholeAnswer(t *testing.T) {
 	g := NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	received := make(chan fake.Received, 1)
-	upstream := &fake.EarlyAnswer{Answer: fake.Pattern(8_000), ReadBefore: 64_000, EarlyBytes: 8_000, Header: attemptHeader}
-	go upstream.Serve(l, received)
-	server := httptest.NewServer(newForwardingControl(l.Addr().String(), 16<<10).handler())
-	defer server.Close()
-	upload := fake.Upload{Path: "/x", Body: fake.Pattern(640_000), Chunked: true, PieceBytes: 32_000, Pause: 15 * time.Millisecond}
-	_, answer, err := upload.Send(server.Listener.Addr().String())
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(answer).To(Equal(upstream.Answer))
-	g.Expect((<-received).Is(upload.Body)).To(BeTrue())
+	for _, u := range fake.WholeAnswerCases {
+		address, received := startEarlyAnswer(t, u.Answer(attemptHeader))
+		g.Expect(u.Check(address, "", received)).To(Succeed(), u.Name)
+	}
 }
