--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -160,8 +160,8 @@
 }
 
 // copyBytes forwards bytes as the current fault allows. Dropped bytes are lost,
-// like packets in a partition, and nothing after them arrives. fromUpstream is true if src is the upstream.
-// copyBytes returns nil if src ended properly.
+// like packets in a partition, and nothing after them arrives. fromUpstream is true
+// if src is the upstream. copyBytes returns nil if src ended properly.
 func (p *Proxy) copyBytes(dst io.Writer, src io.Reader, fromUpstream bool) error {
 	buffer := make([]byte, 16<<10)
 	dropped := false
