soak: the end of a connection does not arrive after dropped bytes

The proxy dropped the rest of the answer and then passed the end of the connection on, so that the answer seemed to have ended properly. A partition delivers no end either.

Ruled out: a failure in the product's log at that moment; there is none.

Evidence: TestEndOfAConnectionDoesNotArriveAfterDroppedBytes failed (EOF). No check is changed.

Change: a direction that has dropped bytes stays silent to the end.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -28,6 +28,9 @@
 	Held
 )
 
+// errSilent means that one direction of a connection stays silent for good.
+var errSilent = errors.New("bytes of the connection were dropped")
+
 // endDelay is how long the end of a connection arrives after its last bytes.
 const endDelay = 8 * time.Millisecond
 
@@ -148,7 +151,11 @@
 	done := make(chan error, 2)
 	go func() { done <- p.copyBytes(upstreamConn, clientConn, false) }()
 	go func() { done <- p.copyBytes(clientConn, upstreamConn, true) }()
-	if <-done != nil {
+	err = <-done
+	if errors.Is(err, errSilent) {
+		err = <-done
+	}
+	if err != nil {
 		// The end of the other connection must not look proper.
 		resetConnection(clientConn)
 		resetConnection(upstreamConn)
@@ -161,7 +168,8 @@
 
 // copyBytes forwards bytes as the current fault allows. Dropped bytes are lost,
 // like packets in a partition, and nothing after them arrives. fromUpstream is true
-// if src is the upstream. copyBytes returns nil if src ended properly.
+// if src is the upstream. copyBytes returns nil if src ended properly, and errSilent if
+// it ended after bytes were dropped.
 func (p *Proxy) copyBytes(dst io.Writer, src io.Reader, fromUpstream bool) error {
 	buffer := make([]byte, 16<<10)
 	dropped := false
@@ -171,7 +179,10 @@
 			// The end of a connection is a packet of its own, behind the bytes.
 			defer time.Sleep(endDelay)
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case err != nil && dropped:
+			return errSilent
+		case errors.Is(err, io.EOF):
 			return nil
 		}
 		if err != nil {
