soak: an answer that its upstream breaks off is not lost by a stop

Trace: all three drew an upstream that resets or ends the connection in the middle of its answer. e1 logged event 303 for each at that moment, "connection reset by peer" and "unexpected EOF", outcome streamed. An answer that has begun to be passed on and is not whole must not look complete, so it can only be cut; the rule asks for a sound server.

Change: the check leaves out calls whose upstream breaks off by its behavior, and no others.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -343,6 +343,10 @@
 	if response.Status != 0 || time.Since(sentAt) > requestTimeout*7/10 {
 		return
 	}
+	if behavior := standin.BehaviorOf(id); behavior.Ending != standin.Whole {
+		// The upstream broke off, and an answer that has begun can only be cut.
+		return
+	}
 	for _, p := range r.entries {
 		if entryAddress == fmt.Sprintf("%s:%d", p.node.IP, r.ports.Front) && p.isStoppingCleanly() {
 			r.checker.ConnectionCutByStop(id, p.node.Name)
