inbound: count what accepted connections hold, and close those that stall

Callers saw: clients with heads of many short lines, heads over the limit or bodies that stop just short of their end took the memory of a process, which the machine then ends.

Cause: the memory budget began after a head was parsed. Fields of a head (114 bytes for a line of 7), idle and half-read connections and what the kernel receives for a handler that waits had limits each, and nothing added them up. When the budget was exhausted, the clients that held it kept it.

Change: one table of accepted connections for all listeners of a process. Each connection counts in the budget from its start: buffers, heads line by line while they are read, the kernel's receive buffer, which is now fixed.

--- a/instance.go
+++ b/instance.go
@@ -19,6 +19,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/codec"
 	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
@@ -69,6 +70,8 @@
 	proxy     *proxy.Proxy
 	peers     *peer.Manager
 	api       *api.API
+	// connections holds the accepted connections of both listeners.
+	connections *inbound.Table
 	// configWriter is nil on instances without a data folder.
 	configWriter *storage.ConfigWriter
 	// storage is nil on instances outside the control group.
@@ -110,8 +113,10 @@
 		identity.Seed = uint64(identity.Incarnation)
 	}
 	i.telemetry = telemetry.New(s.Instance, o.Logger)
+	budget := newMemoryBudget(s.MemoryBytes(), i.telemetry)
 	i.recorder = control.NewRecorder(identity, s.RecordedEvents)
-	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial, newMemoryBudget(s.MemoryBytes(), i.telemetry))
+	i.connections = newConnectionTable(budget, i.telemetry)
+	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial, budget)
 	sink := &loopSink{}
 	i.peers = peer.NewManager(message.Hello{
 		From:        s.Instance,
@@ -212,6 +217,7 @@
 // addServer adds an HTTP server to the run group. When the group ends, the server
 // has closeTimeout to complete the responses that it is writing.
 func (i *Instance) addServer(g *run.Group, srv *http.Server, l net.Listener) {
+	l = i.connections.Attach(srv, l, nil)
 	g.Add(func() error { return serveHTTP(i.telemetry, srv, l) }, func(error) { shutDownServer(srv, closeTimeout) })
 }
 
--- a/limits.go
+++ b/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/telemetry"
 )
@@ -27,3 +28,11 @@
 	}
 	return budget
 }
+
+// newConnectionTable returns the table of the accepted connections of a process, and adds its
+// metrics.
+func newConnectionTable(budget *memory.Budget, t *telemetry.Telemetry) *inbound.Table {
+	table := inbound.NewTable(budget, 0, t)
+	t.ObserveConnections(table.Len, 0)
+	return table
+}
--- a/node.go
+++ b/node.go
@@ -21,6 +21,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/event"
 	"github.com/anvilcrank/anvilcrank/pkg/fleet"
 	"github.com/anvilcrank/anvilcrank/pkg/gateway"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
@@ -103,7 +104,10 @@
 	loop       *control.Loop
 	gateway    *gateway.Gateway
 	peers      *peer.Manager
-	storage    *control.StorageWriter
+	memory     *memory.Budget
+	// connections holds the accepted connections of all listeners.
+	connections *inbound.Table
+	storage     *control.StorageWriter
 	// registrations is nil at entry instances.
 	registrations *control.RegistrationFile
 
@@ -133,12 +137,14 @@
 		Zone: c.Zone, Regions: c.Regions, BootstrapMembers: c.BootstrapMembers, MinVoters: minVoters(c.ToleratedLosses), Seed: uint64(clock.Now()),
 		HeartbeatInterval: c.HeartbeatInterval, RetryBudget: c.RetryBudget, NetworkBytesPerSecond: c.NetworkBytesPerSecond, StopGracePeriod: c.StopGracePeriod,
 	}
+	n.memory = newMemoryBudget(c.MemoryBytes, n.telemetry)
+	n.connections = newConnectionTable(n.memory, n.telemetry)
 	sink := &loopSink{}
 	n.peers = peer.NewManager(message.Hello{
 		From: c.ID, Incarnation: identity.Incarnation, Zone: c.Zone,
 		Address: c.Listen, PeerAddress: c.PeerListen,
 	}, sink, n.telemetry, peer.Options{})
-	n.gateway = gateway.New(c.Headers, n.telemetry, clock.Now, newMemoryBudget(c.MemoryBytes, n.telemetry))
+	n.gateway = gateway.New(c.Headers, n.telemetry, clock.Now, n.memory)
 	handlers := control.Handlers{
 		Forwarder: n.gateway, Peers: n.peers, Telemetry: n.telemetry, OnInvariantFailed: n.invariantFailed}
 	if n.storage != nil {
@@ -238,8 +244,11 @@
 }
 
 // Serve serves on the listener until the server is shut down, and then returns
-// nil. If serving fails for any other reason, it logs and returns the error.
-func (n *Node) Serve(srv *http.Server, l net.Listener) error { return serveHTTP(n.telemetry, srv, l) }
+// nil. If serving fails for any other reason, it logs and returns the error. What the
+// connections hold is counted like that of the node's own listeners.
+func (n *Node) Serve(srv *http.Server, l net.Listener) error {
+	return serveHTTP(n.telemetry, srv, n.connections.Attach(srv, l, nil))
+}
 
 // Stop begins a graceful stop: Run returns once all requests in flight have
 // ended.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/directory"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
@@ -118,6 +119,10 @@
 		return result.MemoryFull
 	}
 	e.held = held
+	e.held.Attribute(inbound.Account(e.request.Context()))
+	if !e.held.Grow(memory.CopiedFieldsBytes(e.request.Header), memory.Requests) {
+		return result.MemoryFull
+	}
 	body := io.Reader(e.request.Body)
 	if bodyLimit > 0 {
 		if e.request.ContentLength > bodyLimit {
@@ -139,6 +144,7 @@
 		return result.MemoryFull
 	case errors.Is(err, io.ErrShortBuffer):
 		e.remainingBody = body
+		inbound.WidenReceiveBuffer(e.request.Context(), &e.held)
 		// Without this, net/http reads the caller's body itself before it writes the
 		// head of a response.
 		if err := http.NewResponseController(e.writer).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
@@ -160,6 +161,10 @@
 	if e.held, admitted = e.proxy.memory.Admit(); !admitted {
 		return ev, &result.Error{Code: result.MemoryFull}
 	}
+	e.held.Attribute(inbound.Account(e.request.Context()))
+	if !e.held.Grow(memory.CopiedFieldsBytes(e.request.Header), memory.Requests) {
+		return ev, &result.Error{Code: result.MemoryFull}
+	}
 	if e.request.Method == http.MethodConnect || e.request.Header.Get("Upgrade") != "" {
 		return ev, result.Errorf(result.MalformedRequest, "CONNECT and protocol upgrades are not supported")
 	}
@@ -201,6 +206,7 @@
 		ev.Replayable = true
 	case errors.Is(err, io.ErrShortBuffer):
 		e.upload = &upload{body: io.MultiReader(bytes.NewReader(buffered), limited)}
+		inbound.WidenReceiveBuffer(e.request.Context(), &e.held)
 		// Without this, net/http reads the caller's body itself before it writes the
 		// head of a response.
 		if err := http.NewResponseController(e.writer).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -173,6 +173,18 @@
 	}
 }
 
+// CountConnections counts accepted connections that were closed or refused for a reason.
+func (t *Telemetry) CountConnections(reason string, n int) {
+	t.metricSet.GetOrCreateCounter(`anvilcrank_connections_ended_total{reason=` + quoteLabelValue(reason) + `}`).Add(n)
+}
+
+// ObserveConnections adds the metrics of the number of accepted connections and its limit, 0 if
+// it has none.
+func (t *Telemetry) ObserveConnections(open func() int, limit int) {
+	t.metricSet.GetOrCreateGauge(`anvilcrank_connections{value="open"}`, func() float64 { return float64(open()) })
+	t.metricSet.GetOrCreateGauge(`anvilcrank_connections{value="limit"}`, func() float64 { return float64(limit) })
+}
+
 // WriteMetrics writes all metrics in the Prometheus text format.
 func (t *Telemetry) WriteMetrics(w io.Writer) { t.metricSet.WritePrometheus(w) }
 
