inbound: the end of a handler does not undo net/http's abort of a read

Cause: net/http waits for the end of the connection while a handler runs, and ends that read with a deadline in the past. If its goroutine came late, Conn.Read set a deadline of its own instead. The same deadline could end a later request on the connection.

Change: the deadline is set once, when the handler ends, and only if the client has not sent the whole request: net/http then waits for nothing else.

--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -92,8 +92,7 @@
 	case idle:
 		c.own.ShrinkTo(memory.ConnectionBytes)
 	case serving:
-		// An error means that the connection is closed.
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		c.setTimeout(0)
 	case ending:
 		if tcp, ok := c.Conn.(syscall.Conn); ok && c.wide.Swap(false) {
 			_ = socket.SetReceiveBuffer(tcp, memory.ReceiveBufferBytes)
@@ -111,11 +110,8 @@
 		// net/http waits for the end of the connection while a request is served.
 		return c.Conn.Read(p)
 	}
-	switch {
-	case s == idle:
+	if s == idle {
 		c.setTimeout(c.timeouts().Idle)
-	case s == ending:
-		c.setTimeout(discardTimeout - time.Duration(c.table.elapsed()-c.endingSince.Load()))
 	}
 	c.beginWait()
 	n, err := c.Conn.Read(p)
@@ -138,10 +134,14 @@
 	return n, err
 }
 
-// setTimeout makes reads fail after the timeout.
+// setTimeout makes reads fail after the timeout; 0 means no limit.
 func (c *Conn) setTimeout(timeout time.Duration) {
+	var deadline time.Time
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout + timeoutSlack)
+	}
 	// An error means that the connection is closed, which the next read reports.
-	_ = c.Conn.SetReadDeadline(time.Now().Add(timeout + timeoutSlack))
+	_ = c.Conn.SetReadDeadline(deadline)
 }
 
 // Write implements net.Conn.
--- a/pkg/inbound/table.go
+++ b/pkg/inbound/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -145,12 +146,16 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if r.Body != http.NoBody {
-			r.Body = &body{r.Body, conn}
-		}
+		requestBody := &body{ReadCloser: r.Body, conn: conn}
+		requestBody.ended.Store(r.Body == http.NoBody)
+		r.Body = requestBody
 		next.ServeHTTP(w, r)
-		if stage(conn.stage.Load()) == serving {
-			conn.enter(ending)
+		if stage(conn.stage.Load()) != serving {
+			return
+		}
+		conn.enter(ending)
+		if !requestBody.ended.Load() {
+			conn.setTimeout(discardTimeout)
 		}
 	})
 }
@@ -159,13 +164,19 @@
 type body struct {
 	io.ReadCloser
 	conn *Conn
+	// ended is set when the end of the body was read.
+	ended atomic.Bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	b.conn.bodyReads.Add(1)
 	defer b.conn.bodyReads.Add(-1)
-	return b.ReadCloser.Read(p)
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
 }
 
 // listener accepts connections into a table.
