platform, api: bodies and responses of calls count in the memory budget

Callers saw: 100 clients that send a heartbeat or a change of 4 MB without its last byte took 701 MB of a control instance; announcements of 1 MB 264 MB of an instance with settings of its own.

Cause: calls read bodies into buffers that double, outside the budget.

Change: calls are admitted like requests; bodies, decoding and responses count. A heartbeat may have 64 KiB, a change 4 MiB as before.

Evidence: TestUnfinishedCalls failed on (701, 683, 264 MB of 64); now 23, 46 and 43 MB.

--- a/instance.go
+++ b/instance.go
@@ -143,6 +143,7 @@
 	sink.loop = i.loop
 	i.proxy.SetControl(i.loop)
 	i.api = api.New(i.loop, i.proxy, i.telemetry)
+	i.api.LimitMemory(budget)
 	i.api.EnableAdmin(adminOptions(s, clock))
 	return i, nil
 }
--- a/node.go
+++ b/node.go
@@ -27,6 +27,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/peer"
+	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 	"github.com/anvilcrank/anvilcrank/pkg/routed"
 	"github.com/anvilcrank/anvilcrank/pkg/storage"
@@ -243,6 +244,11 @@
 	return max(nodeCloseTimeout, time.Until(at.Add(n.config.StopGracePeriod))-exitMargin)
 }
 
+// Admit returns a handler that serves a request only if the memory budget has room for it.
+func (n *Node) Admit(next http.Handler) http.Handler {
+	return inbound.Admit(n.memory, next, proxy.WriteMemoryFull)
+}
+
 // Serve serves on the listener until the server is shut down, and then returns
 // nil. If serving fails for any other reason, it logs and returns the error. What the
 // connections hold is counted like that of the node's own listeners.
--- a/pkg/api/admin.go
+++ b/pkg/api/admin.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -18,6 +19,7 @@
 	"github.com/anvilcrank/anvilcrank/pkg/control"
 	"github.com/anvilcrank/anvilcrank/pkg/distribution"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
@@ -249,7 +251,7 @@
 func (h *admin) proposeChange(c echo.Context, author string, dryRun bool) error {
 	proposed, err := h.decodeChange(c, author)
 	if err != nil {
-		return result.Errorf(result.MalformedChange, "%v", err)
+		return codedError(result.MalformedChange, err)
 	}
 	effect, err := h.call(c, 0, func(id event.CallID) event.Body {
 		return event.ChangeProposed{Call: id, Change: proposed, DryRun: dryRun}
@@ -291,7 +293,11 @@
 // configured, it sets the author to the name of the token.
 func (h *admin) decodeChange(c echo.Context, author string) (change.Change, error) {
 	var decoded change.Change
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes))
+	body, err := inbound.ReadBody(c.Request(), maxChangeBytes)
+	if err != nil {
+		return decoded, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&decoded); err != nil {
 		return decoded, err
--- a/pkg/api/announce.go
+++ b/pkg/api/announce.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
 	"github.com/anvilcrank/anvilcrank/pkg/upstream"
@@ -29,7 +31,7 @@
 // decodeAnnouncement decodes and validates an announcement.
 func decodeAnnouncement(r io.Reader) (model.Announcement, error) {
 	var a model.Announcement
-	dec := json.NewDecoder(io.LimitReader(r, maxAnnouncementBytes))
+	dec := json.NewDecoder(r)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&a); err != nil {
 		return a, fmt.Errorf("decode announcement: %w", err)
@@ -40,11 +42,30 @@
 	return a, a.Validate()
 }
 
+// readAnnouncement reads the body of a request as an announcement.
+func readAnnouncement(r *http.Request) (model.Announcement, error) {
+	body, err := inbound.ReadBody(r, maxAnnouncementBytes)
+	if err != nil {
+		return model.Announcement{}, err
+	}
+	return decodeAnnouncement(bytes.NewReader(body))
+}
+
+// codedError returns the error itself if it has a result code, otherwise an error with the given
+// code.
+func codedError(code result.Code, err error) error {
+	var coded *result.Error
+	if errors.As(err, &coded) {
+		return coded
+	}
+	return result.Errorf(code, "%v", err)
+}
+
 // announce serves the announcements of upstreams.
 func (a *API) announce(c echo.Context) error {
-	announcement, err := decodeAnnouncement(c.Request().Body)
+	announcement, err := readAnnouncement(c.Request())
 	if err != nil {
-		return result.Errorf(result.MalformedAnnouncement, "%v", err)
+		return codedError(result.MalformedAnnouncement, err)
 	}
 	effect, err := a.call(c, func(id event.CallID) event.Body {
 		return event.UpstreamAnnounced{Call: id, Announcement: announcement}
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -10,6 +11,8 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/proxy"
 	"github.com/anvilcrank/anvilcrank/pkg/result"
@@ -45,6 +48,8 @@
 	proxy     *proxy.Proxy
 	telemetry *telemetry.Telemetry
 	echo      *echo.Echo
+	// calls serves all requests but those for services.
+	calls http.Handler
 }
 
 // New returns an API without the administration API, which EnableAdmin adds.
@@ -58,9 +63,15 @@
 	a.echo.GET("/v1/outcome", a.outcome)
 	a.echo.GET("/v1/health", a.health)
 	a.echo.GET("/metrics", a.metrics)
+	a.calls = a.echo
 	return a
 }
 
+// LimitMemory counts what calls hold in the budget. It must be called before the API serves.
+func (a *API) LimitMemory(budget *memory.Budget) {
+	a.calls = inbound.Admit(budget, a.echo, proxy.WriteMemoryFull)
+}
+
 // Server returns an HTTP server for the API, with limits on headers and idle
 // connections.
 func (a *API) Server() *http.Server {
@@ -81,7 +92,7 @@
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rest, ok := strings.CutPrefix(r.URL.EscapedPath(), ServicePath)
 	if !ok {
-		a.echo.ServeHTTP(w, r)
+		a.calls.ServeHTTP(w, r)
 		return
 	}
 	service, path, _ := strings.Cut(rest, "/")
@@ -122,8 +133,13 @@
 // metrics serves the metrics in the Prometheus text format.
 func (a *API) metrics(c echo.Context) error {
 	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
-	a.telemetry.WriteMetrics(c.Response())
-	return nil
+	var body bytes.Buffer
+	a.telemetry.WriteMetrics(&body)
+	if !inbound.HoldingOf(c.Request()).Grow(body.Cap(), memory.Requests) {
+		return &result.Error{Code: result.MemoryFull}
+	}
+	_, err := c.Response().Write(body.Bytes())
+	return err
 }
 
 // call passes the event that body returns to the control goroutine and returns
--- a/pkg/inbound/request.go
+++ b/pkg/inbound/request.go
@@ -14,12 +14,11 @@
 type holdingKey struct{}
 
 // Admit returns a handler that serves a request only if the budget has room for it. reject
-// responds to the others, whose connections are closed.
+// responds to the others, and closes their connections.
 func Admit(budget *memory.Budget, next http.Handler, reject func(http.ResponseWriter)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held, ok := budget.Admit()
 		if !ok {
-			w.Header().Set("Connection", "close")
 			reject(w)
 			return
 		}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -85,10 +85,10 @@
 	defer e.held.Release()
 	if err != nil {
 		if err.Code == result.MemoryFull {
-			w.Header().Set("Connection", "close")
-			w.Header().Set("Retry-After", memoryRetryAfter)
+			WriteMemoryFull(w)
+		} else {
+			WriteError(w, err)
 		}
-		WriteError(w, err)
 		p.telemetry.ObserveRequest(arrived.Tenant, service, model.Short, err.Code, time.Since(start))
 		return
 	}
@@ -349,6 +349,14 @@
 	_, _ = w.Write(encoded)
 }
 
+// WriteMemoryFull sends the error response to a request for which the memory budget has no room,
+// and closes its connection.
+func WriteMemoryFull(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", memoryRetryAfter)
+	WriteError(w, &result.Error{Code: result.MemoryFull})
+}
+
 // hopByHopHeaders apply to a single connection. A proxy must not forward them.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
