peer: received messages count in the memory budget

Seen: 100 clients that send a message between instances of 4 MB without its last byte took 624 to 704 MB of a process at each of the three listeners, within 2 s.

Cause: a message of up to 4 MiB was read into a buffer that doubles, outside the budget, before the other side had sent its Hello.

Change: messages count while they are read and decoded; before the Hello 16 KiB may be sent.

--- a/instance.go
+++ b/instance.go
@@ -124,7 +124,7 @@
 		Zone:        s.Zone,
 		Address:     i.Address(),
 		PeerAddress: i.PeerAddress(),
-	}, sink, i.telemetry, peer.Options{Network: o.Network})
+	}, sink, i.telemetry, peer.Options{Network: o.Network, Memory: budget})
 	handlers := control.Handlers{
 		Dispatcher:        i.proxy,
 		Peers:             i.peers,
--- a/node.go
+++ b/node.go
@@ -144,7 +144,7 @@
 	n.peers = peer.NewManager(message.Hello{
 		From: c.ID, Incarnation: identity.Incarnation, Zone: c.Zone,
 		Address: c.Listen, PeerAddress: c.PeerListen,
-	}, sink, n.telemetry, peer.Options{})
+	}, sink, n.telemetry, peer.Options{Memory: n.memory})
 	n.gateway = gateway.New(c.Headers, n.telemetry, clock.Now, n.memory)
 	handlers := control.Handlers{
 		Forwarder: n.gateway, Peers: n.peers, Telemetry: n.telemetry, OnInvariantFailed: n.invariantFailed}
--- a/pkg/peer/manager.go
+++ b/pkg/peer/manager.go
@@ -13,7 +13,9 @@
 
 	"github.com/anvilcrank/anvilcrank/pkg/codec"
 	"github.com/anvilcrank/anvilcrank/pkg/event"
+	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/logevent"
+	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/message"
 	"github.com/anvilcrank/anvilcrank/pkg/model"
 	"github.com/anvilcrank/anvilcrank/pkg/socket"
@@ -43,6 +45,9 @@
 	// pingTimeout is how long to wait for the pong before the connection is closed.
 	// It allows for one retransmitted packet between regions.
 	pingTimeout = 1500 * time.Millisecond
+	// maxHelloBytes is the largest message that is read from an instance that has not sent its
+	// Hello.
+	maxHelloBytes = 16 << 10
 	// tcpUserTimeout is how long sent data may remain unacknowledged before the kernel
 	// closes a connection.
 	tcpUserTimeout = 3 * time.Second
@@ -81,6 +86,7 @@
 	logger  Logger
 	network Network
 	client  *http.Client
+	memory  *memory.Budget
 	scheme  string
 
 	// sentBytes counts the bytes of the encoded messages that were sent.
@@ -118,6 +124,8 @@
 	Network Network
 	// Client dials connections. If it is nil, a plain HTTP client is used.
 	Client *http.Client
+	// Memory is the budget in which received messages are counted; nil means no limit.
+	Memory *memory.Budget
 	// TLS selects the URL scheme wss instead of ws.
 	TLS bool
 }
@@ -131,6 +139,7 @@
 		logger:      logger,
 		network:     o.Network,
 		client:      o.Client,
+		memory:      o.Memory,
 		scheme:      "ws",
 		connections: map[model.InstanceID]*outboundConn{},
 		receivedAt:  map[model.InstanceID]*atomic.Int64{},
@@ -375,7 +384,7 @@
 		return
 	}
 	defer conn.CloseNow()
-	conn.SetReadLimit(codec.MaxMessageBytes)
+	conn.SetReadLimit(maxHelloBytes)
 	m.mu.Lock()
 	ctx := m.ctx
 	m.mu.Unlock()
@@ -397,22 +406,26 @@
 	if remote.PeerAddress != "" {
 		m.Connect(remote.PeerAddress)
 	}
-	m.receive(ctx, conn, remote)
+	conn.SetReadLimit(codec.MaxMessageBytes)
+	m.receive(ctx, conn, remote, inbound.Account(r.Context()))
 }
 
 // receive reports the messages from an accepted connection to the control
 // goroutine, until the connection closes. A message that cannot be decoded is
 // logged and skipped: the peer would send it again on a new connection, and later
 // messages would not arrive.
-func (m *Manager) receive(ctx context.Context, conn *websocket.Conn, remote *message.Hello) {
+func (m *Manager) receive(ctx context.Context, conn *websocket.Conn, remote *message.Hello, account *atomic.Int64) {
 	receivedAt := m.receivedFrom(remote.From)
 	for {
-		_, data, err := conn.Read(ctx)
+		held := m.memory.Hold(account)
+		data, err := readCounted(ctx, conn, &held)
 		if err != nil {
+			held.Release()
 			return
 		}
 		receivedAt.Store(int64(time.Since(m.startedAt)))
 		msg, err := codec.DecodeMessage(data)
+		held.Release()
 		if err != nil {
 			m.logBadMessage(remote.From, err)
 			continue
@@ -421,6 +434,15 @@
 	}
 }
 
+// readCounted reads a message and counts it in the holding.
+func readCounted(ctx context.Context, conn *websocket.Conn, held *memory.Holding) ([]byte, error) {
+	_, r, err := conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return held.ReadUpTo(r, memory.Heads, codec.MaxMessageBytes, -1)
+}
+
 // logBadMessage logs a message that cannot be encoded or decoded.
 func (m *Manager) logBadMessage(from model.InstanceID, err error) {
 	m.logger.Log(event.Log{Code: logevent.PeerBadMessage, Fields: []logevent.Field{
