memory: no bytes always find room

Seen: "responses to a thousand slow callers fit into the memory" (pkg/gateway) failed with 446 and 450 of 1,000 complete responses, want 500.

Cause: since heads count, a request also adds the bytes of its copied fields, mostly none. Adding no bytes failed while the budget was beyond the share for requests, so that requests were rejected from 0.75 of the limit on.

Change: adding no bytes succeeds.

--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -201,7 +201,7 @@
 // Grow adds n bytes and returns false without a change if the budget has no room for this
 // use.
 func (h *Holding) Grow(n int, u Use) bool {
-	if h.budget == nil {
+	if h.budget == nil || n == 0 {
 		return true
 	}
 	limit, add := int64(float64(h.budget.limit)*float64(u)), h.budget.addOrReclaim
--- a/pkg/memory/budget_test.go
+++ b/pkg/memory/budget_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 
@@ -118,3 +119,38 @@
 	h.Add(1)
 	h.Release()
 }
+
+// Guards against a request that is rejected because it needs no more bytes than it has while the
+// budget is beyond the share for its use.
+func TestNothingAlwaysFindsRoom(t *testing.T) {
+	RegisterTestingT(t)
+	b := budgetOf(memory.ExchangeBytes)
+	h, ok := b.Admit()
+	Expect(ok).To(BeTrue())
+	Expect(h.Grow(0, memory.Requests)).To(BeTrue())
+	Expect(h.Grow(1, memory.Requests)).To(BeFalse())
+}
+
+// Guards against room that is made for bytes that then find none, and against bytes that count as
+// free for longer than until they are released.
+func TestReclaimedBytesMakeRoomUntilTheyAreReleased(t *testing.T) {
+	RegisterTestingT(t)
+	b := budgetOf(1 << 20)
+	var account atomic.Int64
+	victim := b.Hold(&account)
+	Expect(victim.Grow(900<<10, memory.Heads)).To(BeTrue())
+	Expect(account.Load()).To(BeEquivalentTo(900 << 10))
+	b.OnExhausted(func(bytes, limit int64) {
+		if b.Missing(bytes, limit) > 0 {
+			b.Reclaim(account.Load())
+		}
+	})
+	other := b.Hold(nil)
+	Expect(other.Grow(400<<10, memory.Requests)).To(BeTrue())
+	Expect(other.Grow(300<<10, memory.Requests)).To(BeFalse(), "what is held never exceeds the limit by more than half")
+	victim.Release()
+	b.Reclaim(-900 << 10)
+	Expect(other.Grow(300<<10, memory.Requests)).To(BeTrue())
+	other.Release()
+	Expect(b.Used()).To(BeZero())
+}
