node: accepted connections leave descriptors to the process

Callers saw: no answer for 30 s while 400 clients held connections open to a process with 300 descriptors.

Change: accepted connections may take half of the descriptors, after 200 are set aside for files.

--- a/instance.go
+++ b/instance.go
@@ -115,7 +115,7 @@
 	i.telemetry = telemetry.New(s.Instance, o.Logger)
 	budget := newMemoryBudget(s.MemoryBytes(), i.telemetry)
 	i.recorder = control.NewRecorder(identity, s.RecordedEvents)
-	i.connections = newConnectionTable(budget, i.telemetry)
+	i.connections = newConnectionTable(budget, 0, i.telemetry)
 	i.proxy = proxy.New(s.Instance, i.telemetry, clock.Now, o.Dial, budget)
 	sink := &loopSink{}
 	i.peers = peer.NewManager(message.Hello{
--- a/limits.go
+++ b/limits.go
@@ -1,8 +1,11 @@
 package anvilcrank
 
 import (
+	"math"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/anvilcrank/anvilcrank/pkg/inbound"
 	"github.com/anvilcrank/anvilcrank/pkg/memory"
 	"github.com/anvilcrank/anvilcrank/pkg/telemetry"
@@ -29,10 +32,32 @@
 	return budget
 }
 
+const (
+	// maxReservedDescriptors is how many descriptors are set aside for files, at most a
+	// reservedDescriptorShare of all.
+	maxReservedDescriptors  = 200
+	reservedDescriptorShare = 0.25
+	// acceptedDescriptorShare is the share of the other descriptors that accepted connections
+	// may take. The rest is for connections that this process opens.
+	acceptedDescriptorShare = 0.5
+)
+
 // newConnectionTable returns the table of the accepted connections of a process, and adds its
-// metrics.
-func newConnectionTable(budget *memory.Budget, t *telemetry.Telemetry) *inbound.Table {
-	table := inbound.NewTable(budget, 0, t)
-	t.ObserveConnections(table.Len, 0)
+// metrics. descriptors is how many descriptors the process may open, 0 for the limit that the
+// kernel enforces.
+func newConnectionTable(budget *memory.Budget, descriptors int, t *telemetry.Telemetry) *inbound.Table {
+	limit := maxAccepted(descriptors)
+	table := inbound.NewTable(budget, limit, t)
+	t.ObserveConnections(table.Len, limit)
 	return table
 }
+
+// maxAccepted returns how many accepted connections may be open, 0 for any number.
+func maxAccepted(descriptors int) int {
+	var limit unix.Rlimit
+	if descriptors == 0 && unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
+		descriptors = int(min(limit.Cur, math.MaxInt32))
+	}
+	reserved := min(maxReservedDescriptors, float64(descriptors)*reservedDescriptorShare)
+	return int((float64(descriptors) - reserved) * acceptedDescriptorShare)
+}
--- a/node.go
+++ b/node.go
@@ -86,6 +86,9 @@
 	// MemoryBytes is the memory that the process may use, 0 for that of the machine. A
 	// share of it bounds what is held for requests, see package memory.
 	MemoryBytes int64
+	// Descriptors is how many descriptors the process may have open, 0 for the limit that the
+	// kernel enforces. About half of them may be accepted connections.
+	Descriptors int
 	// StopGracePeriod is the maximum duration of a graceful stop.
 	StopGracePeriod time.Duration
 	// LogLevel is the lowest level of log lines that are written, such as "info".
@@ -139,7 +142,7 @@
 		HeartbeatInterval: c.HeartbeatInterval, RetryBudget: c.RetryBudget, NetworkBytesPerSecond: c.NetworkBytesPerSecond, StopGracePeriod: c.StopGracePeriod,
 	}
 	n.memory = newMemoryBudget(c.MemoryBytes, n.telemetry)
-	n.connections = newConnectionTable(n.memory, n.telemetry)
+	n.connections = newConnectionTable(n.memory, c.Descriptors, n.telemetry)
 	sink := &loopSink{}
 	n.peers = peer.NewManager(message.Hello{
 		From: c.ID, Incarnation: identity.Incarnation, Zone: c.Zone,
