--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -74,7 +74,7 @@
 func startPlatform(t *testing.T, limits crowd.Limits) *crowd.Platform {
 	p, err := crowd.StartPlatform(t.TempDir(), daemon, limits)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { p.Stop() })
+	t.Cleanup(p.Stop)
 	return p
 }
 
@@ -82,7 +82,7 @@
 func startInstance(t *testing.T, limits crowd.Limits) *crowd.Instance {
 	i, err := crowd.StartInstance(t.TempDir(), daemon, limits)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { i.Stop() })
+	t.Cleanup(i.Stop)
 	return i
 }
 
--- a/internal/crowd/deployment.go
+++ b/internal/crowd/deployment.go
@@ -210,12 +210,12 @@
 // Answers asks until every ordinary call is answered, for as long as an ordinary caller does.
 func (p *Platform) Answers() error { return within(answerTimeout, p.Ask) }
 
-// Stop ends the processes and reports whether they ended in time.
-func (p *Platform) Stop() bool {
+// Stop kills the processes and ends the upstream.
+func (p *Platform) Stop() {
 	p.cancel()
-	defer p.upstream.Crash()
-	entryEnded, controlEnded := p.Entry.Stop(), p.Control.Stop()
-	return entryEnded && controlEnded
+	p.Entry.Kill()
+	p.Control.Kill()
+	p.upstream.Crash()
 }
 
 // get makes one call on a connection of its own and returns an error if the status is not 200
@@ -335,9 +335,9 @@
 // Answers asks until every ordinary call is answered, for as long as an ordinary caller does.
 func (i *Instance) Answers() error { return within(answerTimeout, i.Ask) }
 
-// Stop ends the process and reports whether it ended in time.
-func (i *Instance) Stop() bool {
+// Stop kills the process and ends the upstream.
+func (i *Instance) Stop() {
 	i.cancel()
-	defer i.upstream.Close()
-	return i.Process.Stop()
+	i.Kill()
+	_ = i.upstream.Close()
 }
--- a/internal/crowd/process.go
+++ b/internal/crowd/process.go
@@ -10,16 +10,13 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
 const (
 	// sampleInterval is the time between two samples of the memory of a process.
 	sampleInterval = 20 * time.Millisecond
-	// stopTimeout is how long a process may take to end after SIGTERM.
-	stopTimeout = 10 * time.Second
-	kibibyte    = 1 << 10
+	kibibyte       = 1 << 10
 )
 
 // Process is one process of anvilcrankd.
@@ -64,17 +61,10 @@
 	return p, nil
 }
 
-// Stop ends the process and reports whether it ended within stopTimeout of SIGTERM.
-func (p *Process) Stop() bool {
-	_ = p.command.Process.Signal(syscall.SIGTERM) // fails if the process has ended
-	select {
-	case <-p.exited:
-		return true
-	case <-time.After(stopTimeout):
-		_ = p.command.Process.Kill()
-		<-p.exited
-		return false
-	}
+// Kill ends the process.
+func (p *Process) Kill() {
+	_ = p.command.Process.Kill() // fails if the process has ended
+	<-p.exited
 }
 
 // Alive reports whether the process still runs.
