--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -34,6 +34,9 @@
 	// endless is more than anything that a server reads of a head or a line.
 	endless = 2_000_000
 
+	// holdTime is how long an attack lasts after the ordinary calls were answered.
+	holdTime = time.Second
+
 	bytesPerMegabyte = 1_000_000
 )
 
@@ -135,6 +138,7 @@
 	c := crowd.Start(target.address, size, a)
 	c.Settle()
 	during := target.answers()
+	time.Sleep(holdTime)
 	c.Close()
 	after := target.answers()
 	t.Logf("at most %.1f MB of %d MB; unread at most %.1f MB", float64(target.PeakBytes())/bytesPerMegabyte, limits.MemoryMB,
