node, inbound: the configured timeouts of clients apply

Seen: headerTimeoutMs and idleTimeoutMs were stored and checked, and applied nowhere; only the fronts had an idle timeout, of 2 min.

Cause: the timeouts of net/http cannot change while it serves.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -357,6 +358,23 @@
 	g.Expect(p.Entry.Alive()).To(BeTrue())
 }
 
+// Guards against a configured idle timeout that is not applied.
+func TestConfiguredIdleTimeout(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	g := NewWithT(t)
+	p := startPlatform(t, crowd.Limits{MemoryMB: memoryMB})
+	g.Expect(p.SetLimits(standin.Limits{MaxHeaderBytes: 16_384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 1_000, IdleTimeoutMs: 1_000, Version: 1})).To(Succeed())
+	conn, err := net.Dial("tcp", p.FrontAddress())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	// Less than the timeout that applies without a configuration.
+	g.Expect(conn.SetReadDeadline(time.Now().Add(time.Minute))).To(Succeed())
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+}
+
 // Guards against names that callers choose and that are kept although they are never seen again.
 func TestNamesThatAreNeverSeenAgain(t *testing.T) {
 	const requests = 200
--- a/node.go
+++ b/node.go
@@ -35,13 +35,10 @@
 )
 
 const (
-	// entryHeaderTimeout is how long a caller may take to send a request header.
-	// Without this limit, a connection that sends no header would stay open.
+	// entryHeaderTimeout and entryIdleTimeout apply as long as no model.ClientLimits are
+	// configured. A connection that sends no header would stay open without them.
 	entryHeaderTimeout = 10 * time.Second
-	// entryIdleTimeout is how long the connection of a caller stays open between
-	// two requests. It is longer than any idle timeout in the configured
-	// model.ClientLimits, because callers rely on those timeouts.
-	entryIdleTimeout = 2 * time.Minute
+	entryIdleTimeout   = 2 * time.Minute
 	// nodeCloseTimeout is how long the HTTP servers of a node that exits may take
 	// at least to write their last responses. It is within the margin that package
 	// fleet leaves at the end of the grace period of a graceful stop.
@@ -216,9 +213,9 @@
 	mux.Handle(peer.Path, n.peers)
 	n.addServer(&g, &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout, MaxHeaderBytes: memory.MaxRequestHeadBytes}, n.peerListener)
 	if n.listener != nil {
-		n.addServer(&g, &http.Server{
+		n.addServerWithTimeouts(&g, &http.Server{
 			Handler: n.gateway, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: entryIdleTimeout, MaxHeaderBytes: memory.MaxRequestHeadBytes,
-		}, n.listener)
+		}, n.listener, n.callerTimeouts)
 	}
 	err := g.Run()
 	if n.storage != nil {
@@ -233,7 +230,23 @@
 // addServer adds an HTTP server to the run group. When the group ends, the server
 // has the closeTimeout to complete the responses that it is writing.
 func (n *Node) addServer(g *run.Group, srv *http.Server, l net.Listener) {
-	g.Add(func() error { return n.Serve(srv, l) }, func(error) { shutDownServer(srv, n.closeTimeout()) })
+	n.addServerWithTimeouts(g, srv, l, nil)
+}
+
+// addServerWithTimeouts is addServer with timeouts that may change; nil means those of the server.
+func (n *Node) addServerWithTimeouts(g *run.Group, srv *http.Server, l net.Listener, timeouts func() inbound.Timeouts) {
+	l = n.connections.Attach(srv, l, timeouts)
+	g.Add(func() error { return serveHTTP(n.telemetry, srv, l) }, func(error) { shutDownServer(srv, n.closeTimeout()) })
+}
+
+// callerTimeouts returns the timeouts that the operator has configured for callers, 0 for those
+// that are not configured.
+func (n *Node) callerTimeouts() inbound.Timeouts {
+	view := n.Directory()
+	if view.Table == nil || view.Table.Limits() == nil {
+		return inbound.Timeouts{}
+	}
+	return inbound.Timeouts{Header: view.Table.Limits().HeaderTimeout, Idle: view.Table.Limits().IdleTimeout}
 }
 
 // closeTimeout returns how long responses may still take to be written when the control
--- a/pkg/inbound/table.go
+++ b/pkg/inbound/table.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -106,17 +107,11 @@
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) }
 	srv.Handler = trackRequests(srv.Handler)
 	return &listener{Listener: l, table: t, timeouts: func() Timeouts {
-		current := fixed
 		if timeouts == nil {
-			return current
+			return fixed
 		}
-		if configured := timeouts(); configured.Header > 0 {
-			current.Header = configured.Header
-		}
-		if configured := timeouts(); configured.Idle > 0 {
-			current.Idle = configured.Idle
-		}
-		return current
+		configured := timeouts()
+		return Timeouts{Header: cmp.Or(configured.Header, fixed.Header), Idle: cmp.Or(configured.Idle, fixed.Idle)}
 	}}
 }
 
