crowd: the idle timeout is tested after a request

On the test passed after 10 s: a connection that had sent nothing was under the header timeout. After a request it fails there, as intended: the connection was still open after a minute.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -283,6 +283,20 @@
 	}
 }
 
+// Guards against clients that read nothing of a long answer.
+func TestUnreadLongAnswers(t *testing.T) {
+	for _, c := range []struct{ listener, request string }{{"front", "GET /read" + crowd.LongPath}, {"own front", "GET /s/reads" + crowd.LongPath}} {
+		runCase(t, c.listener, clients, crowd.Attack{Payload: []byte(crowd.Head(c.request) + "\r\n"), Unread: true})
+	}
+}
+
+// Guards against clients that announce a body and wait to be asked for it.
+func TestExpectedBodies(t *testing.T) {
+	for _, w := range writes {
+		runCase(t, w.listener, clients, crowd.Attack{Payload: []byte(crowd.Head(w.request, "Expect: 100-continue\r\n", "Content-Length: 200000\r\n") + "\r\n")})
+	}
+}
+
 // Guards against connections that are opened and reset at once, with and without a request.
 func TestConnectionsResetAtOnce(t *testing.T) {
 	for _, c := range []struct{ name, payload string }{{"empty", ""}, {"request", crowd.Head(readRequest) + "\r\n"}} {
@@ -369,6 +383,9 @@
 	conn, err := net.Dial("tcp", p.FrontAddress())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
+	status, err := crowd.ExchangeOn(conn, []byte(crowd.Head(readRequest)+"\r\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
 	// Less than the timeout that applies without a configuration.
 	g.Expect(conn.SetReadDeadline(time.Now().Add(time.Minute))).To(Succeed())
 	_, err = conn.Read(make([]byte, 1))
