inbound: a client that takes nothing of a response is closed after 10 s

Callers saw: 503 for 30 s and more while 300 clients read nothing of an answer of 4 MiB.

Cause: a streamed response holds its upstream's slot until the caller has taken it, and nothing bounded how long a write to a caller may wait.

Change: a write fails once the client has taken no byte for 10 s.

--- a/internal/crowd/deployment.go
+++ b/internal/crowd/deployment.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/anvilcrank/anvilcrank/platform"
@@ -42,6 +43,7 @@
 	ports          standin.Ports
 	cancel         context.CancelFunc
 	upstream       *standin.Upstream
+	server         net.Listener
 	operator       standin.Operator
 }
 
@@ -86,12 +88,18 @@
 		}
 		*[]**Process{&p.Control, &p.Entry}[i] = process
 	}
-	p.upstream = &standin.Upstream{ID: "i-1", Service: "reads", Zone: "z1", Slots: 8, ServiceTime: time.Millisecond}
+	// The stand-in sends the heartbeats of the plain server.
+	p.upstream = &standin.Upstream{ID: "i-1", Service: "reads", Zone: "z1", Slots: 8}
 	client := &http.Client{Timeout: attemptTimeout}
 	if err := p.upstream.Start(silentObserver{}, client); err != nil {
 		return nil, err
 	}
-	p.upstream.AdvertisedAddress = p.upstream.Address()
+	server, err := startServer()
+	if err != nil {
+		return nil, err
+	}
+	p.server = server
+	p.upstream.AdvertisedAddress = server.Addr().String()
 	go repeat(ctx, func() { p.upstream.Heartbeat(ctx, p.ControlAddress()) })
 	p.operator = standin.Operator{HTTP: client}
 	routes := []standin.Route{{Name: "read", Prefix: "/read/", Kind: "safe", Service: "reads", TimeoutMs: 2000, MaxAttempts: 2, Version: 1}}
@@ -103,6 +111,36 @@
 	})
 }
 
+// longAnswerBytes is the size of the answer to a request whose path ends in LongPath.
+const (
+	longAnswerBytes = 4 << 20
+	LongPath        = "/long"
+)
+
+// startServer starts the plain HTTP server that is the upstream. It ends when its listener is
+// closed.
+func startServer() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	longAnswer := bytes.Repeat([]byte("x"), longAnswerBytes)
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if id := r.Header.Get(platform.Headers.AttemptID); id != "" {
+				w.Header().Set(platform.Headers.AttemptID, id)
+			}
+			if strings.HasSuffix(r.URL.Path, LongPath) {
+				_, _ = w.Write(longAnswer)
+				return
+			}
+			fmt.Fprintln(w, "answer")
+		}))
+	}()
+	return l, nil
+}
+
 // repeat calls f until the context ends.
 func repeat(ctx context.Context, f func()) {
 	for ctx.Err() == nil {
@@ -216,6 +254,7 @@
 	p.Entry.Kill()
 	p.Control.Kill()
 	p.upstream.Crash()
+	_ = p.server.Close()
 }
 
 // get makes one call on a connection of its own and returns an error if the status is not 200
@@ -284,16 +323,9 @@
 		return nil, err
 	}
 	i := &Instance{Process: process}
-	if i.upstream, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	if i.upstream, err = startServer(); err != nil {
 		return nil, err
 	}
-	go func() {
-		// Ends when Stop closes the listener.
-		_ = http.Serve(i.upstream, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			fmt.Fprintln(w, "answer")
-		}))
-	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	go repeat(ctx, i.announcer())
--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,6 +21,9 @@
 	// discardTimeout is how long a client may take to send the rest of a request that was
 	// answered before its end.
 	discardTimeout = 5 * time.Second
+	// writeStallTimeout is how long a client may take no byte of a response that waits for it.
+	// The response may hold a slot of an upstream.
+	writeStallTimeout = 10 * time.Second
 	// timeoutSlack is added to the timeouts, for delays in the network and in this process.
 	timeoutSlack = 2 * time.Second
 )
@@ -144,16 +148,25 @@
 	_ = c.Conn.SetReadDeadline(deadline)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It fails if the client of a request takes no byte for
+// writeStallTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
 	for {
 		piece := p[written:min(len(p), written+writePieceBytes)]
+		if stage(c.stage.Load()) != linked {
+			// An error means that the connection is closed, which the write reports.
+			_ = c.Conn.SetWriteDeadline(time.Now().Add(writeStallTimeout))
+		}
 		c.beginWait()
 		n, err := c.Conn.Write(piece)
 		c.endWait(n)
 		written += n
-		if err != nil || written == len(p) {
+		switch timedOut := errors.Is(err, os.ErrDeadlineExceeded); {
+		case timedOut && n == 0:
+			c.table.report(ClosedUnread, 1)
+			return written, err
+		case err != nil && !timedOut || written == len(p):
 			return written, err
 		}
 	}
--- a/pkg/inbound/table.go
+++ b/pkg/inbound/table.go
@@ -40,11 +40,13 @@
 	// RefusedForDescriptors those that were one too many.
 	RefusedForMemory
 	RefusedForDescriptors
+	// ClosedUnread are connections whose clients took nothing of a response.
+	ClosedUnread
 	numReasons
 )
 
 // reasonNames are the names of the reasons in logs and metrics.
-var reasonNames = [numReasons]string{"closed_memory", "closed_descriptors", "refused_memory", "refused_descriptors"}
+var reasonNames = [numReasons]string{"closed_memory", "closed_descriptors", "refused_memory", "refused_descriptors", "closed_unread"}
 
 // String returns the name of the reason.
 func (r Reason) String() string { return reasonNames[r] }
--- a/pkg/inbound/table_test.go
+++ b/pkg/inbound/table_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -73,6 +74,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if size, err := strconv.Atoi(r.URL.Query().Get("answer")); err == nil {
+			_, _ = w.Write(make([]byte, size))
+			return
+		}
 		fmt.Fprintf(w, "%d", len(body))
 	}), func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) })
 	srv := &http.Server{Handler: handler}
@@ -179,3 +184,23 @@
 	g.Eventually(func() bool { return isOpen(idle) }).WithTimeout(10 * time.Second).Should(BeFalse())
 	g.Expect(isOpen(unfinished)).To(BeTrue())
 }
+
+// Guards against a slow client whose response is cut although it reads.
+func TestSlowReaderGetsItsResponse(t *testing.T) {
+	g := NewWithT(t)
+	const size = 3 << 20
+	s := serve(t, 8<<20, 0, inbound.Timeouts{})
+	conn := s.dial(t, "GET /?answer="+fmt.Sprint(size)+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	read := 0
+	buffer := make([]byte, 64<<10)
+	for err == nil {
+		var n int
+		n, err = resp.Body.Read(buffer)
+		read += n
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.Expect(err).To(MatchError(io.EOF))
+	g.Expect(read).To(Equal(size))
+}
--- a/pkg/logevent/events.go
+++ b/pkg/logevent/events.go
@@ -129,7 +129,7 @@
 	{ReloadFailed, "reload_failed", LevelError, "the settings file could not be reloaded; the previous settings stay in force"},
 	{LinesSkipped, "lines_skipped", LevelWarn, "log lines were dropped by the rate limit of the log"},
 	{ProcessPaused, "process_paused", LevelWarn, "the process did not run for some time, or the clock was set; orders of unknown age are rejected for 1 s"},
-	{ConnectionsClosed, "connections_closed", LevelWarn, "accepted connections were closed or refused, because they and the others hold too much memory or too many descriptors"},
+	{ConnectionsClosed, "connections_closed", LevelWarn, "accepted connections were closed or refused, because they and the others hold too much memory or too many descriptors, or because their clients read nothing"},
 	{UpstreamRegistered, "upstream_registered", LevelInfo, "an upstream registered with this instance"},
 	{UpstreamDraining, "upstream_draining", LevelInfo, "an upstream is draining"},
 	{UpstreamLeft, "upstream_left", LevelInfo, "an upstream deregistered"},
