inbound: net/http's read ahead is no wait for the client

Read in the code, not seen: at the end of a body net/http starts a goroutine that reads one byte ahead. If it came before the read of the body had returned, the connection counted as waiting for its client while the request ran, and could have been closed for room. 1,000 requests did not show it before the change.

Change: a read of one byte while a request is served is never a wait; the new test guards it.

--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -110,8 +110,9 @@
 // what the head will hold once it is parsed.
 func (c *Conn) Read(p []byte) (int, error) {
 	s := stage(c.stage.Load())
-	if s == serving && c.bodyReads.Load() == 0 {
-		// net/http waits for the end of the connection while a request is served.
+	if s == serving && (c.bodyReads.Load() == 0 || len(p) == 1) {
+		// net/http reads one byte ahead while a request is served, to notice that the client
+		// has left.
 		return c.Conn.Read(p)
 	}
 	if s == idle {
