--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -68,8 +68,7 @@
 	// held is what the connection and its request hold of the memory budget, in bytes.
 	held atomic.Int64
 	// own is the part of held that belongs to the connection itself: its buffers, the kernel's
-	// ones included, and the head.
-	// The goroutine that serves the connection uses it.
+	// ones included, and the head. Only the goroutine that serves the connection uses it.
 	own memory.Holding
 	// bodyReads is the number of reads of a request body in progress.
 	bodyReads atomic.Int32
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -9,7 +9,7 @@
 
 const (
 	// HeldShare is the share of a process's memory that the budget may hold. The rest is
-	// for control state, connections, code and garbage that is not collected yet.
+	// for control state, code and garbage that is not collected yet.
 	HeldShare = 0.3
 	// ceilingShare is the share of the limit that is never exceeded by what connections add,
 	// those included that are being closed to make room.
