--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -90,46 +92,40 @@
 	return i
 }
 
-// listeners names the listeners, and starts a target for each.
-var listeners = map[string]func(*testing.T, crowd.Limits) target{
-	"front": func(t *testing.T, l crowd.Limits) target {
-		p := startPlatform(t, l)
-		return target{p.Entry, p.FrontAddress(), p.Answers}
-	},
-	"readiness": func(t *testing.T, l crowd.Limits) target {
-		p := startPlatform(t, l)
-		return target{p.Entry, p.ReadyAddress(), p.Answers}
-	},
-	"metrics": func(t *testing.T, l crowd.Limits) target {
-		p := startPlatform(t, l)
-		return target{p.Entry, p.MetricsAddress(), p.Answers}
-	},
-	"entry peers": func(t *testing.T, l crowd.Limits) target {
+// onPlatform returns a function that starts a deployment and returns the target that pick
+// chooses from it.
+func onPlatform(pick func(*crowd.Platform) (*crowd.Process, string)) func(*testing.T, crowd.Limits) target {
+	return func(t *testing.T, l crowd.Limits) target {
 		p := startPlatform(t, l)
-		return target{p.Entry, p.EntryPeerAddress(), p.Answers}
-	},
-	"control": func(t *testing.T, l crowd.Limits) target {
-		p := startPlatform(t, l)
-		return target{p.Control, p.ControlAddress(), p.Answers}
-	},
-	"directory": func(t *testing.T, l crowd.Limits) target {
-		p := startPlatform(t, l)
-		return target{p.Control, p.DirectoryAddress(), p.Answers}
-	},
-	"control peers": func(t *testing.T, l crowd.Limits) target {
-		p := startPlatform(t, l)
-		return target{p.Control, p.ControlPeerAddress(), p.Answers}
-	},
-	"own front": func(t *testing.T, l crowd.Limits) target {
-		i := startInstance(t, l)
-		return target{i.Process, i.Address(), i.Answers}
-	},
-	"own peers": func(t *testing.T, l crowd.Limits) target {
+		process, address := pick(p)
+		return target{process, address, p.Answers}
+	}
+}
+
+// onInstance is onPlatform for an instance with settings of its own.
+func onInstance(address func(*crowd.Instance) string) func(*testing.T, crowd.Limits) target {
+	return func(t *testing.T, l crowd.Limits) target {
 		i := startInstance(t, l)
-		return target{i.Process, i.PeerAddress(), i.Answers}
-	},
+		return target{i.Process, address(i), i.Answers}
+	}
 }
 
+// listeners names the listeners, and starts a target for each.
+var listeners = map[string]func(*testing.T, crowd.Limits) target{
+	"front":         onPlatform(func(p *crowd.Platform) (*crowd.Process, string) { return p.Entry, p.FrontAddress() }),
+	"readiness":     onPlatform(func(p *crowd.Platform) (*crowd.Process, string) { return p.Entry, p.ReadyAddress() }),
+	"metrics":       onPlatform(func(p *crowd.Platform) (*crowd.Process, string) { return p.Entry, p.MetricsAddress() }),
+	"entry peers":   onPlatform(func(p *crowd.Platform) (*crowd.Process, string) { return p.Entry, p.EntryPeerAddress() }),
+	"control":       onPlatform(func(p *crowd.Platform) (*crowd.Process, string) { return p.Control, p.ControlAddress() }),
+	"directory":     onPlatform(func(p *crowd.Platform) (*crowd.Process, string) { return p.Control, p.DirectoryAddress() }),
+	"control peers": onPlatform(func(p *crowd.Platform) (*crowd.Process, string) { return p.Control, p.ControlPeerAddress() }),
+	"own front":     onInstance((*crowd.Instance).Address),
+	"own peers":     onInstance((*crowd.Instance).PeerAddress),
+}
+
+// allListeners are the names of all listeners, in the order of the tests.
+var allListeners = slices.Sorted(maps.Keys(listeners))
+
 // play runs a crowd against a listener of a new deployment. It checks that the process lives,
 // that its memory stays within the settings, and that ordinary calls are answered during the
 // attack and after it.
@@ -189,7 +185,7 @@
 
 // Guards against heads that are larger than allowed but read all the same, at every listener.
 func TestLargeHeads(t *testing.T) {
-	for _, listener := range []string{"front", "readiness", "metrics", "entry peers", "control", "directory", "control peers", "own front", "own peers"} {
+	for _, listener := range allListeners {
 		runCase(t, listener, clients, crowd.Attack{Payload: []byte(crowd.Head(readRequest, crowd.ShortLines(largeHead)))})
 	}
 }
@@ -309,7 +305,7 @@
 // Guards against callers that open so many connections that the process has no descriptor
 // left, and against those callers keeping ordinary ones out.
 func TestIdleConnections(t *testing.T) {
-	for _, listener := range []string{"front", "readiness", "metrics", "entry peers", "control", "directory", "control peers", "own front", "own peers"} {
+	for _, listener := range allListeners {
 		t.Run(listener, func(t *testing.T) {
 			if testing.Short() {
 				t.Skip("starts processes")
--- a/internal/crowd/deployment.go
+++ b/internal/crowd/deployment.go
@@ -111,10 +111,10 @@
 	})
 }
 
-// longAnswerBytes is the size of the answer to a request whose path ends in LongPath.
 const (
-	longAnswerBytes = 4 << 20
+	// LongPath is the end of the path of requests that get an answer of longAnswerBytes.
 	LongPath        = "/long"
+	longAnswerBytes = 4 << 20
 )
 
 // startServer starts the plain HTTP server that is the upstream. It ends when its listener is
@@ -165,16 +165,26 @@
 	}
 }
 
-// Addresses of the listeners.
-func (p *Platform) ControlAddress() string   { return address(p.Control, p.ports.Control) }
+// ControlAddress returns the address for upstreams and operators.
+func (p *Platform) ControlAddress() string { return address(p.Control, p.ports.Control) }
+
+// DirectoryAddress returns the address for lookups.
 func (p *Platform) DirectoryAddress() string { return address(p.Control, p.ports.Directory) }
-func (p *Platform) FrontAddress() string     { return address(p.Entry, p.ports.Front) }
-func (p *Platform) ReadyAddress() string     { return address(p.Entry, p.ports.Ready) }
-func (p *Platform) MetricsAddress() string   { return address(p.Entry, metricsPort) }
+
+// FrontAddress returns the address for callers.
+func (p *Platform) FrontAddress() string { return address(p.Entry, p.ports.Front) }
+
+// ReadyAddress returns the address for readiness checks.
+func (p *Platform) ReadyAddress() string { return address(p.Entry, p.ports.Ready) }
+
+// MetricsAddress returns the address of the entry instance's metrics.
+func (p *Platform) MetricsAddress() string { return address(p.Entry, metricsPort) }
+
+// EntryPeerAddress returns the address of the entry instance for other instances.
 func (p *Platform) EntryPeerAddress() string { return address(p.Entry, p.ports.Internal) }
-func (p *Platform) ControlPeerAddress() string {
-	return address(p.Control, p.ports.Internal)
-}
+
+// ControlPeerAddress returns the address of the control instance for other instances.
+func (p *Platform) ControlPeerAddress() string { return address(p.Control, p.ports.Internal) }
 
 func address(p *Process, port int) string { return net.JoinHostPort(p.ip, fmt.Sprint(port)) }
 
