inbound: large heads wait for the collector of garbage

Change: a head of more than 128 KiB, as counted, waits for a collection when a quarter of the budget was parsed into such heads since the last one. Smaller heads never wait, so that no ordinary caller does.

--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -135,6 +135,9 @@
 		c.table.report(RefusedForMemory, 1)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoRoom}
 	}
+	if c.held.Load() >= largeHeadBytes {
+		c.table.paceLargeHeads(held)
+	}
 	return n, err
 }
 
--- a/pkg/inbound/table.go
+++ b/pkg/inbound/table.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +27,9 @@
 	// futileInterval is the least time between two decisions of which the first made nothing
 	// free.
 	futileInterval = 10 * time.Millisecond
+	// uncollectedShare is the share of the budget that large heads may be parsed into between
+	// two collections of garbage.
+	uncollectedShare = 0.25
 )
 
 // Reason is why connections were closed or refused.
@@ -67,6 +71,10 @@
 	nextID    atomic.Uint64
 	// noMemoryAt and noDescriptorsAt are when the last decision was made that made nothing free.
 	noMemoryAt, noDescriptorsAt atomic.Int64
+	// uncollected is how many bytes large heads were parsed into since the last collection of
+	// garbage for them, during which collecting is locked.
+	uncollected atomic.Int64
+	collecting  sync.Mutex
 
 	// mu guards conns.
 	mu    sync.Mutex
@@ -278,6 +286,26 @@
 	t.report(ClosedForMemory, closed)
 }
 
+// paceLargeHeads counts bytes that a large head holds once they are parsed, and waits for a
+// collection of garbage when there are many since the last one. The connections of such heads
+// are closed soon, so that what they held becomes garbage faster than the collector, which runs
+// beside the goroutines that parse, would take it away.
+func (t *Table) paceLargeHeads(bytes int) {
+	if t.budget == nil {
+		return
+	}
+	limit := int64(float64(t.budget.Limit()) * uncollectedShare)
+	if t.uncollected.Add(int64(bytes)) < limit {
+		return
+	}
+	t.collecting.Lock()
+	defer t.collecting.Unlock()
+	if t.uncollected.Load() >= limit {
+		runtime.GC()
+		t.uncollected.Store(0)
+	}
+}
+
 // remove takes a connection out of the table once its goroutine has ended.
 func (t *Table) remove(c *Conn) {
 	t.mu.Lock()
