review: case 12, a configuration acknowledged at the first start is lost with two disks

Cause: the control group begins with three voters and acknowledges orders at once, though the settings say that two disks may be lost. Script: the machine that acknowledged the first call and one more come back with empty disks.

--- a/review/standins-3/firststart.go
+++ b/review/standins-3/firststart.go
@@ -32,15 +32,7 @@
 	}
 	defer d.close()
 	first := d.core[0]
-	start := func(m *machine) error {
-		r.line("platform: %s starts, bootstrap %t", m.name, m.bootstrap)
-		err := m.start()
-		// The platform starts a process again with the settings of that moment: the whole
-		// system does not start for the first time then.
-		m.bootstrap = false
-		return err
-	}
-	if err := start(first); err != nil {
+	if err := startFirst(first, r); err != nil {
 		return cannotRun, err
 	}
 	time.Sleep(killAfter)
@@ -51,14 +43,14 @@
 	killed := time.Now()
 	time.Sleep(spread - killAfter)
 	for _, m := range d.all()[1:] {
-		if err := start(m); err != nil {
+		if err := startFirst(m, r); err != nil {
 			return cannotRun, err
 		}
 	}
 	lastStart := time.Now()
 	if trouble {
 		time.Sleep(time.Until(killed.Add(restartAfter)))
-		if err := start(first); err != nil {
+		if err := startFirst(first, r); err != nil {
 			return cannotRun, err
 		}
 		lastStart = time.Now()
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -46,6 +46,7 @@
 	}
 	play, ok := map[string]func(daemon string, trouble bool, r *record) (int, error){
 		"firststart": playFirstStart,
+		"firstack":   playFirstAck,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no case", os.Args[1])
--- a/review/standins-3/platform.go
+++ b/review/standins-3/platform.go
@@ -54,22 +54,28 @@
 	return http.StatusTemporaryRedirect, nil
 }
 
-// order sends an order of the operator to the core machines in turn, with increasing pauses,
-// until it is acknowledged or refused, or the deadline is over. It returns the last status.
+// order sends an order like sendOrder and returns the last status.
 func order(d *deployment, r *record, name, path string, body []byte, deadline time.Time) int {
+	status, _ := sendOrder(d, r, name, path, body, deadline)
+	return status
+}
+
+// sendOrder sends an order of the operator to the core machines in turn, with increasing pauses,
+// until it is acknowledged or refused, or the deadline is over. It returns the last status and the
+// machine that was called last.
+func sendOrder(d *deployment, r *record, name, path string, body []byte, deadline time.Time) (status int, by *machine) {
 	pause := 100 * time.Millisecond
-	status := 0
 	for i := 0; time.Now().Before(deadline); i++ {
-		m := d.core[i%len(d.core)]
-		status, _ = call(http.MethodPost, fmt.Sprintf("http://%s:%d%s", m.ip, controlPort, path), body)
-		r.line("operator: %s to %s: %d", name, m.name, status)
+		by = d.core[i%len(d.core)]
+		status, _ = call(http.MethodPost, fmt.Sprintf("http://%s:%d%s", by.ip, controlPort, path), body)
+		r.line("operator: %s to %s: %d", name, by.name, status)
 		if status/100 == 2 || status == 400 || status == 409 || status == 412 || status == 413 || status == 422 {
-			return status
+			return status, by
 		}
 		time.Sleep(pause)
 		pause = min(2*pause, time.Second)
 	}
-	return status
+	return status, by
 }
 
 const hostName = "jepu9.example"
