review: case 13, a request inside the body of another one runs

Cause: a request with a length and in chunks is read by its chunks alone, and its connection stays open, so that the rest of the body is taken for a request. Script: deposits with another deposit inside their bodies.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -47,6 +47,7 @@
 	play, ok := map[string]func(daemon string, trouble bool, r *record) (int, error){
 		"firststart": playFirstStart,
 		"firstack":   playFirstAck,
+		"smuggled":   playSmuggled,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no case", os.Args[1])
