--- a/review/standins-3/platform.go
+++ b/review/standins-3/platform.go
@@ -82,7 +82,7 @@
 
 // routeItem returns a route as the operator sends it.
 func routeItem(prefix, kind, service string, timeoutMs, version int) map[string]any {
-	return map[string]any{"host": hostName, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, "targetLatencyMs": 400,
+	return map[string]any{"host": hostName, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, objectiveField: 400,
 		"priority": 2, "service": service, "maxAttempts": 2, "sessionAffinity": true, "homeRegions": []string{}, "version": fmt.Sprintf("%08x", version)}
 }
 
@@ -147,17 +147,17 @@
 // heartbeat sends one heartbeat and reports whether it was acknowledged.
 func (s *server) heartbeat(m *machine) bool {
 	body, _ := json.Marshal(map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 8,
-		"state": s.state.Load(), "coldRemainingMs": 0, "sequence": s.sequence.Add(1), "born": s.born})
+		"state": s.state.Load(), coldField: 0, "sequence": s.sequence.Add(1), "born": s.born})
 	status, _ := call(http.MethodPost, fmt.Sprintf("http://%s:%d/instances/%s/heartbeat", m.ip, controlPort, s.id), body)
 	return status/100 == 2
 }
 
 // ServeHTTP runs a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Anvilcrank-Attempt-Id")
-	w.Header().Set("X-Anvilcrank-Attempt-Id", id)
-	w.Header().Set("X-Anvilcrank-Server-Load", "1,0,8,100")
-	if target := r.Header.Get("X-Anvilcrank-Target-Instance"); target != "" && target != s.id {
+	id := r.Header.Get(attemptHeader)
+	w.Header().Set(attemptHeader, id)
+	w.Header().Set(loadHeader, "1,0,8,100")
+	if target := r.Header.Get(targetHeader); target != "" && target != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -172,7 +172,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Anvilcrank-Response-Seal", "whole")
+	w.Header().Set(sealHeader, "whole")
 	_, _ = fmt.Fprintf(w, "%s %s", s.id, id)
 }
 
@@ -198,8 +198,8 @@
 		return 0, false
 	}
 	req.Host = hostName
-	req.Header.Set("X-Anvilcrank-Attempt-Id", id)
-	req.Header.Set("X-Anvilcrank-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set(attemptHeader, id)
+	req.Header.Set(deadlineHeader, strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := newHTTPClient().Do(req)
 	if err != nil {
 		return 0, false
@@ -208,5 +208,5 @@
 	if _, err := io.ReadAll(resp.Body); err != nil {
 		return 0, false
 	}
-	return resp.StatusCode, resp.Header.Get("X-Anvilcrank-Response-Seal") != ""
+	return resp.StatusCode, resp.Header.Get(sealHeader) != ""
 }
--- a/review/standins-3/smuggled.go
+++ b/review/standins-3/smuggled.go
@@ -97,5 +97,5 @@
 
 // head returns the beginning of the head of a deposit.
 func head(path, id string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nX-Anvilcrank-Attempt-Id: " + id + "\r\nX-Anvilcrank-Deadline-Ms: 2000\r\n"
+	return "POST " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\n" + attemptHeader + ": " + id + "\r\n" + deadlineHeader + ": 2000\r\n"
 }
